--- /dev/null
+++ b/crates/beechcroft-adapter/src/settings.rs
@@ -0,0 +1,178 @@
+//! Reads the wire's settings (WIRE section 13) into the module's; unknown keys are ignored.
+
+use beechcroft::{Effect, GateMode, Group, PeerId, Settings, Track, ZoneId};
+use serde_json::Value;
+use std::time::Duration;
+
+/// The settings, with the names that the wire uses for positions in them.
+pub struct Named {
+    pub settings: Settings,
+    pub tracks: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub load: Vec<String>,
+}
+
+struct Node<'a>(&'a Value, &'static str);
+
+impl<'a> Node<'a> {
+    fn lacks(&self, key: &str) -> String {
+        format!("params.{}{key}: missing or malformed", self.1)
+    }
+    fn at(&self, key: &str, path: &'static str) -> Result<Node<'a>, String> {
+        match self.0.get(key) {
+            Some(value @ Value::Object(_)) => Ok(Node(value, path)),
+            _ => Err(self.lacks(key)),
+        }
+    }
+    /// An optional value is taken by `or`; a present one of the wrong type is an error all the same.
+    fn read<T>(&self, key: &str, or: Option<T>, as_type: fn(&'a Value) -> Option<T>) -> Result<T, String> {
+        match self.0.get(key) {
+            None | Some(Value::Null) => or.ok_or_else(|| self.lacks(key)),
+            Some(value) => as_type(value).ok_or_else(|| self.lacks(key)),
+        }
+    }
+    fn number(&self, key: &str) -> Result<f64, String> {
+        self.read(key, None, Value::as_f64)
+    }
+    fn number_or(&self, key: &str, or: f64) -> Result<f64, String> {
+        self.read(key, Some(or), Value::as_f64)
+    }
+    fn count(&self, key: &str) -> Result<u32, String> {
+        let count = self.read(key, None, Value::as_u64)?;
+        u32::try_from(count).map_err(|_| self.lacks(key))
+    }
+    fn span(&self, key: &str) -> Result<Duration, String> {
+        Duration::try_from_secs_f64(self.number(key)?).map_err(|_| self.lacks(key))
+    }
+    fn span_or(&self, key: &str, or: Duration) -> Result<Duration, String> {
+        if self.0.get(key).is_none() {
+            return Ok(or);
+        }
+        self.span(key)
+    }
+    fn yes_or(&self, key: &str, or: bool) -> Result<bool, String> {
+        self.read(key, Some(or), Value::as_bool)
+    }
+    fn word(&self, key: &str) -> Result<&'a str, String> {
+        self.read(key, None, Value::as_str)
+    }
+    fn word_or(&self, key: &str, or: &'static str) -> Result<&'a str, String> {
+        self.read(key, Some(or), Value::as_str)
+    }
+    fn list(&self, key: &str) -> Result<&'a [Value], String> {
+        self.read(key, None, |value| value.as_array().map(Vec::as_slice))
+    }
+    fn list_or_empty(&self, key: &str) -> Result<&'a [Value], String> {
+        self.read(key, Some(&[][..]), |value| value.as_array().map(Vec::as_slice))
+    }
+    fn words(&self, key: &str) -> Result<Vec<String>, String> {
+        let words = self.list(key)?.iter();
+        words.map(|word| word.as_str().map(str::to_owned).ok_or_else(|| self.lacks(key))).collect()
+    }
+}
+
+fn track(node: &Node) -> Result<Track, String> {
+    let effect = match node.word("effect")? {
+        "retryable" => Effect::Idempotent,
+        "fragile" => Effect::Unrepeatable,
+        "dedup" => Effect::Deduplicated {
+            group: match node.word_or("group", "all")? {
+                "all" => Group::All,
+                "zone" => Group::Zone,
+                "cell" => Group::Cell,
+                _ => return Err(node.lacks("group")),
+            },
+            window: node.span("window_s")?,
+        },
+        _ => return Err(node.lacks("effect")),
+    };
+    Ok(Track {
+        effect,
+        quoted: node.span("aim_s")?,
+        abandon: node.span("give_up_s")?,
+        utility: node.number("points")?,
+        late_utility: node.number_or("late_worth", 0.0)?,
+        quoted_stretch: node.number_or("aim_stretch", 0.0)?,
+    })
+}
+
+/// Reads the text of `params`.
+pub fn read(text: &str) -> Result<Named, String> {
+    let value: Value = serde_json::from_str(text).map_err(|error| format!("params: {error}"))?;
+    let all = Node(&value, "");
+    let limits = all.at("limits", "limits.")?;
+    let rules = all.at("invariants", "invariants.")?;
+    let rollout = all.at("family_info", "family_info.")?;
+    let charges = all.at("charges", "charges.")?;
+    let stats = all.at("stats", "stats.")?;
+    let mut tracks = Vec::new();
+    let mut names = Vec::new();
+    for class in all.list("classes")? {
+        let node = Node(class, "classes[].");
+        names.push(node.word("name")?.to_owned());
+        tracks.push(track(&node)?);
+    }
+    let (mut tenants, mut tenant_quotas) = (Vec::new(), Vec::new());
+    for tenant in all.list_or_empty("tenants")? {
+        let node = Node(tenant, "tenants[].");
+        tenants.push(node.word("name")?.to_owned());
+        tenant_quotas.push(node.number_or("quota_per_s", f64::INFINITY)?);
+    }
+    let zones = all.words("failure_domains")?;
+    let zone = all.word_or("zone", "")?;
+    let caps = rollout.list("stage_cap")?.iter();
+    let stage_caps: Option<Vec<f64>> = caps.map(Value::as_f64).collect();
+    let gate = match rollout.word("gate_mode")? {
+        "first_voice" => GateMode::FirstVoice,
+        "by_count" => GateMode::ByCount,
+        "automatic" => GateMode::Automatic,
+        _ => return Err(rollout.lacks("gate_mode")),
+    };
+    let how = stats.word_or("how", "none")?;
+    let settings = Settings {
+        me: PeerId(all.count("me")?),
+        relays: all.count("instances")?.max(1),
+        zone: zones.iter().position(|name| name == zone).map(ZoneId),
+        tracks,
+        tenant_quotas,
+        over_share_worth: all.number_or("over_share_worth", 1.0)?,
+        utility_by_work: all.word_or("worth_by", "request")? == "work",
+        granularity: all.span_or("granularity_s", Duration::ZERO)?,
+        cross_zone_charge: charges.number_or("cross_zone", 0.0)?,
+        late_fail_charge: charges.number_or("late_fail", 0.0)?,
+        nominal_known: all.word_or("weight_kind", "none")? != "none",
+        ask_for_list: all.word_or("discovery", "pushed")? == "on_request",
+        load_by_probe: how == "probe",
+        may_probe: limits.yes_or("probing", false)?,
+        may_tell_peers: limits.yes_or("peers", false)?,
+        may_abandon: limits.yes_or("cancel", false)?,
+        may_name_hold_off: limits.yes_or("retry_after", false)?,
+        parallel_tries: limits.yes_or("parallel_tries", false)?,
+        max_dispatches: limits.count("max_attempts")?,
+        max_hold_off: limits.span_or("max_retry_after_s", Duration::ZERO)?,
+        drain_grace: rules.span("drain_grace_s")?,
+        cold_from: rules.number("cold_from")?,
+        warm_up: rules.span("warm_up_s")?,
+        fall_multiple: rules.number("fall_multiple")?,
+        overload_for: rules.span("overload_for_s")?,
+        ask_within: rules.span_or("ask_within_s", Duration::from_secs(10))?,
+        gate,
+        replace: rollout.word_or("layout", "parallel")? == "replace",
+        stage_caps: stage_caps.ok_or_else(|| rollout.lacks("stage_cap"))?,
+        closed_stages: rollout.number_or("closed_stages", 0.0)? as usize,
+        exposure_free: rollout.number("free")?,
+        exposure_window: rollout.span("counted_over_s")?,
+        exposure_by_track: rollout.word("per")? == "each_class",
+        forward_only: rollout.yes_or("forward_only", false)?,
+        soak: rollout.span_or("soak_s", Duration::ZERO)?,
+        answer_wait: rollout.span("answer_wait_s")?,
+        vote_life: rollout.span("vote_life_s")?,
+        votes_per_s: rollout.number("calls_per_s")?,
+        on_votes: rollout.count("on_votes").unwrap_or(1),
+        back_votes: rollout.count("noes_needed")?,
+        delay_price: rollout.number_or("delay_price", 0.0)?,
+        damage_price: rollout.number_or("damage_price", 0.0)?,
+    };
+    Ok(Named { settings, tracks: names, tenants, zones, load: stats.words("names").unwrap_or_default() })
+}
--- /dev/null
+++ b/crates/beechcroft-adapter/src/wire.rs
@@ -0,0 +1,427 @@
+//! The bench's wire: lines in, calls to the module, actions out. Decoded fields go straight into calls.
+
+use crate::settings::{self, Named};
+use beechcroft::decide::Relay;
+use beechcroft::*;
+use smol_str::SmolStr;
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::io::{BufRead, Write};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::str::FromStr;
+use std::time::Duration;
+
+/// The parts of one line, found by name without copying.
+struct Line<'a> {
+    name: &'a str,
+    rest: &'a str,
+}
+
+impl<'a> Line<'a> {
+    fn get(&self, field: &str) -> Option<&'a str> {
+        self.rest.split(' ').find_map(|part| part.strip_prefix(field)?.strip_prefix('='))
+    }
+    fn text(&self, field: &str) -> Result<&'a str, String> {
+        self.get(field).filter(|text| !text.is_empty()).ok_or_else(|| format!("{field}: missing"))
+    }
+    fn opt<T: FromStr>(&self, field: &str) -> Result<Option<T>, String> {
+        match self.get(field) {
+            None => Ok(None),
+            Some(text) => text.parse().map(Some).map_err(|_| format!("{field}: malformed '{text}'")),
+        }
+    }
+    fn num<T: FromStr>(&self, field: &str) -> Result<T, String> {
+        self.opt(field)?.ok_or_else(|| format!("{field}: missing"))
+    }
+    fn real(&self, field: &str) -> Result<f64, String> {
+        let value: f64 = self.num(field)?;
+        if value.is_finite() {
+            Ok(value)
+        } else {
+            Err(format!("{field}: malformed '{value}'"))
+        }
+    }
+    /// A span; one below zero counts as zero.
+    fn span(&self, field: &str) -> Result<Duration, String> {
+        let value = self.real(field)?;
+        Duration::try_from_secs_f64(value.max(0.0)).map_err(|_| format!("{field}: malformed '{value}'"))
+    }
+    fn flag(&self, field: &str) -> Result<bool, String> {
+        match self.get(field) {
+            None | Some("0") => Ok(false),
+            Some("1") => Ok(true),
+            Some(text) => Err(format!("{field}: malformed '{text}'")),
+        }
+    }
+    fn task(&self) -> Result<TaskId, String> {
+        self.text("tid").map(|text| TaskId(SmolStr::new(text)))
+    }
+    fn unit(&self) -> Result<UnitId, String> {
+        self.text("unit").map(|text| UnitId(SmolStr::new(text)))
+    }
+    fn outcome(&self) -> Result<Outcome, String> {
+        Ok(match self.num("verdict")? {
+            1u8 => Outcome::Ok,
+            2 => Outcome::Error,
+            3 => Outcome::Full,
+            4 => Outcome::TimeOut,
+            5 => Outcome::ConnectFailed,
+            6 => Outcome::Reset,
+            7 => Outcome::Abandoned,
+            8 => Outcome::Moot,
+            other => return Err(format!("verdict: malformed '{other}'")),
+        })
+    }
+    fn position(&self, field: &str, names: &[String]) -> Result<usize, String> {
+        let text = self.text(field)?;
+        names.iter().position(|name| name == text).ok_or_else(|| format!("{field}: unknown '{text}'"))
+    }
+    fn load(&self, names: &[String]) -> Result<Load, String> {
+        let mut load = Load::default();
+        let pairs = self.get("usage").filter(|text| !text.is_empty() && *text != "-");
+        for pair in pairs.into_iter().flat_map(|text| text.split(',')) {
+            let (name, value) = pair.split_once(':').ok_or_else(|| format!("usage: malformed '{pair}'"))?;
+            let value: f64 = value.parse().map_err(|_| format!("usage: malformed '{pair}'"))?;
+            if !names.iter().any(|known| known == name) {
+                continue;
+            }
+            match name {
+                "rif" => load.in_flight = Some(value),
+                "q" => load.queued = Some(value),
+                "busy" => load.busy = Some(value),
+                "lat_ms" => load.latency = Some(value),
+                "rate" => load.rate = Some(value),
+                "fail_rate" => load.fail_rate = Some(value),
+                _ => {}
+            }
+        }
+        Ok(load)
+    }
+    fn payload(&self) -> Result<Vec<u8>, String> {
+        let text = self.text("payload")?;
+        if text == "-" {
+            return Ok(Vec::new());
+        }
+        let digits = text.as_bytes();
+        let malformed = || format!("payload: malformed '{text}'");
+        if !digits.len().is_multiple_of(2) || !digits.iter().all(u8::is_ascii_hexdigit) {
+            return Err(malformed());
+        }
+        let pairs = digits.chunks_exact(2).map(|pair| std::str::from_utf8(pair).unwrap_or(""));
+        pairs.map(|pair| u8::from_str_radix(pair, 16).map_err(|_| malformed())).collect()
+    }
+}
+
+/// Writes one instance's actions as reply lines.
+struct Reply<'a> {
+    who: u32,
+    out: &'a mut String,
+}
+
+impl Reply<'_> {
+    fn line(&mut self, rest: std::fmt::Arguments) {
+        let _ = self.out.write_fmt(rest);
+        let _ = writeln!(self.out, " who={}", self.who);
+    }
+}
+
+fn micros(span: Duration) -> f64 {
+    span.as_micros() as f64 / 1e6
+}
+
+impl Actions for Reply<'_> {
+    fn dispatch(&mut self, task: &TaskId, unit: &UnitId, time_out: Duration) {
+        self.line(format_args!("ROUTE tid={} cap_s={} unit={}", task.0, micros(time_out), unit.0));
+    }
+    fn nack(&mut self, task: &TaskId, hold_off: Duration) {
+        self.line(format_args!("DENY tid={} hold_off_s={}", task.0, micros(hold_off)));
+    }
+    fn terminate(&mut self, task: &TaskId) {
+        self.line(format_args!("LOSE tid={}", task.0));
+    }
+    fn abandon(&mut self, task: &TaskId, dispatch: DispatchNo) {
+        self.line(format_args!("ABANDON tid={} trial={}", task.0, dispatch.0));
+    }
+    fn probe(&mut self, unit: &UnitId) {
+        self.line(format_args!("INSPECT unit={}", unit.0));
+    }
+    fn close_idle(&mut self, unit: &UnitId) {
+        self.line(format_args!("CLOSE_IDLE unit={}", unit.0));
+    }
+    fn tell_peers(&mut self, payload: &[u8]) {
+        let mut hex = String::with_capacity(payload.len() * 2);
+        for byte in payload {
+            let _ = write!(hex, "{byte:02x}");
+        }
+        self.line(format_args!("PUBLISH neighbour_id=* payload={hex}"));
+    }
+    fn vote(&mut self, build: BuildId, stage: Stage, vote: Vote) {
+        let code = match vote {
+            Vote::Nothing => 0,
+            Vote::On => 1,
+            Vote::Hold => 2,
+            Vote::Back => 3,
+        };
+        self.line(format_args!("VERDICT ver={} wave={} code={code}", build.0, stage.0));
+    }
+    fn wake(&mut self, after: Duration, token: Token) {
+        self.line(format_args!("WAKE_AT delay_s={} ref={}", micros(after), token.0));
+    }
+    fn follow_list(&mut self) {
+        self.line(format_args!("TAIL want=1"));
+    }
+    fn fetch_list(&mut self) {
+        self.line(format_args!("GET_LIST"));
+    }
+    fn log(&mut self, line: &str) {
+        let _ = writeln!(self.out, "RECORD who={} what={line}", self.who);
+    }
+}
+
+/// One line of a list, kept as text until an instance is told of it.
+type Roster = Vec<String>;
+
+struct Instance {
+    relay: Relay,
+    names: Named,
+}
+
+#[derive(Default)]
+struct Host {
+    now: Duration,
+    rosters: BTreeMap<u8, Roster>,
+    instances: BTreeMap<u32, Instance>,
+    out: String,
+}
+
+/// Reads batches until the input ends; the error names the line, the message and the field.
+pub fn run(mut input: impl BufRead, mut output: impl Write) -> Result<(), String> {
+    let mut host = Host::default();
+    let (mut text, mut number, mut in_batch) = (String::new(), 0u64, false);
+    let mut pending: Option<(u8, usize)> = None;
+    loop {
+        text.clear();
+        let read = input.read_line(&mut text).map_err(|error| format!("line {}: {error}", number + 1))?;
+        if read == 0 {
+            let open = in_batch.then(|| format!("line {number}: input ends inside a batch"));
+            return open.map_or(Ok(()), Err);
+        }
+        number += 1;
+        let content = text.trim_end_matches(['\n', '\r']);
+        let (name, rest) = content.split_once(' ').unwrap_or((content, ""));
+        let line = Line { name, rest };
+        let blame = |what: String| format!("line {number}: {name}: {what}");
+        if let Some((roster, left)) = pending {
+            if name != "M" {
+                return Err(blame(format!("entries: {left} more expected")));
+            }
+            host.check_entry(&line).map_err(blame)?;
+            host.rosters.entry(roster).or_default().push(rest.to_owned());
+            pending = (left > 1).then_some((roster, left - 1));
+            continue;
+        }
+        match (name, in_batch) {
+            ("", false) => {}
+            ("FRAME", false) => {
+                host.now = line.span("moment_s").map_err(blame)?;
+                in_batch = true;
+            }
+            ("GO", true) => {
+                in_batch = false;
+                host.out.push_str("FINISHED\n");
+                let sent = output.write_all(host.out.as_bytes()).and_then(|()| output.flush());
+                sent.map_err(|error| blame(error.to_string()))?;
+                host.out.clear();
+            }
+            ("MANIFEST", true) => {
+                let roster: u8 = line.num("roster_id").map_err(blame)?;
+                let entries: usize = line.num("entries").map_err(blame)?;
+                host.rosters.insert(roster, Vec::with_capacity(entries.min(4096)));
+                pending = (entries > 0).then_some((roster, entries));
+            }
+            (_, true) => host.event(&line).map_err(blame)?,
+            (_, false) => return Err(blame("outside a batch".to_owned())),
+        }
+    }
+}
+
+impl Host {
+    fn check_entry(&self, line: &Line) -> Result<(), String> {
+        line.unit()?;
+        line.num::<f64>("runs")?;
+        line.opt::<f64>("nominal")?;
+        line.opt::<f64>("started_at_s")?;
+        line.opt::<u64>("pod")?;
+        match line.text("health")? {
+            "ready" | "draining" | "gone" => Ok(()),
+            other => Err(format!("health: malformed '{other}'")),
+        }
+    }
+
+    fn event(&mut self, line: &Line) -> Result<(), String> {
+        let known = [
+            "BOOT",
+            "EXIT",
+            "TARGETS",
+            "INBOUND",
+            "HEADERS",
+            "REPORT_BACK",
+            "CLIENT_LEFT",
+            "FIRED",
+            "ECHO",
+            "NOTE_FROM",
+            "PROMOTION",
+            "PLATFORM_SAW",
+            "COMPLAINT",
+        ];
+        if !known.contains(&line.name) {
+            return Err("unknown message".to_owned());
+        }
+        let who: u32 = line.num("who")?;
+        if line.name == "EXIT" {
+            self.instances.remove(&who);
+            return Ok(());
+        }
+        let start = self.out.len();
+        let mut instances = std::mem::take(&mut self.instances);
+        let told = catch_unwind(AssertUnwindSafe(|| self.tell(who, line, &mut instances)));
+        self.instances = instances;
+        told.unwrap_or_else(|panic| {
+            let text = panic.downcast_ref::<String>().map(String::as_str);
+            let text = text.or(panic.downcast_ref::<&str>().copied()).unwrap_or("panic");
+            self.out.truncate(start);
+            let _ = writeln!(self.out, "BUG who={who} what={}", text.replace('\n', " "));
+            self.instances.remove(&who);
+            Ok(())
+        })
+    }
+
+    fn tell(&mut self, who: u32, line: &Line, all: &mut BTreeMap<u32, Instance>) -> Result<(), String> {
+        let act = &mut Reply { who, out: &mut self.out };
+        if line.name == "BOOT" {
+            let salt: i128 = line.num("salt")?;
+            let at = line.rest.find("params=").ok_or("params: missing")?;
+            let names = settings::read(&line.rest[at + "params=".len()..])?;
+            let relay = Relay::start(&names.settings, salt as u64, self.now, act);
+            all.insert(who, Instance { relay, names });
+            return Ok(());
+        }
+        let Instance { relay, names } = all.get_mut(&who).ok_or("who: not started")?;
+        relay.clock(self.now);
+        match line.name {
+            "TARGETS" => {
+                let scope = line.text("scope")?;
+                let whole = match scope {
+                    "whole" | "stale_copy" => true,
+                    "patch" => false,
+                    "broken" => {
+                        relay.list_failed(act);
+                        return Ok(());
+                    }
+                    other => return Err(format!("scope: malformed '{other}'")),
+                };
+                let roster: u8 = line.num("roster_id")?;
+                let entries = self.rosters.get(&roster).ok_or("roster_id: unknown")?;
+                relay.list_begins(whole);
+                for rest in entries {
+                    let entry = Line { name: "M", rest };
+                    let health = match entry.text("health")? {
+                        "ready" => Health::Ready,
+                        "draining" => Health::Draining,
+                        _ => Health::Gone,
+                    };
+                    let started = entry.opt::<f64>("started_at_s")?.unwrap_or(0.0).max(0.0);
+                    relay.unit_listed(
+                        entry.unit()?,
+                        BuildId(entry.num::<f64>("runs")? as u16),
+                        names
+                            .zones
+                            .iter()
+                            .position(|zone| Some(zone.as_str()) == entry.get("zone"))
+                            .map(ZoneId),
+                        CellId(entry.opt("pod")?.unwrap_or(0)),
+                        health,
+                        entry.opt("nominal")?.unwrap_or(1.0),
+                        (started > 0.0).then(|| Duration::from_secs_f64(started)),
+                    );
+                }
+                relay.list_ends(act);
+            }
+            "INBOUND" => {
+                let tenant = match line.get("client_group") {
+                    None | Some("0") => None,
+                    Some(_) => Some(TenantId(line.position("client_group", &names.tenants)?)),
+                };
+                let work: Option<f64> = line.opt("work_hint_s")?;
+                relay.task_taken(
+                    line.task()?,
+                    TrackId(line.position("band", &names.tracks)?),
+                    tenant,
+                    line.opt("route_key")?.map(Key),
+                    line.span("left_s")?,
+                    work.and_then(|work| Duration::try_from_secs_f64(work).ok()),
+                    act,
+                );
+            }
+            "HEADERS" => {
+                line.span("spent_s")?;
+                line.unit()?;
+                relay.stream_began(&line.task()?, DispatchNo(line.num("trial")?));
+            }
+            "REPORT_BACK" => relay.dispatch_ended(
+                &line.task()?,
+                DispatchNo(line.num("trial")?),
+                &line.unit()?,
+                line.outcome()?,
+                line.span("spent_s")?,
+                line.flag("settled")?,
+                line.load(&names.load)?,
+                act,
+            ),
+            "CLIENT_LEFT" => relay.client_left(&line.task()?, act),
+            "FIRED" => relay.woken(Token(line.num("ref")?), act),
+            "ECHO" => {
+                let (unit, outcome) = (line.unit()?, line.outcome()?);
+                relay.probed(&unit, outcome, line.span("spent_s")?, line.load(&names.load)?);
+            }
+            "NOTE_FROM" => relay.note_from(PeerId(line.num("sender")?), &line.payload()?),
+            "PROMOTION" => {
+                let phase = match line.opt::<u8>("where_at")? {
+                    Some(0) | None => Phase::OnTrial,
+                    Some(1) => Phase::Reverting,
+                    Some(2) => Phase::Released,
+                    Some(3) => Phase::Withdrawn,
+                    Some(other) => return Err(format!("where_at: malformed '{other}'")),
+                };
+                let outcome = line.outcome()?;
+                let answer = line.num::<u8>("code")? == 1;
+                if outcome == Outcome::Ok {
+                    relay.build_news(
+                        BuildId(line.num("ver")?),
+                        Stage(line.num("wave")?),
+                        phase,
+                        line.real("allowed")?,
+                        line.span("since_s")?,
+                        act,
+                    );
+                }
+                if answer {
+                    relay.vote_answered(outcome);
+                }
+            }
+            "PLATFORM_SAW" => relay.platform_saw(
+                BuildId(line.num("ver")?),
+                TrackId(line.position("band", &names.tracks)?),
+                line.num("attempts")?,
+                line.num("not_ok")?,
+            ),
+            "COMPLAINT" => relay.complaint(
+                &line.unit()?,
+                TrackId(line.position("band", &names.tracks)?),
+                line.span("since_s")?,
+            ),
+            _ => return Err("unknown message".to_owned()),
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,218 @@
+//! beechcroft: a front tier that watches over software updates.
+//!
+//! Each relay takes tasks, dispatches them to units, judges a build on trial by what comes back, and votes.
+//! All decisions are made in [`decide`]; this file is its interface: the ids, the [`Settings`] handed in at
+//! start, and [`Actions`], the trait through which the module acts. A front (the bench's adapter today) calls
+//! the methods of [`decide::Relay`] with decoded fields and carries out what comes through [`Actions`].
+
+use smol_str::SmolStr;
+use std::time::Duration;
+
+pub mod decide;
+pub mod histogram;
+
+/// A task, as its client's front names it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct TaskId(pub SmolStr);
+
+/// A unit: a server process that tasks are dispatched to.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct UnitId(pub SmolStr);
+
+/// A build of the units' software; later builds are higher.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BuildId(pub u16);
+
+/// A track: position in [`Settings::tracks`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TrackId(pub usize);
+
+/// A tenant: position in [`Settings::tenant_quotas`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TenantId(pub usize);
+
+/// A zone: position in the front's own list of zones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ZoneId(pub usize);
+
+/// A cell: a small set of units that share knowledge of keys.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CellId(pub u64);
+
+/// A relay of the same tier.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PeerId(pub u32);
+
+/// What a task is about; tasks with one key are related.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Key(pub u64);
+
+/// The number of a task's dispatch, from 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DispatchNo(pub u32);
+
+/// A stage of a build's rollout, from 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Stage(pub usize);
+
+/// Marks a wake-up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Token(pub u64);
+
+/// The units among which repeats of a deduplicated task are dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+/// Whether a task may run again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Idempotent,
+    Deduplicated { group: Group, window: Duration },
+    Unrepeatable,
+}
+
+/// One track of tasks.
+#[derive(Clone, Debug)]
+pub struct Track {
+    pub effect: Effect,
+    pub quoted: Duration,
+    /// The client's whole wait, over all its tries.
+    pub abandon: Duration,
+    pub utility: f64,
+    /// Share of the utility that an answer after the quoted time still earns.
+    pub late_utility: f64,
+    /// The quoted time grows by this multiple of the task's own work.
+    pub quoted_stretch: f64,
+}
+
+/// How votes move a build.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GateMode {
+    FirstVoice,
+    ByCount,
+    Automatic,
+}
+
+/// What the front is told at start. The module turns it into the few figures it uses and keeps none of it.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub me: PeerId,
+    pub relays: u32,
+    pub zone: Option<ZoneId>,
+    pub tracks: Vec<Track>,
+    pub tenant_quotas: Vec<f64>,
+    pub over_share_worth: f64,
+    pub utility_by_work: bool,
+    pub granularity: Duration,
+    pub cross_zone_charge: f64,
+    pub late_fail_charge: f64,
+    pub nominal_known: bool,
+    pub ask_for_list: bool,
+    pub load_by_probe: bool,
+    pub may_probe: bool,
+    pub may_tell_peers: bool,
+    pub may_abandon: bool,
+    pub may_name_hold_off: bool,
+    pub parallel_tries: bool,
+    pub max_dispatches: u32,
+    pub max_hold_off: Duration,
+    pub drain_grace: Duration,
+    pub cold_from: f64,
+    pub warm_up: Duration,
+    pub fall_multiple: f64,
+    pub overload_for: Duration,
+    pub ask_within: Duration,
+    pub gate: GateMode,
+    pub replace: bool,
+    pub stage_caps: Vec<f64>,
+    pub closed_stages: usize,
+    pub exposure_free: f64,
+    pub exposure_window: Duration,
+    pub exposure_by_track: bool,
+    pub forward_only: bool,
+    pub soak: Duration,
+    pub answer_wait: Duration,
+    pub vote_life: Duration,
+    pub votes_per_s: f64,
+    pub on_votes: u32,
+    pub back_votes: u32,
+    pub delay_price: f64,
+    pub damage_price: f64,
+}
+
+/// What the list says of a unit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Health {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// How a dispatch, a probe or a vote ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Ok,
+    Error,
+    Full,
+    TimeOut,
+    ConnectFailed,
+    Reset,
+    Abandoned,
+    Moot,
+}
+
+impl Outcome {
+    /// Whether the outcome proves that the task never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
+    }
+}
+
+/// Where a build stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    OnTrial,
+    Reverting,
+    Released,
+    Withdrawn,
+}
+
+/// What a vote asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Vote {
+    Nothing,
+    On,
+    Hold,
+    Back,
+}
+
+/// A unit's report of its load; what a deployment does not report is absent.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    pub in_flight: Option<f64>,
+    pub queued: Option<f64>,
+    pub busy: Option<f64>,
+    pub latency: Option<f64>,
+    pub rate: Option<f64>,
+    pub fail_rate: Option<f64>,
+}
+
+/// Everything the module can do.
+pub trait Actions {
+    fn dispatch(&mut self, task: &TaskId, unit: &UnitId, time_out: Duration);
+    fn nack(&mut self, task: &TaskId, hold_off: Duration);
+    fn terminate(&mut self, task: &TaskId);
+    fn abandon(&mut self, task: &TaskId, dispatch: DispatchNo);
+    fn probe(&mut self, unit: &UnitId);
+    fn close_idle(&mut self, unit: &UnitId);
+    fn tell_peers(&mut self, payload: &[u8]);
+    fn vote(&mut self, build: BuildId, stage: Stage, vote: Vote);
+    fn wake(&mut self, after: Duration, token: Token);
+    fn follow_list(&mut self);
+    fn fetch_list(&mut self);
+    fn log(&mut self, line: &str);
+}
