--- a/crates/beechcroft-adapter/src/wire.rs
+++ b/crates/beechcroft-adapter/src/wire.rs
@@ -345,7 +345,7 @@
                         (started > 0.0).then(|| Duration::from_secs_f64(started)),
                     );
                 }
-                relay.list_ends(act);
+                relay.list_ends();
             }
             "INBOUND" => {
                 let tenant = match line.get("client_group") {
@@ -366,23 +366,24 @@
             "HEADERS" => {
                 line.span("spent_s")?;
                 line.unit()?;
-                relay.stream_began(&line.task()?, DispatchNo(line.num("trial")?));
+                line.num::<u32>("trial")?;
+                relay.stream_began(&line.task()?);
+            }
+            "REPORT_BACK" => {
+                line.unit()?;
+                line.load(&names.load)?;
+                let (dispatch, outcome) = (DispatchNo(line.num("trial")?), line.outcome()?);
+                let (spent, settled) = (line.span("spent_s")?, line.flag("settled")?);
+                relay.dispatch_ended(&line.task()?, dispatch, outcome, spent, settled, act);
             }
-            "REPORT_BACK" => relay.dispatch_ended(
-                &line.task()?,
-                DispatchNo(line.num("trial")?),
-                &line.unit()?,
-                line.outcome()?,
-                line.span("spent_s")?,
-                line.flag("settled")?,
-                line.load(&names.load)?,
-                act,
-            ),
             "CLIENT_LEFT" => relay.client_left(&line.task()?, act),
             "FIRED" => relay.woken(Token(line.num("ref")?), act),
+            // The module asks for no probes and needs no tallies yet; they are only checked.
             "ECHO" => {
-                let (unit, outcome) = (line.unit()?, line.outcome()?);
-                relay.probed(&unit, outcome, line.span("spent_s")?, line.load(&names.load)?);
+                line.unit()?;
+                line.outcome()?;
+                line.span("spent_s")?;
+                line.load(&names.load)?;
             }
             "NOTE_FROM" => relay.note_from(PeerId(line.num("sender")?), &line.payload()?),
             "PROMOTION" => {
@@ -393,7 +394,7 @@
                     Some(3) => Phase::Withdrawn,
                     Some(other) => return Err(format!("where_at: malformed '{other}'")),
                 };
-                let outcome = line.outcome()?;
+                let outcome = line.outcome()?; // unless it is ok, the other fields are void
                 let answer = line.num::<u8>("code")? == 1;
                 if outcome == Outcome::Ok {
                     relay.build_news(
@@ -401,7 +402,6 @@
                         Stage(line.num("wave")?),
                         phase,
                         line.real("allowed")?,
-                        line.span("since_s")?,
                         act,
                     );
                 }
@@ -409,17 +409,17 @@
                     relay.vote_answered(outcome);
                 }
             }
-            "PLATFORM_SAW" => relay.platform_saw(
-                BuildId(line.num("ver")?),
-                TrackId(line.position("band", &names.tracks)?),
-                line.num("attempts")?,
-                line.num("not_ok")?,
-            ),
-            "COMPLAINT" => relay.complaint(
-                &line.unit()?,
-                TrackId(line.position("band", &names.tracks)?),
-                line.span("since_s")?,
-            ),
+            "PLATFORM_SAW" => {
+                line.num::<u16>("ver")?;
+                line.position("band", &names.tracks)?;
+                line.real("attempts")?;
+                line.real("not_ok")?;
+            }
+            "COMPLAINT" => {
+                line.span("since_s")?;
+                let track = TrackId(line.position("band", &names.tracks)?);
+                relay.complaint(&line.unit()?, track);
+            }
             _ => return Err("unknown message".to_owned()),
         }
         Ok(())
--- a/src/histogram.rs
+++ b/src/histogram.rs
@@ -1,9 +1,11 @@
-//! A small histogram with a few coarse bins, halved from time to time so that it follows change.
+//! Mechanical measures: a small histogram with coarse bins, a tally of failures, a sliding window. The first two
+//! are halved from time to time, so that they follow change.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Bins grow by about 1.4 from 10 ms on; the last one takes all that is slower.
-pub const BINS: usize = 20;
+const BINS: usize = 20;
 
 /// Counts of times in coarse bins.
 #[derive(Clone, Debug, Default)]
@@ -39,15 +41,14 @@
         self.total
     }
 
-    /// The share of times in bins above `bin`.
-    pub fn share_above(&self, bin: usize) -> f64 {
-        let above: u32 = self.counts.iter().skip(bin + 1).sum();
-        f64::from(above) / f64::from(self.total.max(1))
-    }
-
     /// The lowest bin with no more than `share` of the times above it.
     pub fn bin_at(&self, share: f64) -> usize {
-        (0..BINS).find(|&bin| self.share_above(bin) <= share).unwrap_or(BINS - 1)
+        let mut above = self.total;
+        let lowest = self.counts.iter().position(|count| {
+            above -= count;
+            f64::from(above) <= share * f64::from(self.total)
+        });
+        lowest.unwrap_or(BINS - 1)
     }
 }
 
@@ -73,3 +74,27 @@
         self.failures / (self.trials + 20.0)
     }
 }
+
+/// Amounts of the last while.
+#[derive(Clone, Debug, Default)]
+pub struct Window(VecDeque<(Duration, f64)>);
+
+impl Window {
+    /// Adds an amount and drops what is older than `keep`.
+    pub fn add(&mut self, now: Duration, amount: f64, keep: Duration) {
+        while self.0.front().is_some_and(|&(at, _)| at + keep < now) {
+            self.0.pop_front();
+        }
+        self.0.push_back((now, amount));
+    }
+
+    /// The sum of what came less than `span` ago.
+    pub fn sum(&self, now: Duration, span: Duration) -> f64 {
+        let recent = self.0.iter().rev().take_while(|&&(at, _)| at + span > now);
+        recent.map(|(_, amount)| amount).sum()
+    }
+
+    pub fn clear(&mut self) {
+        self.0.clear();
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,17 +10,18 @@
 
 pub mod decide;
 pub mod histogram;
+mod state;
 
 /// A task, as its client's front names it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct TaskId(pub SmolStr);
 
 /// A unit: a server process that tasks are dispatched to.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct UnitId(pub SmolStr);
 
 /// A build of the units' software; later builds are higher.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct BuildId(pub u16);
 
 /// A track: position in [`Settings::tracks`].
@@ -36,7 +37,7 @@
 pub struct ZoneId(pub usize);
 
 /// A cell: a small set of units that share knowledge of keys.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct CellId(pub u64);
 
 /// A relay of the same tier.
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,196 @@
+//! Plain state: what the settings come down to, and records of units, tasks, builds and votes. It holds no decision.
+
+use crate::histogram::{Histogram, Tally, Window};
+use crate::*;
+
+/// What the settings come down to.
+pub struct Figures {
+    pub me: PeerId,
+    pub zone: Option<ZoneId>,
+    pub quotas: Vec<f64>, // this relay's part of each tenant's
+    pub over_worth: f64,
+    pub granularity: Duration,
+    pub zones_cost: bool,
+    pub may_abandon: bool,
+    pub tells: bool,
+    pub hold_off: Duration,
+    pub max_dispatches: u32,
+    pub cold_from: f64,
+    pub warm_up: Duration,
+    pub fall_multiple: f64,
+    pub overload_for: Duration,
+    pub drain_grace: Duration,
+    pub gate: GateMode,
+    pub replace: bool,
+    pub first_cap: f64,
+    pub last_stage: usize,
+    pub closed_stages: usize,
+    pub free: f64,
+    pub window: Duration,
+    pub by_track: bool,
+    pub forward_only: bool,
+    pub vote_life: Duration,
+    pub vote_gap: Duration,
+    pub answer_wait: Duration,
+}
+
+pub struct TrackState {
+    pub effect: Effect,
+    pub quoted: Duration,
+    pub stretch: f64,
+    pub late_pays: bool,
+    pub utility: f64, // over the highest one
+    pub times: Histogram,
+    pub taken: Window,
+    pub failures: Tally,
+    pub slow: Tally,
+}
+
+#[derive(Default)]
+pub struct Unit {
+    pub id: UnitId,
+    pub build: BuildId,
+    pub zone: Option<ZoneId>,
+    pub cell: CellId,
+    pub nominal: f64,
+    pub ready: bool,
+    pub listed: bool,
+    pub started: Option<Duration>,
+    pub waiting: Vec<TaskId>,
+    pub sent_cold: Window,
+    pub quiet_since: Duration,
+    pub streak: u32,
+    pub recent: Tally,
+    pub away_until: Duration,
+    pub away_for: Duration,
+}
+
+pub struct Task {
+    pub id: TaskId,
+    pub track: TrackId,
+    pub key: Option<Key>,
+    pub work: f64, // over the mean
+    pub end: Duration,
+    pub quoted: Duration,
+    pub over_share: bool,
+    pub tries: u32,
+    pub out: Option<(DispatchNo, usize, Duration)>,
+    pub ran: Option<(usize, Duration)>,
+    pub failed_on: Option<usize>,
+    pub chosen: usize,
+    pub stream: bool,
+}
+
+#[derive(Clone, Copy, Default)]
+pub struct Cusum {
+    pub w: f64,
+    pub z: f64,
+}
+
+pub struct PeerEntry {
+    pub at: Duration,
+    pub build: BuildId,
+    pub stage: Stage,
+    pub bit: u8,
+    pub divergence: f64,
+    pub outcomes: u32,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+pub struct News {
+    pub build: BuildId,
+    pub stage: Stage,
+    pub phase: Phase,
+    pub cap: f64,
+}
+
+/// What the CUSUM and the fusion know of the build they judge.
+#[derive(Default)]
+pub struct Judge {
+    pub sums: Vec<Cusum>, // one a track, one over all, one of slow answers
+    pub outcomes: u32,    // of this stage
+    pub tick_outcomes: f64,
+    pub outcome_rate: f64,
+    pub bit: u8,
+    pub divergence: f64,
+    pub clear_since: Duration,
+}
+
+impl Judge {
+    /// The largest of the sums.
+    pub fn worst(&self) -> f64 {
+        self.sums.iter().map(|sum| sum.w).fold(0.0, f64::max)
+    }
+}
+
+#[derive(Default)]
+pub struct Ballot {
+    pub sent: Option<(BuildId, Stage, Vote)>,
+    pub at: Duration,
+    pub stands: bool,
+    pub waits: bool,
+}
+
+/// What this relay measures of its own traffic.
+#[derive(Default)]
+pub struct Meter {
+    pub in_flight: f64,
+    pub limit: f64, // of open tasks
+    pub time_ratio: f64,
+    pub mean_work: f64,
+    pub handled: f64,
+    pub unit_rate: f64, // work a second that a warm unit was seen to bear from here
+    pub tenants: Vec<(f64, f64)>,
+}
+
+impl Figures {
+    pub fn new(settings: &Settings) -> Figures {
+        let relays = f64::from(settings.relays);
+        Figures {
+            me: settings.me,
+            zone: settings.zone,
+            quotas: settings.tenant_quotas.iter().map(|quota| quota / relays).collect(),
+            over_worth: settings.over_share_worth,
+            granularity: settings.granularity,
+            zones_cost: settings.cross_zone_charge > 0.0,
+            may_abandon: settings.may_abandon,
+            tells: settings.may_tell_peers && settings.relays > 1,
+            hold_off: if settings.may_name_hold_off { settings.max_hold_off } else { Duration::ZERO },
+            max_dispatches: settings.max_dispatches,
+            cold_from: settings.cold_from,
+            warm_up: settings.warm_up,
+            fall_multiple: settings.fall_multiple,
+            overload_for: settings.overload_for,
+            drain_grace: settings.drain_grace,
+            gate: settings.gate,
+            replace: settings.replace,
+            first_cap: settings.stage_caps.first().copied().unwrap_or(0.0),
+            last_stage: settings.stage_caps.len().saturating_sub(1),
+            closed_stages: settings.closed_stages,
+            free: settings.exposure_free,
+            window: settings.exposure_window,
+            by_track: settings.exposure_by_track,
+            forward_only: settings.forward_only,
+            vote_life: settings.vote_life,
+            vote_gap: Duration::from_secs_f64(relays / settings.votes_per_s.max(0.1)),
+            answer_wait: settings.answer_wait,
+        }
+    }
+}
+
+impl TrackState {
+    /// `top` is the highest utility of any track.
+    pub fn new(track: &Track, top: f64) -> TrackState {
+        TrackState {
+            effect: track.effect,
+            quoted: track.quoted,
+            stretch: track.quoted_stretch,
+            late_pays: track.late_utility > 0.0,
+            utility: track.utility / top,
+            times: Histogram::default(),
+            taken: Window::default(),
+            failures: Tally::default(),
+            slow: Tally::default(),
+        }
+    }
+}
