Judge only builds seen on trial; time-outs count towards the limit on open tasks

Cause: relays compared the released build with itself and voted it back; overload was seen only in answers, which time-outs censor.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -35,7 +35,6 @@
 const ASIDE_SHARE: f64 = 0.3; // of a build's units may be set aside at once
 const STREAK: u32 = 3; // failures in a row that set a unit aside
 const ZONE_PENALTY: f64 = 2.0; // open tasks more before a crossing pays
-const VERSION: u8 = 1;
 
 type Act<'a> = &'a mut dyn Actions;
 
@@ -165,32 +164,19 @@
         act: Act,
     ) {
         let work = work.map_or(0.0, |work| work.as_secs_f64());
-        let mean = &mut self.meter.mean_work;
-        *mean = if *mean > 0.0 { *mean + (work - *mean) * 0.02 } else { work };
-        let relative = if work > 0.0 { (work / *mean).max(0.2) } else { 1.0 };
+        let relative = self.meter.relative_work(work);
         let state = &mut self.tracks[track.0];
         state.taken.add(self.now, 1.0, self.fig.window);
-        let quoted = state.quoted + Duration::from_secs_f64(work * state.stretch);
+        let quoted = (state.quoted + Duration::from_secs_f64(work * state.stretch)).min(left);
         let over_share = tenant.is_some_and(|TenantId(tenant)| {
             let (rate, count) = &mut self.meter.tenants[tenant];
             *count += 1.0;
             self.rng.random::<f64>() > 1.1 * self.fig.quotas[tenant] / rate.max(1e-9)
         });
-        let task = Task {
-            id,
-            track,
-            key,
-            work: relative,
-            end: (self.now + left).saturating_sub(self.slack()),
-            quoted: self.now + quoted.min(left).saturating_sub(self.slack()),
-            over_share,
-            tries: 0,
-            out: None,
-            ran: None,
-            failed_on: None,
-            chosen: 0,
-            stream: false,
-        };
+        let (end, quoted) = (self.now + left, self.now + quoted);
+        let mut task =
+            Task::new(id, track, key, end.saturating_sub(self.slack()), quoted.saturating_sub(self.slack()));
+        (task.work, task.over_share) = (relative, over_share);
         self.run_chain(task, act);
     }
 
@@ -474,11 +460,15 @@
     }
 
     fn learn_times(&mut self, task: &Task, ended: &Ended) {
+        // A time-out of a unit that still answers others shows load as a slow answer does.
+        let silent = self.units[ended.unit].streak >= STREAK;
+        if matches!(ended.outcome, Outcome::Ok | Outcome::TimeOut) && !silent {
+            let quoted = self.tracks[task.track.0].quoted.as_secs_f64();
+            self.meter.time_ratio += (ended.spent.as_secs_f64() / quoted - self.meter.time_ratio) * 0.05;
+        }
         if ended.outcome != Outcome::Ok {
             return;
         }
-        let quoted = self.tracks[task.track.0].quoted.as_secs_f64();
-        self.meter.time_ratio += (ended.spent.as_secs_f64() / quoted - self.meter.time_ratio) * 0.05;
         self.meter.handled += task.work;
         let build = self.units[ended.unit].build;
         if self.cap_of(build).is_none() {
@@ -504,11 +494,11 @@
 
     // ---- The build ----
 
-    /// The build that the CUSUM judges: the newest one told of, with an earlier one seen to compare it with.
+    /// The build that the CUSUM judges: one this relay has itself seen on trial, else there is nothing to
+    /// compare it with (a restarted relay must not judge a released build by itself).
     fn judged(&self) -> Option<BuildId> {
-        let seen: f64 = self.tracks.iter().map(|track| track.failures.trials).sum();
-        let news = self.news.filter(|news| matches!(news.phase, Phase::OnTrial | Phase::Released))?;
-        (seen >= BASELINE || news.phase == Phase::OnTrial).then_some(news.build)
+        let live = |news: &News| matches!(news.phase, Phase::OnTrial | Phase::Released);
+        self.news.filter(live).map(|news| news.build).filter(|_| self.judge.on_trial)
     }
 
     fn good_rate(&self) -> f64 {
@@ -518,6 +508,8 @@
 
     pub fn build_news(&mut self, build: BuildId, stage: Stage, phase: Phase, cap: f64, act: Act) {
         let news = News { build, stage, phase, cap };
+        let same = self.news.is_some_and(|last| last.build == build);
+        self.judge.on_trial = phase == Phase::OnTrial || (same && self.judge.on_trial);
         let Some(last) = self.news.replace(news).filter(|&last| last != news) else { return };
         if last.build != build {
             self.judge.sums.fill(Cusum::default());
@@ -547,14 +539,7 @@
     }
 
     pub fn note_from(&mut self, from: PeerId, payload: &[u8]) {
-        let &[VERSION, b0, b1, stage, bit @ 0..=2, i0, i1, i2, i3, n0, n1] = payload else { return };
-        let divergence = f64::from(f32::from_be_bytes([i0, i1, i2, i3]));
-        if !divergence.is_finite() || divergence < 0.0 {
-            return;
-        }
-        let (build, stage) = (BuildId(u16::from_be_bytes([b0, b1])), Stage(stage.into()));
-        let outcomes = u16::from_be_bytes([n0, n1]).into();
-        self.peers.insert(from, PeerEntry { at: self.now, build, stage, bit, divergence, outcomes });
+        self.peers.extend(PeerEntry::decode(payload, self.now).map(|entry| (from, entry)));
     }
 
     pub fn woken(&mut self, _token: Token, act: Act) {
@@ -655,11 +640,10 @@
 
     fn tell(&mut self, act: Act) {
         let Some(news) = &self.news else { return };
-        let [b0, b1] = news.build.0.to_be_bytes();
-        let divergence = (self.judge.divergence as f32).to_be_bytes();
-        let outcomes = (self.judge.outcomes.min(u16::MAX.into()) as u16).to_be_bytes();
-        let head = [VERSION, b0, b1, news.stage.0.min(255) as u8, self.judge.bit];
-        act.tell_peers(&[&head[..], &divergence, &outcomes].concat());
+        let Judge { bit, divergence, outcomes, .. } = self.judge;
+        let entry =
+            PeerEntry { at: self.now, build: news.build, stage: news.stage, bit, divergence, outcomes };
+        act.tell_peers(&entry.encode());
     }
 
     /// Which vote this relay stands for.
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,6 +3,9 @@
 use crate::histogram::{Histogram, Tally, Window};
 use crate::*;
 
+/// Version of the message to peers.
+const VERSION: u8 = 1;
+
 /// What the settings come down to.
 pub struct Figures {
     pub me: PeerId,
@@ -111,6 +114,7 @@
     pub outcomes: u32,    // of this stage
     pub tick_outcomes: f64,
     pub outcome_rate: f64,
+    pub on_trial: bool, // seen so by this relay
     pub bit: u8,
     pub divergence: f64,
     pub clear_since: Duration,
@@ -194,3 +198,54 @@
         }
     }
 }
+
+impl PeerEntry {
+    /// The message's form: version, build, stage, bit, I, outcomes of the stage; one of another form is none.
+    pub fn decode(payload: &[u8], at: Duration) -> Option<PeerEntry> {
+        let &[VERSION, b0, b1, stage, bit @ 0..=2, i0, i1, i2, i3, n0, n1] = payload else { return None };
+        let divergence = f64::from(f32::from_be_bytes([i0, i1, i2, i3]));
+        let build = BuildId(u16::from_be_bytes([b0, b1]));
+        let outcomes = u16::from_be_bytes([n0, n1]).into();
+        let sound = divergence.is_finite() && divergence >= 0.0;
+        sound.then_some(PeerEntry { at, build, stage: Stage(stage.into()), bit, divergence, outcomes })
+    }
+
+    pub fn encode(&self) -> Vec<u8> {
+        let build = self.build.0.to_be_bytes();
+        let divergence = (self.divergence as f32).to_be_bytes();
+        let outcomes = u16::try_from(self.outcomes).unwrap_or(u16::MAX).to_be_bytes();
+        let stage = u8::try_from(self.stage.0).unwrap_or(u8::MAX);
+        [&[VERSION], &build[..], &[stage, self.bit], &divergence, &outcomes].concat()
+    }
+}
+
+impl Task {
+    pub fn new(id: TaskId, track: TrackId, key: Option<Key>, end: Duration, quoted: Duration) -> Task {
+        Task {
+            id,
+            track,
+            key,
+            work: 1.0,
+            end,
+            quoted,
+            over_share: false,
+            tries: 0,
+            out: None,
+            ran: None,
+            failed_on: None,
+            chosen: 0,
+            stream: false,
+        }
+    }
+}
+
+impl Meter {
+    /// Work over the mean of what came before; 1 where no hint is given.
+    pub fn relative_work(&mut self, hint: f64) -> f64 {
+        if hint <= 0.0 {
+            return 1.0;
+        }
+        self.mean_work = if self.mean_work > 0.0 { self.mean_work * 0.98 + hint * 0.02 } else { hint };
+        hint / self.mean_work
+    }
+}
