Compare trial units with the time before the trial as well; more load is no evidence

Cause: beside the trial the earlier units carry less than a place's load, so they look quick and a good build looks slow; a burst did the same. Told apart from a slow build by the rates before the trial and by tasks taken a second. May hide a slow build while load stays 25% above its level at the offer; errors still count.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -30,6 +30,7 @@
 const BASELINE: f64 = 30.0; // outcomes of the earlier build without which there is nothing to compare with
 const CLEAR_NATS: f64 = 2.0; // a sum above this is no ground to go on
 const SLOW_SHARE: f64 = 0.1; // of the earlier build's answers lie above the slow mark
+const LOADED: f64 = 1.25; // times the load before the trial
 const COLD_MARGIN: f64 = 0.7; // of what the rule on cold units would bear
 const BUSY_RATIO: f64 = 0.5; // mean answer time over quoted time above which tasks are given up early
 const ASIDE_SHARE: f64 = 0.3; // of a build's units may be set aside at once
@@ -437,23 +438,29 @@
         if (ended.cold && ended.outcome == Outcome::TimeOut) || unit.streak > STREAK {
             return; // departure: cold or silent units are no evidence against a build
         }
-        let (judged, all, overall) = (self.judged(), self.tracks.len(), log_ratio(self.good_rate(), failed));
+        let (judged, all) = (self.judged(), self.tracks.len());
+        // Departure: more load than before the trial makes answers late, whatever the build.
+        let loaded = self.load() > LOADED * self.judge.load_before.max(1.0);
+        let overall = log_ratio(self.good_rate(), failed);
         let track = &mut self.tracks[task.track.0];
-        let slow = Histogram::bin(ended.spent) > track.times.bin_at(SLOW_SHARE);
+        if track.mark.is_none() && f64::from(track.times.total()) > BASELINE {
+            track.mark = Some(track.times.bin_at(SLOW_SHARE));
+        }
+        let slow = track.mark.filter(|_| !failed).map(|mark| Histogram::bin(ended.spent) > mark);
         if judged != Some(unit.build) {
             if self.news.is_some_and(|news| unit.build <= news.build) {
                 track.failures.add(failed, KEEP);
-                if !failed && track.times.total() as f64 > BASELINE {
-                    track.slow.add(slow, KEEP);
-                }
+                slow.into_iter().for_each(|slow| track.slow.add(slow, KEEP));
             }
             return;
         }
-        self.judge.sums[task.track.0].z += log_ratio(track.failures.rate(), failed);
-        self.judge.sums[all].z += overall;
-        let compared = track.slow.trials > BASELINE && !ended.cold && !failed;
-        if compared && self.news.is_some_and(|news| news.phase == Phase::OnTrial) {
-            self.judge.sums[all + 1].z += log_ratio(track.slow.rate(), slow);
+        if !(loaded && ended.outcome == Outcome::TimeOut) {
+            self.judge.sums[task.track.0].z += log_ratio(track.good().0, failed);
+            self.judge.sums[all].z += overall;
+        }
+        let compared = !loaded && !ended.cold && self.news.is_some_and(|news| news.phase == Phase::OnTrial);
+        if let Some(slow) = slow.filter(|_| compared) {
+            self.judge.sums[all + 1].z += log_ratio(track.good().1, slow);
         }
         self.judge.outcomes += 1;
         self.judge.tick_outcomes += 1.0;
@@ -502,8 +509,14 @@
     }
 
     fn good_rate(&self) -> f64 {
-        let sum = |of: fn(&Tally) -> f64| self.tracks.iter().map(|track| of(&track.failures)).sum::<f64>();
-        sum(|tally| tally.failures) / (sum(|tally| tally.trials) + 20.0)
+        let sum = |of: fn(&TrackState) -> f64| self.tracks.iter().map(of).sum::<f64>();
+        let trials = sum(|track| track.failures.trials).max(1.0);
+        sum(|track| track.good().0 * track.failures.trials) / trials
+    }
+
+    fn load(&self) -> f64 {
+        let span = Duration::from_secs(2);
+        self.tracks.iter().map(|track| track.taken.sum(self.now, span)).sum::<f64>() / span.as_secs_f64()
     }
 
     pub fn build_news(&mut self, build: BuildId, stage: Stage, phase: Phase, cap: f64, act: Act) {
@@ -514,6 +527,8 @@
         if last.build != build {
             self.judge.sums.fill(Cusum::default());
             self.judge.bit = 0;
+            self.judge.load_before = self.load();
+            self.tracks.iter_mut().for_each(|track| track.trial_begins(SLOW_SHARE));
             self.forward_keys.clear();
         } else if cap < last.cap {
             self.lower_cap_at = Some(self.now + self.fig.drain_grace);
@@ -528,13 +543,13 @@
     pub fn complaint(&mut self, unit: &UnitId, track: TrackId) {
         let Some(build) = self.index.get(unit).map(|&at| self.units[at].build) else { return };
         let (judged, all, good) = (self.judged() == Some(build), self.tracks.len(), self.good_rate());
-        let tally = &mut self.tracks[track.0].failures;
+        let own = self.tracks[track.0].good().0;
         if judged {
             // The answer was counted as good when it came; both sums are set right.
-            self.judge.sums[track.0].z += log_ratio(tally.rate(), true) - log_ratio(tally.rate(), false);
+            self.judge.sums[track.0].z += log_ratio(own, true) - log_ratio(own, false);
             self.judge.sums[all].z += log_ratio(good, true) - log_ratio(good, false);
         } else {
-            tally.failures += 1.0;
+            self.tracks[track.0].failures.failures += 1.0;
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -46,7 +46,9 @@
     pub times: Histogram,
     pub taken: Window,
     pub failures: Tally,
-    pub slow: Tally,
+    pub slow: Tally,         // answers above the mark, beside the trial
+    pub mark: Option<usize>, // bin of the slowest answers before the trial
+    pub before: (f64, f64),  // rates of failures and slow answers before it
 }
 
 #[derive(Default)]
@@ -114,7 +116,8 @@
     pub outcomes: u32,    // of this stage
     pub tick_outcomes: f64,
     pub outcome_rate: f64,
-    pub on_trial: bool, // seen so by this relay
+    pub on_trial: bool,   // seen so by this relay
+    pub load_before: f64, // tasks taken a second before the trial
     pub bit: u8,
     pub divergence: f64,
     pub clear_since: Duration,
@@ -195,6 +198,8 @@
             taken: Window::default(),
             failures: Tally::default(),
             slow: Tally::default(),
+            mark: None,
+            before: (0.0, 0.0),
         }
     }
 }
@@ -249,3 +254,18 @@
         hint / self.mean_work
     }
 }
+
+impl TrackState {
+    /// Keeps what the earlier build did under the full load, before the trial takes some of it.
+    pub fn trial_begins(&mut self, slow_share: f64) {
+        let mark = self.times.bin_at(slow_share);
+        self.mark = (self.times.total() > 0).then_some(mark);
+        self.before = (self.failures.rate(), self.times.share_above(mark));
+        self.slow = Tally::default();
+    }
+
+    /// The good rates of failures and slow answers: before the trial or beside it, whichever are higher.
+    pub fn good(&self) -> (f64, f64) {
+        (self.before.0.max(self.failures.rate()), self.before.1.max(self.slow.rate()))
+    }
+}
