--- a/crates/beechcroft-adapter/src/wire.rs
+++ b/crates/beechcroft-adapter/src/wire.rs
@@ -322,7 +322,7 @@
                 };
                 let roster: u8 = line.num("roster_id")?;
                 let entries = self.rosters.get(&roster).ok_or("roster_id: unknown")?;
-                relay.list_begins(whole);
+                relay.list().begins(whole);
                 for rest in entries {
                     let entry = Line { name: "M", rest };
                     let health = match entry.text("health")? {
@@ -331,7 +331,7 @@
                         _ => Health::Gone,
                     };
                     let started = entry.opt::<f64>("started_at_s")?.unwrap_or(0.0).max(0.0);
-                    relay.unit_listed(
+                    relay.list().entry(
                         entry.unit()?,
                         BuildId(entry.num::<f64>("runs")? as u16),
                         names
@@ -345,7 +345,7 @@
                         (started > 0.0).then(|| Duration::from_secs_f64(started)),
                     );
                 }
-                relay.list_ends();
+                relay.list().ends();
             }
             "INBOUND" => {
                 let tenant = match line.get("client_group") {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -62,8 +62,7 @@
     rng: Pcg64Mcg,
     fig: Figures,
     tracks: Vec<TrackState>,
-    units: Vec<Unit>,
-    index: HashMap<UnitId, usize>,
+    fleet: Fleet,
     tasks: HashMap<TaskId, Task>,
     meter: Meter,
     news: Option<News>,
@@ -90,8 +89,7 @@
             rng: Pcg64Mcg::seed_from_u64(salt),
             fig: Figures::new(settings),
             tracks: settings.tracks.iter().map(|track| TrackState::new(track, top)).collect(),
-            units: Vec::new(),
-            index: HashMap::new(),
+            fleet: Fleet::default(),
             tasks: HashMap::new(),
             meter: Meter { limit: f64::INFINITY, tenants, ..Meter::default() },
             news: None,
@@ -116,36 +114,10 @@
 
     // ---- The list ----
 
-    pub fn list_begins(&mut self, whole: bool) {
-        self.units.iter_mut().filter(|_| whole).for_each(|unit| unit.listed = false);
-    }
-
-    pub fn unit_listed(
-        &mut self,
-        id: UnitId,
-        build: BuildId,
-        zone: Option<ZoneId>,
-        cell: CellId,
-        health: Health,
-        nominal: f64,
-        started: Option<Duration>,
-    ) {
-        let at = *self.index.entry(id.clone()).or_insert_with(|| {
-            self.units.push(Unit { id, away_for: TICK * 10, ..Unit::default() });
-            self.units.len() - 1
-        });
-        let unit = &mut self.units[at];
-        if started != unit.started || build != unit.build {
-            // A new process, perhaps another machine under an old id: what was learned is void.
-            (unit.streak, unit.recent, unit.away_until) = (0, Tally::default(), Duration::ZERO);
-            unit.quiet_since = self.now;
-        }
-        (unit.build, unit.zone, unit.cell, unit.nominal) = (build, zone, cell, nominal.max(0.01));
-        (unit.started, unit.ready, unit.listed) = (started, health == Health::Ready, health != Health::Gone);
-    }
-
-    pub fn list_ends(&mut self) {
-        self.units.iter_mut().filter(|unit| !unit.listed).for_each(|unit| unit.ready = false);
+    /// The list's units; the front tells entries there.
+    pub fn list(&mut self) -> &mut Fleet {
+        self.fleet.now = self.now;
+        &mut self.fleet
     }
 
     pub fn list_failed(&mut self, act: Act) {
@@ -221,12 +193,12 @@
         let (chance, one, two) =
             (self.rng.random::<f64>(), self.rng.random::<u32>(), self.rng.random::<u32>());
         let mut able: Vec<usize> =
-            (0..self.units.len()).filter(|&at| self.permits(task, at, false)).collect();
-        let on_trial = |at: usize| self.cap_of(self.units[at].build).is_some();
+            (0..self.fleet.units.len()).filter(|&at| self.permits(task, at, false)).collect();
+        let on_trial = |at: usize| self.cap_of(self.fleet.units[at].build).is_some();
         // A trial unit is to bear what a unit of the full fleet bears: so many of the tasks try it.
         let ready = |trial: bool| {
-            let of_side = |at: &usize| self.units[*at].ready && on_trial(*at) == trial;
-            (0..self.units.len()).filter(of_side).count() as f64
+            let of_side = |at: &usize| self.fleet.units[*at].ready && on_trial(*at) == trial;
+            (0..self.fleet.units.len()).filter(of_side).count() as f64
         };
         let (new, old) = (ready(true), ready(false));
         let places = if self.fig.replace { new + old } else { old.max(new) };
@@ -247,7 +219,7 @@
         let first = able[one as usize % able.len()];
         let second = able[two as usize % able.len()];
         let burden = |at: usize| {
-            let unit = &self.units[at];
+            let unit = &self.fleet.units[at];
             let away = if unit.zone != self.fig.zone && self.fig.zones_cost { ZONE_PENALTY } else { 0.0 };
             (unit.waiting.len() as f64 + 1.0 + away) / unit.nominal
         };
@@ -262,9 +234,9 @@
         }
         let late_pays = self.tracks[task.track.0].late_pays;
         let time_out = if late_pays { task.end } else { task.quoted }.saturating_sub(self.now);
-        let on_trial = self.cap_of(self.units[task.chosen].build).is_some();
+        let on_trial = self.cap_of(self.fleet.units[task.chosen].build).is_some();
         let keep = self.fig.window + self.slack() * 2;
-        let unit = &mut self.units[task.chosen];
+        let unit = &mut self.fleet.units[task.chosen];
         if unit.waiting.is_empty() {
             unit.quiet_since = self.now;
         }
@@ -283,7 +255,7 @@
 
     /// The one gate of every dispatch. `as_share` asks for the design's share of the exposure, not all of it.
     fn permits(&self, task: &Task, at: usize, as_share: bool) -> bool {
-        let (unit, track) = (&self.units[at], &self.tracks[task.track.0]);
+        let (unit, track) = (&self.fleet.units[at], &self.tracks[task.track.0]);
         if !unit.ready || task.out.is_some() || task.tries >= self.fig.max_dispatches || self.now >= task.end
         {
             return false;
@@ -292,7 +264,7 @@
             Effect::Idempotent => true,
             Effect::Unrepeatable => false,
             Effect::Deduplicated { group, window } => {
-                let first = &self.units[ran_at];
+                let first = &self.fleet.units[ran_at];
                 let same = match group {
                     Group::All => true,
                     Group::Zone => first.zone == unit.zone,
@@ -322,7 +294,7 @@
     /// The cap and stage of a build on trial; none for a build that is not.
     fn cap_of(&self, build: BuildId) -> Option<(f64, usize)> {
         let Some(news) = &self.news else {
-            let lowest = self.units.iter().filter(|unit| unit.listed).map(|unit| unit.build).min();
+            let lowest = self.fleet.units.iter().filter(|unit| unit.listed).map(|unit| unit.build).min();
             return (lowest != Some(build)).then_some((self.fig.first_cap, 0));
         };
         match (build.cmp(&news.build), news.phase) {
@@ -356,7 +328,7 @@
 
     /// Whether a unit is out of favour: set aside for failures, or silent while work waits there.
     fn is_aside(&self, at: usize) -> bool {
-        let unit = &self.units[at];
+        let unit = &self.fleet.units[at];
         let on_probation = unit.streak >= STREAK && !unit.waiting.is_empty();
         self.now < unit.away_until || on_probation || self.is_silent(unit)
     }
@@ -381,9 +353,9 @@
             return;
         };
         task.out = None;
-        self.units[unit].waiting.retain(|waiting| waiting != id);
+        self.fleet.units[unit].waiting.retain(|waiting| waiting != id);
         self.meter.in_flight -= 1.0;
-        let ended = Ended { unit, outcome, spent, cold: self.is_cold(&self.units[unit]) };
+        let ended = Ended { unit, outcome, spent, cold: self.is_cold(&self.fleet.units[unit]) };
         for (_, outward) in CHAIN.iter().rev() {
             outward(self, &task, &ended);
         }
@@ -398,12 +370,12 @@
     }
 
     fn watch_health(&mut self, _task: &Task, ended: &Ended) {
-        let build = self.units[ended.unit].build;
+        let build = self.fleet.units[ended.unit].build;
         // Never more than a share of a build's units are set aside: beyond that it is not the units.
-        let of_build = || self.units.iter().filter(|unit| unit.ready && unit.build == build);
+        let of_build = || self.fleet.units.iter().filter(|unit| unit.ready && unit.build == build);
         let aside = of_build().filter(|unit| self.now < unit.away_until).count() as f64;
         let room = aside + 1.0 <= ASIDE_SHARE * of_build().count() as f64;
-        let unit = &mut self.units[ended.unit];
+        let unit = &mut self.fleet.units[ended.unit];
         let failed = match ended.outcome {
             Outcome::Ok => false,
             Outcome::Error | Outcome::TimeOut | Outcome::ConnectFailed | Outcome::Reset => true,
@@ -414,12 +386,13 @@
             unit.quiet_since = self.now;
         }
         if !failed {
-            (unit.streak, unit.away_for) = (0, TICK * 10);
+            (unit.streak, unit.away_for) = (0, Duration::ZERO);
             return;
         }
         unit.streak += 1;
         let often = unit.recent.failures >= 4.0 && unit.recent.rate() > 0.2;
         if (unit.streak >= STREAK || often) && room && self.now >= unit.away_until {
+            unit.away_for = unit.away_for.max(TICK * 10);
             unit.away_until = self.now + unit.away_for;
             unit.away_for = (unit.away_for * 2).min(TICK * 80);
             unit.recent = Tally::default();
@@ -428,7 +401,7 @@
 
     /// Evidence: what trial units do against what the earlier build's do at the same time.
     fn judge(&mut self, task: &Task, ended: &Ended) {
-        let unit = &self.units[ended.unit];
+        let unit = &self.fleet.units[ended.unit];
         let failed = match ended.outcome {
             Outcome::Ok => false,
             Outcome::Error | Outcome::TimeOut | Outcome::Reset => true,
@@ -468,16 +441,17 @@
 
     fn learn_times(&mut self, task: &Task, ended: &Ended) {
         // A time-out of a unit that still answers others shows load as a slow answer does.
-        let silent = self.units[ended.unit].streak >= STREAK;
+        let silent = self.fleet.units[ended.unit].streak >= STREAK;
         if matches!(ended.outcome, Outcome::Ok | Outcome::TimeOut) && !silent {
             let quoted = self.tracks[task.track.0].quoted.as_secs_f64();
+            self.meter.mean_quoted += (quoted - self.meter.mean_quoted) * 0.05;
             self.meter.time_ratio += (ended.spent.as_secs_f64() / quoted - self.meter.time_ratio) * 0.05;
         }
         if ended.outcome != Outcome::Ok {
             return;
         }
         self.meter.handled += task.work;
-        let build = self.units[ended.unit].build;
+        let build = self.fleet.units[ended.unit].build;
         if self.cap_of(build).is_none() {
             self.tracks[task.track.0].times.add(ended.spent, KEEP as u32);
         }
@@ -541,7 +515,7 @@
     }
 
     pub fn complaint(&mut self, unit: &UnitId, track: TrackId) {
-        let Some(build) = self.index.get(unit).map(|&at| self.units[at].build) else { return };
+        let Some(build) = self.fleet.index.get(unit).map(|&at| self.fleet.units[at].build) else { return };
         let (judged, all, good) = (self.judged() == Some(build), self.tracks.len(), self.good_rate());
         let own = self.tracks[track.0].good().0;
         if judged {
@@ -575,7 +549,7 @@
 
     /// Takes tasks that may run again back from units that have gone silent.
     fn rescue(&mut self, act: Act) {
-        for unit in self.units.iter().filter(|unit| self.fig.may_abandon && self.is_silent(unit)) {
+        for unit in self.fleet.units.iter().filter(|unit| self.fig.may_abandon && self.is_silent(unit)) {
             for task in unit.waiting.iter().filter_map(|id| self.tasks.get(id)) {
                 let again = self.tracks[task.track.0].effect != Effect::Unrepeatable && !task.stream;
                 if let Some((dispatch, ..)) = task.out.filter(|out| again && out.2 < unit.quiet_since + TICK)
@@ -588,19 +562,21 @@
 
     /// Once a tick: rates, the limit on open tasks, and the count afresh under a lower cap.
     fn measure(&mut self) {
-        let ready = || self.units.iter().filter(|unit| unit.ready);
+        let ready = || self.fleet.units.iter().filter(|unit| unit.ready);
         let size: f64 = ready().map(|unit| unit.nominal).sum();
         let count = ready().count().max(1) as f64;
         let meter = &mut self.meter;
         let per_s = meter.handled / TICK.as_secs_f64() / size.max(0.01);
+        meter.served_rate += (meter.handled / TICK.as_secs_f64() - meter.served_rate) * 0.1;
         meter.handled = 0.0;
         meter.unit_rate = (meter.unit_rate * 0.999).max(meter.unit_rate * 0.95 + per_s * 0.05);
         for (rate, count) in &mut meter.tenants {
             *rate += (*count / TICK.as_secs_f64() - *rate) * 0.1;
             *count = 0.0;
         }
+        // Little's law: as many open tasks as would be answered within that part of their quoted times.
         meter.limit = if meter.time_ratio > BUSY_RATIO {
-            (meter.limit.min(meter.in_flight.max(count)) * 0.95).max(count)
+            (meter.served_rate * BUSY_RATIO * meter.mean_quoted).max(count)
         } else {
             (meter.limit * 1.03 + 0.5).min(count * 16.0)
         };
@@ -674,7 +650,7 @@
         if self.fig.gate == GateMode::FirstVoice && self.fig.me.0 >= PROCEED_VOICES {
             return Vote::Nothing;
         }
-        let trial = self.units.iter().filter(|unit| unit.ready && unit.build == news.build);
+        let trial = self.fleet.units.iter().filter(|unit| unit.ready && unit.build == news.build);
         let youngest = trial.map(|unit| self.now.saturating_sub(unit.started.unwrap_or_default())).min();
         let Some(youngest) = youngest else { return Vote::Nothing };
         let peers = self.live_peers().filter(|peer| peer.stage == news.stage);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub mod decide;
 pub mod histogram;
-mod state;
+pub mod state;
 
 /// A task, as its client's front names it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::histogram::{Histogram, Tally, Window};
 use crate::*;
+use std::collections::HashMap;
 
 /// Version of the message to peers.
 const VERSION: u8 = 1;
@@ -146,7 +147,9 @@
     pub time_ratio: f64,
     pub mean_work: f64,
     pub handled: f64,
-    pub unit_rate: f64, // work a second that a warm unit was seen to bear from here
+    pub served_rate: f64, // work a second
+    pub mean_quoted: f64, // seconds
+    pub unit_rate: f64,   // work a second that a warm unit was seen to bear from here
     pub tenants: Vec<(f64, f64)>,
 }
 
@@ -269,3 +272,46 @@
         (self.before.0.max(self.failures.rate()), self.before.1.max(self.slow.rate()))
     }
 }
+
+/// The units that the list has named, in the order of their first naming.
+#[derive(Default)]
+pub struct Fleet {
+    pub(crate) now: Duration,
+    pub(crate) units: Vec<Unit>,
+    pub(crate) index: HashMap<UnitId, usize>,
+}
+
+impl Fleet {
+    pub fn begins(&mut self, whole: bool) {
+        self.units.iter_mut().filter(|_| whole).for_each(|unit| unit.listed = false);
+    }
+
+    pub fn entry(
+        &mut self,
+        id: UnitId,
+        build: BuildId,
+        zone: Option<ZoneId>,
+        cell: CellId,
+        health: Health,
+        nominal: f64,
+        started: Option<Duration>,
+    ) {
+        let at = *self.index.entry(id.clone()).or_insert_with(|| {
+            self.units.push(Unit { id, ..Unit::default() });
+            self.units.len() - 1
+        });
+        let unit = &mut self.units[at];
+        if started != unit.started || build != unit.build {
+            // A new process, perhaps another machine under an old id: what was learned is void.
+            let (id, waiting) = (unit.id.clone(), std::mem::take(&mut unit.waiting));
+            let sent_cold = std::mem::take(&mut unit.sent_cold);
+            *unit = Unit { id, waiting, sent_cold, quiet_since: self.now, ..Unit::default() };
+        }
+        (unit.build, unit.zone, unit.cell, unit.nominal) = (build, zone, cell, nominal.max(0.01));
+        (unit.started, unit.ready, unit.listed) = (started, health == Health::Ready, health != Health::Gone);
+    }
+
+    pub fn ends(&mut self) {
+        self.units.iter_mut().filter(|unit| !unit.listed).for_each(|unit| unit.ready = false);
+    }
+}
