--- a/src/decide.rs
+++ b/src/decide.rs
@@ -31,6 +31,9 @@
 const CLEAR_NATS: f64 = 2.0; // a sum above this is no ground to go on
 const SLOW_SHARE: f64 = 0.1; // of the earlier build's answers lie above the slow mark
 const LOADED: f64 = 1.25; // times the load before the trial
+const PAUSE: Duration = Duration::from_millis(2000); // of the trial, to see whether the earlier build recovers
+const PAUSE_NATS: f64 = 4.7; // the most that one pause may prove; a lone relay needs two
+const SETTLE: Duration = Duration::from_millis(600); // of that, for open tasks to leave
 const COLD_MARGIN: f64 = 0.7; // of what the rule on cold units would bear
 const BUSY_RATIO: f64 = 0.5; // mean answer time over quoted time above which tasks are given up early
 const ASIDE_SHARE: f64 = 0.3; // of a build's units may be set aside at once
@@ -82,7 +85,7 @@
             act.follow_list();
         }
         let top = settings.tracks.iter().map(|track| track.utility).fold(1e-9, f64::max);
-        let sums = vec![Cusum::default(); settings.tracks.len() + 2];
+        let sums = vec![Cusum::default(); settings.tracks.len() + 3];
         let tenants = vec![(0.0, 0.0); settings.tenant_quotas.len()];
         Relay {
             now,
@@ -202,7 +205,7 @@
         };
         let (new, old) = (ready(true), ready(false));
         let places = if self.fig.replace { new + old } else { old.max(new) };
-        let to_trial = task.failed_on.is_none() && chance * places < new;
+        let to_trial = task.failed_on.is_none() && self.judge.pause.is_none() && chance * places < new;
         // Preferences in order of weight; one that nothing meets is dropped.
         let mut prefer = |wanted: &dyn Fn(usize) -> bool| {
             if able.iter().any(|&at| wanted(at)) {
@@ -412,8 +415,8 @@
             return; // departure: cold or silent units are no evidence against a build
         }
         let (judged, all) = (self.judged(), self.tracks.len());
-        // Departure: more load than before the trial makes answers late, whatever the build.
-        let loaded = self.load() > LOADED * self.judge.load_before.max(1.0);
+        // Departure: more load than before the trial, or slowness of both builds, is no evidence by comparison.
+        let loaded = self.is_loaded() || self.judge.ambient > NATS_FLOOR;
         let overall = log_ratio(self.good_rate(), failed);
         let track = &mut self.tracks[task.track.0];
         if track.mark.is_none() && f64::from(track.times.total()) > BASELINE {
@@ -424,6 +427,8 @@
             if self.news.is_some_and(|news| unit.build <= news.build) {
                 track.failures.add(failed, KEEP);
                 slow.into_iter().for_each(|slow| track.slow.add(slow, KEEP));
+                let late = slow == Some(true) || ended.outcome == Outcome::TimeOut;
+                self.judge_ambient(task, late, ended.spent);
             }
             return;
         }
@@ -439,6 +444,56 @@
         self.judge.tick_outcomes += 1.0;
     }
 
+    /// Departure: a build that slows every unit, old and new, in step with its traffic defeats any comparison
+    /// side by side. When the earlier build's answers turn late without more load, all relays keep off the new
+    /// build for a moment: if the earlier one recovers, the new one is to blame; if not, something else is.
+    fn judge_ambient(&mut self, task: &Task, late: bool, spent: Duration) {
+        let before = self.tracks[task.track.0].late_before();
+        self.judge.ambient = (self.judge.ambient + log_ratio(before, late)).clamp(0.0, LOG_GAMMA + 1.0);
+        self.judge.late_rate += (f64::from(u8::from(late)) - self.judge.late_rate) * 0.015;
+        let Some((since, ratio)) = &mut self.judge.pause else { return };
+        if self.now.saturating_sub(spent) >= *since + SETTLE {
+            let (recovered, same) = (before.max(0.02), self.judge.paused_rate.max(before + 0.05).min(0.95));
+            *ratio += if late { recovered / same } else { (1.0 - recovered) / (1.0 - same) }.ln();
+        }
+    }
+
+    /// Once a tick: begins a pause where the earlier build suffers, and draws its conclusion at its end.
+    fn pause(&mut self, act: Act) {
+        self.judge.ambient *= 0.97;
+        if self.news.is_none_or(|news| news.phase != Phase::OnTrial) {
+            (self.judge.pause, self.judge.ambient) = (None, 0.0);
+            return;
+        }
+        if let Some((since, ratio)) = self.judge.pause.filter(|(since, _)| self.now >= *since + PAUSE) {
+            self.judge.pause = None;
+            act.log(&format!("pause of the trial ends, recovery {ratio:.1} nats"));
+            self.judge.sums[self.tracks.len() + 2].z += ratio.clamp(-PAUSE_NATS, PAUSE_NATS);
+            if ratio < 0.0 {
+                self.tracks.iter_mut().for_each(|track| track.before.1 = track.good().1);
+            }
+            (self.judge.ambient, self.judge.clear_since) = (0.0, self.now.max(since));
+            return;
+        }
+        let asked = self.live_peers().any(|peer| peer.pausing && self.now < peer.at + TICK * 2);
+        let before = self.tracks.iter().map(TrackState::late_before).fold(0.0, f64::max);
+        let suffers = self.judge.ambient > LOG_GAMMA && self.judge.late_rate > bad_rate(before);
+        let suffers = suffers && !self.is_loaded();
+        let rested = self.judge.paused_at.is_none_or(|at| self.now > at + PAUSE * 2);
+        if (asked || suffers) && rested && self.judge.pause.is_none() {
+            (self.judge.pause, self.judge.paused_at) = (Some((self.now, 0.0)), Some(self.now));
+            self.judge.paused_rate = self.judge.late_rate;
+            act.log("trial paused: the earlier build is late without more load");
+            if self.fig.tells {
+                self.tell(act);
+            }
+        }
+    }
+
+    fn is_loaded(&self) -> bool {
+        self.load() > LOADED * self.judge.load_before.max(1.0)
+    }
+
     fn learn_times(&mut self, task: &Task, ended: &Ended) {
         // A time-out of a unit that still answers others shows load as a slow answer does.
         let silent = self.fleet.units[ended.unit].streak >= STREAK;
@@ -536,6 +591,7 @@
         self.ticks += 1;
         self.measure();
         self.run_cusum();
+        self.pause(act);
         let fused = self.fuse();
         if fused > 0.0 {
             self.judge.clear_since = self.now;
@@ -632,8 +688,8 @@
     fn tell(&mut self, act: Act) {
         let Some(news) = &self.news else { return };
         let Judge { bit, divergence, outcomes, .. } = self.judge;
-        let entry =
-            PeerEntry { at: self.now, build: news.build, stage: news.stage, bit, divergence, outcomes };
+        let (build, stage, pausing) = (news.build, news.stage, self.judge.pause.is_some());
+        let entry = PeerEntry { at: self.now, build, stage, bit, pausing, divergence, outcomes };
         act.tell_peers(&entry.encode());
     }
 
@@ -659,7 +715,8 @@
         // by, is the cheap place to wait for what shows late or under load.
         let last = news.stage.0 == self.fig.last_stage && !self.fig.replace;
         let wait = if last { self.fig.warm_up + TICK * 10 } else { Duration::ZERO };
-        let clear = fused <= 0.0 && self.judge.worst() < CLEAR_NATS && youngest >= wait;
+        let calm = self.judge.ambient < NATS_FLOOR && self.judge.pause.is_none();
+        let clear = calm && fused <= 0.0 && self.judge.worst() < CLEAR_NATS && youngest >= wait;
         if clear && self.now >= self.judge.clear_since + youngest && seen >= MIN_OUTCOMES {
             Vote::On
         } else {
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,6 +6,7 @@
 
 /// Version of the message to peers.
 const VERSION: u8 = 1;
+const PAUSING: u8 = 4;
 
 /// What the settings come down to.
 pub struct Figures {
@@ -98,6 +99,7 @@
     pub build: BuildId,
     pub stage: Stage,
     pub bit: u8,
+    pub pausing: bool,
     pub divergence: f64,
     pub outcomes: u32,
 }
@@ -113,11 +115,16 @@
 /// What the CUSUM and the fusion know of the build they judge.
 #[derive(Default)]
 pub struct Judge {
-    pub sums: Vec<Cusum>, // one a track, one over all, one of slow answers
+    pub sums: Vec<Cusum>, // one a track, one over all, one of slow answers, one of pauses
     pub outcomes: u32,    // of this stage
     pub tick_outcomes: f64,
     pub outcome_rate: f64,
-    pub on_trial: bool,   // seen so by this relay
+    pub on_trial: bool,                 // seen so by this relay
+    pub ambient: f64, // CUSUM of late answers by the earlier build against the time before the trial
+    pub pause: Option<(Duration, f64)>, // its start, log ratio of 'recovered' to 'as slow' in it
+    pub paused_at: Option<Duration>,
+    pub late_rate: f64, // of the earlier build, now and when the pause began
+    pub paused_rate: f64,
     pub load_before: f64, // tasks taken a second before the trial
     pub bit: u8,
     pub divergence: f64,
@@ -210,12 +217,21 @@
 impl PeerEntry {
     /// The message's form: version, build, stage, bit, I, outcomes of the stage; one of another form is none.
     pub fn decode(payload: &[u8], at: Duration) -> Option<PeerEntry> {
-        let &[VERSION, b0, b1, stage, bit @ 0..=2, i0, i1, i2, i3, n0, n1] = payload else { return None };
+        let &[VERSION, b0, b1, stage, bits, i0, i1, i2, i3, n0, n1] = payload else { return None };
         let divergence = f64::from(f32::from_be_bytes([i0, i1, i2, i3]));
         let build = BuildId(u16::from_be_bytes([b0, b1]));
         let outcomes = u16::from_be_bytes([n0, n1]).into();
-        let sound = divergence.is_finite() && divergence >= 0.0;
-        sound.then_some(PeerEntry { at, build, stage: Stage(stage.into()), bit, divergence, outcomes })
+        let sound = divergence.is_finite() && divergence >= 0.0 && bits & 3 < 3 && bits < 8;
+        let (bit, pausing) = (bits & 3, bits & PAUSING != 0);
+        sound.then_some(PeerEntry {
+            at,
+            build,
+            stage: Stage(stage.into()),
+            bit,
+            pausing,
+            divergence,
+            outcomes,
+        })
     }
 
     pub fn encode(&self) -> Vec<u8> {
@@ -223,7 +239,14 @@
         let divergence = (self.divergence as f32).to_be_bytes();
         let outcomes = u16::try_from(self.outcomes).unwrap_or(u16::MAX).to_be_bytes();
         let stage = u8::try_from(self.stage.0).unwrap_or(u8::MAX);
-        [&[VERSION], &build[..], &[stage, self.bit], &divergence, &outcomes].concat()
+        [
+            &[VERSION],
+            &build[..],
+            &[stage, self.bit | if self.pausing { PAUSING } else { 0 }],
+            &divergence,
+            &outcomes,
+        ]
+        .concat()
     }
 }
 
@@ -267,6 +290,11 @@
         self.slow = Tally::default();
     }
 
+    /// The rate of late answers before the trial: time-outs and those above the mark.
+    pub fn late_before(&self) -> f64 {
+        (self.before.0 + self.before.1).min(0.9)
+    }
+
     /// The good rates of failures and slow answers: before the trial or beside it, whichever are higher.
     pub fn good(&self) -> (f64, f64) {
         (self.before.0.max(self.failures.rate()), self.before.1.max(self.slow.rate()))
