--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,6 +32,7 @@
 const SLOW_SHARE: f64 = 0.1; // of the earlier build's answers lie above the slow mark
 const LOADED: f64 = 1.25; // times the load before the trial
 const PAUSE: Duration = Duration::from_millis(2000); // of the trial, to see whether the earlier build recovers
+const PAUSE_CAP: f64 = 0.1; // below this share the trial is too small to slow the others
 const PAUSE_NATS: f64 = 4.7; // the most that one pause may prove; a lone relay needs two
 const SETTLE: Duration = Duration::from_millis(600); // of that, for open tasks to leave
 const COLD_MARGIN: f64 = 0.7; // of what the rule on cold units would bear
@@ -411,39 +412,48 @@
             // Full queues and failed connects speak of load or a machine, not of the build.
             Outcome::Full | Outcome::ConnectFailed | Outcome::Abandoned | Outcome::Moot => return,
         };
-        if (ended.cold && ended.outcome == Outcome::TimeOut) || unit.streak > STREAK {
+        let late = ended.outcome == Outcome::TimeOut;
+        if (ended.cold && late) || unit.streak > STREAK {
             return; // departure: cold or silent units are no evidence against a build
         }
-        let (judged, all) = (self.judged(), self.tracks.len());
         // Departure: more load than before the trial, or slowness of both builds, is no evidence by comparison.
         let loaded = self.is_loaded() || self.judge.ambient > NATS_FLOOR;
-        let overall = log_ratio(self.good_rate(), failed);
+        let (build, judged) = (unit.build, self.judged() == Some(unit.build));
+        let (overall, all) = (log_ratio(self.good_rate(), failed), self.tracks.len());
         let track = &mut self.tracks[task.track.0];
         if track.mark.is_none() && f64::from(track.times.total()) > BASELINE {
             track.mark = Some(track.times.bin_at(SLOW_SHARE));
         }
         let slow = track.mark.filter(|_| !failed).map(|mark| Histogram::bin(ended.spent) > mark);
-        if judged != Some(unit.build) {
-            if self.news.is_some_and(|news| unit.build <= news.build) {
+        if !judged {
+            if self.news.is_some_and(|news| build <= news.build) {
                 track.failures.add(failed, KEEP);
                 slow.into_iter().for_each(|slow| track.slow.add(slow, KEEP));
-                let late = slow == Some(true) || ended.outcome == Outcome::TimeOut;
-                self.judge_ambient(task, late, ended.spent);
+                self.judge_ambient(task, late || slow == Some(true), ended.spent);
             }
             return;
         }
-        if !(loaded && ended.outcome == Outcome::TimeOut) {
-            self.judge.sums[task.track.0].z += log_ratio(track.good().0, failed);
-            self.judge.sums[all].z += overall;
+        let (good, good_slow) = track.good();
+        if !(loaded && late) {
+            self.blame(ended.unit, task.track.0, log_ratio(good, failed));
+            self.blame(ended.unit, all, overall);
         }
         let compared = !loaded && !ended.cold && self.news.is_some_and(|news| news.phase == Phase::OnTrial);
         if let Some(slow) = slow.filter(|_| compared) {
-            self.judge.sums[all + 1].z += log_ratio(track.good().1, slow);
+            self.blame(ended.unit, all + 1, log_ratio(good_slow, slow));
         }
         self.judge.outcomes += 1;
         self.judge.tick_outcomes += 1.0;
     }
 
+    /// Adds to a sum, and to the unit's own part of it.
+    fn blame(&mut self, unit: usize, sum: usize, ratio: f64) {
+        let own = &mut self.fleet.units[unit].sums;
+        own.resize(self.judge.sums.len(), Cusum::default());
+        own[sum].z += ratio;
+        self.judge.sums[sum].z += ratio;
+    }
+
     /// Departure: a build that slows every unit, old and new, in step with its traffic defeats any comparison
     /// side by side. When the earlier build's answers turn late without more load, all relays keep off the new
     /// build for a moment: if the earlier one recovers, the new one is to blame; if not, something else is.
@@ -469,16 +479,14 @@
             self.judge.pause = None;
             act.log(&format!("pause of the trial ends, recovery {ratio:.1} nats"));
             self.judge.sums[self.tracks.len() + 2].z += ratio.clamp(-PAUSE_NATS, PAUSE_NATS);
-            if ratio < 0.0 {
-                self.tracks.iter_mut().for_each(|track| track.before.1 = track.good().1);
-            }
+            self.judge.cleared = ratio < CLEAR_NATS;
             (self.judge.ambient, self.judge.clear_since) = (0.0, self.now.max(since));
             return;
         }
         let asked = self.live_peers().any(|peer| peer.pausing && self.now < peer.at + TICK * 2);
         let before = self.tracks.iter().map(TrackState::late_before).fold(0.0, f64::max);
         let suffers = self.judge.ambient > LOG_GAMMA && self.judge.late_rate > bad_rate(before);
-        let suffers = suffers && !self.is_loaded();
+        let suffers = suffers && !self.is_loaded() && !self.judge.cleared;
         let rested = self.judge.paused_at.is_none_or(|at| self.now > at + PAUSE * 2);
         if (asked || suffers) && rested && self.judge.pause.is_none() {
             (self.judge.pause, self.judge.paused_at) = (Some((self.now, 0.0)), Some(self.now));
@@ -564,19 +572,19 @@
         }
         if (last.build, last.stage) != (build, stage) {
             (self.judge.outcomes, self.judge.clear_since) = (0, self.now);
+            (self.judge.cleared, self.judge.ambient) = (cap < PAUSE_CAP, 0.0);
         }
         self.ballot = Ballot { at: self.ballot.at, ..Ballot::default() };
         act.log(&format!("build {} stage {} {phase:?} cap {cap}", build.0, stage.0));
     }
 
     pub fn complaint(&mut self, unit: &UnitId, track: TrackId) {
-        let Some(build) = self.fleet.index.get(unit).map(|&at| self.fleet.units[at].build) else { return };
-        let (judged, all, good) = (self.judged() == Some(build), self.tracks.len(), self.good_rate());
-        let own = self.tracks[track.0].good().0;
-        if judged {
+        let Some(&at) = self.fleet.index.get(unit) else { return };
+        if self.judged() == Some(self.fleet.units[at].build) {
             // The answer was counted as good when it came; both sums are set right.
-            self.judge.sums[track.0].z += log_ratio(own, true) - log_ratio(own, false);
-            self.judge.sums[all].z += log_ratio(good, true) - log_ratio(good, false);
+            let right = |good: f64| log_ratio(good, true) - log_ratio(good, false);
+            self.blame(at, track.0, right(self.tracks[track.0].good().0));
+            self.blame(at, self.tracks.len(), right(self.good_rate()));
         } else {
             self.tracks[track.0].failures.failures += 1.0;
         }
@@ -644,7 +652,8 @@
 
     fn run_cusum(&mut self) {
         let judge = &mut self.judge;
-        for sum in &mut judge.sums {
+        let units = self.fleet.units.iter_mut().flat_map(|unit| &mut unit.sums);
+        for sum in judge.sums.iter_mut().chain(units) {
             *sum = Cusum { w: sum.w.max(0.0) + sum.z, z: 0.0 };
         }
         judge.outcome_rate += (judge.tick_outcomes - judge.outcome_rate) * 0.1;
@@ -655,11 +664,26 @@
         self.judge.divergence = rate * (bad * log_ratio(good, true) + (1.0 - bad) * log_ratio(good, false));
         let weight = self.judge.divergence / self.largest();
         let threshold = (LOG_GAMMA / ALARMS_M * weight).max(NATS_FLOOR);
-        let w = self.judge.worst();
+        let w = self.worst();
         let enough = self.judge.outcomes >= MIN_OUTCOMES;
         self.judge.bit = u8::from(enough && w > threshold) + u8::from(enough && w > LOG_GAMMA);
     }
 
+    /// The largest sum. Departure: once there are units enough to tell, evidence must not rest on a few of them:
+    /// what the worst units brought in is left out, so that bad machines do not condemn a build.
+    fn worst(&self) -> f64 {
+        let judged = self.judged();
+        let trial = || self.fleet.units.iter().filter(|unit| unit.ready && Some(unit.build) == judged);
+        let count = trial().count();
+        let few = ((count as f64 * ASIDE_SHARE) as usize).max(usize::from(count >= 3));
+        let without = |(at, sum): (usize, &Cusum)| {
+            let mut parts: Vec<f64> = trial().filter_map(|unit| Some(unit.sums.get(at)?.w)).collect();
+            parts.sort_by(|one, other| other.total_cmp(one));
+            sum.w - parts.iter().take(few).sum::<f64>()
+        };
+        self.judge.sums.iter().enumerate().map(without).fold(0.0, f64::max)
+    }
+
     fn live_peers(&self) -> impl Iterator<Item = &PeerEntry> {
         let judged = self.judged();
         let live = self.peers.values().filter(|peer| self.now < peer.at + PEER_LAPSE);
@@ -715,8 +739,9 @@
         // by, is the cheap place to wait for what shows late or under load.
         let last = news.stage.0 == self.fig.last_stage && !self.fig.replace;
         let wait = if last { self.fig.warm_up + TICK * 10 } else { Duration::ZERO };
-        let calm = self.judge.ambient < NATS_FLOOR && self.judge.pause.is_none();
-        let clear = calm && fused <= 0.0 && self.judge.worst() < CLEAR_NATS && youngest >= wait;
+        let calm = self.judge.ambient < NATS_FLOOR || self.judge.cleared;
+        let calm = calm && self.judge.pause.is_none();
+        let clear = calm && fused <= 0.0 && self.worst() < CLEAR_NATS && youngest >= wait;
         if clear && self.now >= self.judge.clear_since + youngest && seen >= MIN_OUTCOMES {
             Vote::On
         } else {
@@ -739,7 +764,7 @@
             return;
         }
         if standing != wanted {
-            let (Judge { bit, outcomes, .. }, sum) = (&self.judge, self.judge.worst());
+            let (Judge { bit, outcomes, .. }, sum) = (&self.judge, self.worst());
             let head = format!("build {} stage {} vote {:?}", wanted.0 .0, wanted.1 .0, wanted.2);
             act.log(&format!("{head} bit {bit} fused {fused:.2} sum {sum:.1} outcomes {outcomes}"));
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -67,6 +67,7 @@
     pub sent_cold: Window,
     pub quiet_since: Duration,
     pub streak: u32,
+    pub sums: Vec<Cusum>, // its own part of the judge's
     pub recent: Tally,
     pub away_until: Duration,
     pub away_for: Duration,
@@ -123,6 +124,7 @@
     pub ambient: f64, // CUSUM of late answers by the earlier build against the time before the trial
     pub pause: Option<(Duration, f64)>, // its start, log ratio of 'recovered' to 'as slow' in it
     pub paused_at: Option<Duration>,
+    pub cleared: bool,  // by a pause in this stage
     pub late_rate: f64, // of the earlier build, now and when the pause began
     pub paused_rate: f64,
     pub load_before: f64, // tasks taken a second before the trial
@@ -131,13 +133,6 @@
     pub clear_since: Duration,
 }
 
-impl Judge {
-    /// The largest of the sums.
-    pub fn worst(&self) -> f64 {
-        self.sums.iter().map(|sum| sum.w).fold(0.0, f64::max)
-    }
-}
-
 #[derive(Default)]
 pub struct Ballot {
     pub sent: Option<(BuildId, Stage, Vote)>,
