--- a/src/decide.rs
+++ b/src/decide.rs
@@ -28,6 +28,7 @@
 // Ours; the range over which each was seen not to matter is in docs/design.md.
 const KEEP: f64 = 400.0; // outcomes held of the earlier build before halving
 const BASELINE: f64 = 30.0; // outcomes of the earlier build without which there is nothing to compare with
+const EVIDENCE: f64 = 50.0; // outcomes before all of the traffic may go to a build
 const CLEAR_NATS: f64 = 2.0; // a sum above this is no ground to go on
 const SLOW_SHARE: f64 = 0.1; // of the earlier build's answers lie above the slow mark
 const LOADED: f64 = 1.25; // times the load before the trial
@@ -295,16 +296,20 @@
         sent + work <= (COLD_MARGIN * self.fig.fall_multiple * part * warm).max(1.0)
     }
 
+    fn first_cap(&self) -> f64 {
+        self.fig.stage_caps.first().copied().unwrap_or(0.0)
+    }
+
     /// The cap and stage of a build on trial; none for a build that is not.
     fn cap_of(&self, build: BuildId) -> Option<(f64, usize)> {
         let Some(news) = &self.news else {
             let lowest = self.fleet.units.iter().filter(|unit| unit.listed).map(|unit| unit.build).min();
-            return (lowest != Some(build)).then_some((self.fig.first_cap, 0));
+            return (lowest != Some(build)).then_some((self.first_cap(), 0));
         };
         match (build.cmp(&news.build), news.phase) {
             (Ordering::Less, _) | (Ordering::Equal, Phase::Released) => None,
             (Ordering::Equal, _) => Some((news.cap, news.stage.0)),
-            (Ordering::Greater, _) => Some((self.fig.first_cap, 0)),
+            (Ordering::Greater, _) => Some((self.first_cap(), 0)),
         }
     }
 
@@ -461,9 +466,17 @@
         let before = self.tracks[task.track.0].late_before();
         self.judge.ambient = (self.judge.ambient + log_ratio(before, late)).clamp(0.0, LOG_GAMMA + 1.0);
         self.judge.late_rate += (f64::from(u8::from(late)) - self.judge.late_rate) * 0.015;
-        let Some((since, ratio)) = &mut self.judge.pause else { return };
+        let late_rate = self.judge.paused_rate.max(before + 0.05).min(0.95);
+        let Some((since, ratio)) = &mut self.judge.pause else {
+            // With the trial back, a build that is to blame makes answers late again.
+            let (good, bad) = (before.max(0.02), late_rate);
+            let again = if late { bad / good } else { (1.0 - bad) / (1.0 - good) }.ln();
+            let shared = &mut self.judge.sums[self.tracks.len() + 2];
+            shared.z += if self.judge.proved > 0.0 { again } else { 0.0 };
+            return;
+        };
         if self.now.saturating_sub(spent) >= *since + SETTLE {
-            let (recovered, same) = (before.max(0.02), self.judge.paused_rate.max(before + 0.05).min(0.95));
+            let (recovered, same) = (before.max(0.02), late_rate);
             *ratio += if late { recovered / same } else { (1.0 - recovered) / (1.0 - same) }.ln();
         }
     }
@@ -478,7 +491,9 @@
         if let Some((since, ratio)) = self.judge.pause.filter(|(since, _)| self.now >= *since + PAUSE) {
             self.judge.pause = None;
             act.log(&format!("pause of the trial ends, recovery {ratio:.1} nats"));
-            self.judge.sums[self.tracks.len() + 2].z += ratio.clamp(-PAUSE_NATS, PAUSE_NATS);
+            let proved = ratio.clamp(-PAUSE_NATS, PAUSE_NATS);
+            self.judge.sums[self.tracks.len() + 2].z += proved;
+            self.judge.proved = (self.judge.proved + proved).max(0.0);
             self.judge.cleared = ratio < CLEAR_NATS;
             (self.judge.ambient, self.judge.clear_since) = (0.0, self.now.max(since));
             return;
@@ -563,7 +578,7 @@
         let Some(last) = self.news.replace(news).filter(|&last| last != news) else { return };
         if last.build != build {
             self.judge.sums.fill(Cusum::default());
-            self.judge.bit = 0;
+            (self.judge.bit, self.judge.proved) = (0, 0.0);
             self.judge.load_before = self.load();
             self.tracks.iter_mut().for_each(|track| track.trial_begins(SLOW_SHARE));
             self.forward_keys.clear();
@@ -656,6 +671,8 @@
         for sum in judge.sums.iter_mut().chain(units) {
             *sum = Cusum { w: sum.w.max(0.0) + sum.z, z: 0.0 };
         }
+        let shared = &mut judge.sums[self.tracks.len() + 2];
+        shared.w = shared.w.min(judge.proved);
         judge.outcome_rate += (judge.tick_outcomes - judge.outcome_rate) * 0.1;
         judge.tick_outcomes = 0.0;
         let rate = judge.outcome_rate;
@@ -675,7 +692,7 @@
         let judged = self.judged();
         let trial = || self.fleet.units.iter().filter(|unit| unit.ready && Some(unit.build) == judged);
         let count = trial().count();
-        let few = ((count as f64 * ASIDE_SHARE) as usize).max(usize::from(count >= 3));
+        let few = ((count as f64 * ASIDE_SHARE / 2.0) as usize).max(usize::from(count >= 3));
         let without = |(at, sum): (usize, &Cusum)| {
             let mut parts: Vec<f64> = trial().filter_map(|unit| Some(unit.sums.get(at)?.w)).collect();
             parts.sort_by(|one, other| other.total_cmp(one));
@@ -737,18 +754,27 @@
         let seen = self.judge.outcomes + peers.map(|peer| peer.outcomes).sum::<u32>();
         // Departure: the last stage, where the new build serves nearly all while the earlier one still stands
         // by, is the cheap place to wait for what shows late or under load.
-        let last = news.stage.0 == self.fig.last_stage && !self.fig.replace;
+        let last = news.stage.0 == self.fig.stage_caps.len().saturating_sub(1) && !self.fig.replace;
         let wait = if last { self.fig.warm_up + TICK * 10 } else { Duration::ZERO };
         let calm = self.judge.ambient < NATS_FLOOR || self.judge.cleared;
         let calm = calm && self.judge.pause.is_none();
         let clear = calm && fused <= 0.0 && self.worst() < CLEAR_NATS && youngest >= wait;
-        if clear && self.now >= self.judge.clear_since + youngest && seen >= MIN_OUTCOMES {
+        if clear
+            && self.now >= self.judge.clear_since + youngest
+            && f64::from(seen) >= self.evidence_for(news)
+        {
             Vote::On
         } else {
             Vote::Nothing
         }
     }
 
+    /// Departure: outcomes of the fleet in this stage before it may go on; the more the next one exposes, the more.
+    fn evidence_for(&self, news: News) -> f64 {
+        let next = self.fig.stage_caps.get(news.stage.0 + 1).copied().unwrap_or(1.0);
+        (EVIDENCE * next).max(1.0)
+    }
+
     fn cast(&mut self, fused: f64, act: Act) {
         let Some(news) = self.news else { return };
         let wanted = (news.build, news.stage, self.stance(news, fused));
--- a/src/state.rs
+++ b/src/state.rs
@@ -27,8 +27,7 @@
     pub drain_grace: Duration,
     pub gate: GateMode,
     pub replace: bool,
-    pub first_cap: f64,
-    pub last_stage: usize,
+    pub stage_caps: Vec<f64>,
     pub closed_stages: usize,
     pub free: f64,
     pub window: Duration,
@@ -124,6 +123,7 @@
     pub ambient: f64, // CUSUM of late answers by the earlier build against the time before the trial
     pub pause: Option<(Duration, f64)>, // its start, log ratio of 'recovered' to 'as slow' in it
     pub paused_at: Option<Duration>,
+    pub proved: f64,    // nats, by pauses
     pub cleared: bool,  // by a pause in this stage
     pub late_rate: f64, // of the earlier build, now and when the pause began
     pub paused_rate: f64,
@@ -176,8 +176,7 @@
             drain_grace: settings.drain_grace,
             gate: settings.gate,
             replace: settings.replace,
-            first_cap: settings.stage_caps.first().copied().unwrap_or(0.0),
-            last_stage: settings.stage_caps.len().saturating_sub(1),
+            stage_caps: settings.stage_caps.clone(),
             closed_stages: settings.closed_stages,
             free: settings.exposure_free,
             window: settings.exposure_window,
