--- a/src/decide.rs
+++ b/src/decide.rs
@@ -215,7 +215,7 @@
             }
         };
         prefer(&|at| !on_trial(at) || self.permits(task, at, true));
-        prefer(&|at| !self.is_aside(at));
+        prefer(&|at| !self.is_aside(&self.fleet.units[at]));
         prefer(&|at| on_trial(at) == to_trial);
         prefer(&|at| task.failed_on != Some(at));
         if able.is_empty() {
@@ -336,8 +336,7 @@
     }
 
     /// Whether a unit is out of favour: set aside for failures, or silent while work waits there.
-    fn is_aside(&self, at: usize) -> bool {
-        let unit = &self.fleet.units[at];
+    fn is_aside(&self, unit: &Unit) -> bool {
         let on_probation = unit.streak >= STREAK && !unit.waiting.is_empty();
         self.now < unit.away_until || on_probation || self.is_silent(unit)
     }
@@ -438,7 +437,7 @@
             }
             return;
         }
-        let (good, good_slow) = track.good();
+        let (good, good_slow) = (track.good(), track.slow.rate().max(SLOW_SHARE));
         if !(loaded && late) {
             self.blame(ended.unit, task.track.0, log_ratio(good, failed));
             self.blame(ended.unit, all, overall);
@@ -463,20 +462,20 @@
     /// side by side. When the earlier build's answers turn late without more load, all relays keep off the new
     /// build for a moment: if the earlier one recovers, the new one is to blame; if not, something else is.
     fn judge_ambient(&mut self, task: &Task, late: bool, spent: Duration) {
-        let before = self.tracks[task.track.0].late_before();
+        let before = self.tracks[task.track.0].failed_before + SLOW_SHARE;
         self.judge.ambient = (self.judge.ambient + log_ratio(before, late)).clamp(0.0, LOG_GAMMA + 1.0);
         self.judge.late_rate += (f64::from(u8::from(late)) - self.judge.late_rate) * 0.015;
         let late_rate = self.judge.paused_rate.max(before + 0.05).min(0.95);
         let Some((since, ratio)) = &mut self.judge.pause else {
             // With the trial back, a build that is to blame makes answers late again.
-            let (good, bad) = (before.max(0.02), late_rate);
+            let (good, bad) = (before, late_rate);
             let again = if late { bad / good } else { (1.0 - bad) / (1.0 - good) }.ln();
             let shared = &mut self.judge.sums[self.tracks.len() + 2];
             shared.z += if self.judge.proved > 0.0 { again } else { 0.0 };
             return;
         };
         if self.now.saturating_sub(spent) >= *since + SETTLE {
-            let (recovered, same) = (before.max(0.02), late_rate);
+            let (recovered, same) = (before, late_rate);
             *ratio += if late { recovered / same } else { (1.0 - recovered) / (1.0 - same) }.ln();
         }
     }
@@ -499,7 +498,7 @@
             return;
         }
         let asked = self.live_peers().any(|peer| peer.pausing && self.now < peer.at + TICK * 2);
-        let before = self.tracks.iter().map(TrackState::late_before).fold(0.0, f64::max);
+        let before = self.tracks.iter().map(|track| track.failed_before).fold(SLOW_SHARE, f64::max);
         let suffers = self.judge.ambient > LOG_GAMMA && self.judge.late_rate > bad_rate(before);
         let suffers = suffers && !self.is_loaded() && !self.judge.cleared;
         let rested = self.judge.paused_at.is_none_or(|at| self.now > at + PAUSE * 2);
@@ -513,8 +512,9 @@
         }
     }
 
+    /// More tasks for each place that answers than before the trial, or so many that some are given up.
     fn is_loaded(&self) -> bool {
-        self.load() > LOADED * self.judge.load_before.max(1.0)
+        self.load() > LOADED * self.judge.load_before || self.meter.time_ratio > BUSY_RATIO
     }
 
     fn learn_times(&mut self, task: &Task, ended: &Ended) {
@@ -563,12 +563,17 @@
     fn good_rate(&self) -> f64 {
         let sum = |of: fn(&TrackState) -> f64| self.tracks.iter().map(of).sum::<f64>();
         let trials = sum(|track| track.failures.trials).max(1.0);
-        sum(|track| track.good().0 * track.failures.trials) / trials
+        sum(|track| track.good() * track.failures.trials) / trials
     }
 
+    /// Tasks a second for each place that answers.
     fn load(&self) -> f64 {
+        let place = |unit: &Unit| self.fig.replace || self.cap_of(unit.build).is_none();
+        let units = self.fleet.units.iter();
+        let places = units.filter(|unit| unit.ready && place(unit) && !self.is_aside(unit)).count().max(1);
         let span = Duration::from_secs(2);
-        self.tracks.iter().map(|track| track.taken.sum(self.now, span)).sum::<f64>() / span.as_secs_f64()
+        let taken: f64 = self.tracks.iter().map(|track| track.taken.sum(self.now, span)).sum();
+        taken / span.as_secs_f64() / places as f64
     }
 
     pub fn build_news(&mut self, build: BuildId, stage: Stage, phase: Phase, cap: f64, act: Act) {
@@ -598,7 +603,7 @@
         if self.judged() == Some(self.fleet.units[at].build) {
             // The answer was counted as good when it came; both sums are set right.
             let right = |good: f64| log_ratio(good, true) - log_ratio(good, false);
-            self.blame(at, track.0, right(self.tracks[track.0].good().0));
+            self.blame(at, track.0, right(self.tracks[track.0].good()));
             self.blame(at, self.tracks.len(), right(self.good_rate()));
         } else {
             self.tracks[track.0].failures.failures += 1.0;
--- a/src/state.rs
+++ b/src/state.rs
@@ -49,7 +49,7 @@
     pub failures: Tally,
     pub slow: Tally,         // answers above the mark, beside the trial
     pub mark: Option<usize>, // bin of the slowest answers before the trial
-    pub before: (f64, f64),  // rates of failures and slow answers before it
+    pub failed_before: f64,  // rate of failures before the trial
 }
 
 #[derive(Default)]
@@ -203,7 +203,7 @@
             failures: Tally::default(),
             slow: Tally::default(),
             mark: None,
-            before: (0.0, 0.0),
+            failed_before: 0.0,
         }
     }
 }
@@ -278,20 +278,14 @@
 impl TrackState {
     /// Keeps what the earlier build did under the full load, before the trial takes some of it.
     pub fn trial_begins(&mut self, slow_share: f64) {
-        let mark = self.times.bin_at(slow_share);
-        self.mark = (self.times.total() > 0).then_some(mark);
-        self.before = (self.failures.rate(), self.times.share_above(mark));
+        self.mark = (self.times.total() > 0).then(|| self.times.bin_at(slow_share));
+        self.failed_before = self.failures.rate();
         self.slow = Tally::default();
     }
 
-    /// The rate of late answers before the trial: time-outs and those above the mark.
-    pub fn late_before(&self) -> f64 {
-        (self.before.0 + self.before.1).min(0.9)
-    }
-
-    /// The good rates of failures and slow answers: before the trial or beside it, whichever are higher.
-    pub fn good(&self) -> (f64, f64) {
-        (self.before.0.max(self.failures.rate()), self.before.1.max(self.slow.rate()))
+    /// The good rate of failures: before the trial or beside it, whichever is higher.
+    pub fn good(&self) -> f64 {
+        self.failed_before.max(self.failures.rate())
     }
 }
 
