The fused sum need stay 0 for no longer than a warm-up

Cause: read as the youngest unit's age, the span grows with the clock, so an alarm that had passed barred the stage for good.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -487,14 +487,14 @@
             (self.judge.pause, self.judge.ambient) = (None, 0.0);
             return;
         }
-        if let Some((since, ratio)) = self.judge.pause.filter(|(since, _)| self.now >= *since + PAUSE) {
+        if let Some((_, ratio)) = self.judge.pause.filter(|(since, _)| self.now >= *since + PAUSE) {
             self.judge.pause = None;
             act.log(&format!("pause of the trial ends, recovery {ratio:.1} nats"));
             let proved = ratio.clamp(-PAUSE_NATS, PAUSE_NATS);
             self.judge.sums[self.tracks.len() + 2].z += proved;
             self.judge.proved = (self.judge.proved + proved).max(0.0);
             self.judge.cleared = ratio < CLEAR_NATS;
-            (self.judge.ambient, self.judge.clear_since) = (0.0, self.now.max(since));
+            self.judge.ambient = 0.0;
             return;
         }
         let asked = self.live_peers().any(|peer| peer.pausing && self.now < peer.at + TICK * 2);
@@ -764,10 +764,9 @@
         let calm = self.judge.ambient < NATS_FLOOR || self.judge.cleared;
         let calm = calm && self.judge.pause.is_none();
         let clear = calm && fused <= 0.0 && self.worst() < CLEAR_NATS && youngest >= wait;
-        if clear
-            && self.now >= self.judge.clear_since + youngest
-            && f64::from(seen) >= self.evidence_for(news)
-        {
+        let span = youngest.min(self.fig.warm_up); // past its warm-up, a unit's start is over
+        let enough = f64::from(seen) >= self.evidence_for(news) && self.now >= self.judge.clear_since + span;
+        if clear && enough {
             Vote::On
         } else {
             Vote::Nothing
