--- a/src/decide.rs
+++ b/src/decide.rs
@@ -500,7 +500,8 @@
         let asked = self.live_peers().any(|peer| peer.pausing && self.now < peer.at + TICK * 2);
         let before = self.tracks.iter().map(|track| track.failed_before).fold(SLOW_SHARE, f64::max);
         let suffers = self.judge.ambient > LOG_GAMMA && self.judge.late_rate > bad_rate(before);
-        let suffers = suffers && !self.is_loaded() && !self.judge.cleared;
+        let suffers =
+            suffers && !self.is_loaded() && self.meter.time_ratio < BUSY_RATIO && !self.judge.cleared;
         let rested = self.judge.paused_at.is_none_or(|at| self.now > at + PAUSE * 2);
         if (asked || suffers) && rested && self.judge.pause.is_none() {
             (self.judge.pause, self.judge.paused_at) = (Some((self.now, 0.0)), Some(self.now));
@@ -512,9 +513,9 @@
         }
     }
 
-    /// More tasks for each place that answers than before the trial, or so many that some are given up.
+    /// More tasks for each place that answers than before the trial.
     fn is_loaded(&self) -> bool {
-        self.load() > LOADED * self.judge.load_before || self.meter.time_ratio > BUSY_RATIO
+        self.load() > LOADED * self.judge.load_before
     }
 
     fn learn_times(&mut self, task: &Task, ended: &Ended) {
@@ -692,7 +693,7 @@
     }
 
     /// The largest sum. Departure: once there are units enough to tell, evidence must not rest on a few of them:
-    /// what the worst units brought in is left out, so that bad machines do not condemn a build.
+    /// what the worst units brought in beyond the median one is left out, so that bad machines do not condemn a build.
     fn worst(&self) -> f64 {
         let judged = self.judged();
         let trial = || self.fleet.units.iter().filter(|unit| unit.ready && Some(unit.build) == judged);
@@ -701,7 +702,8 @@
         let without = |(at, sum): (usize, &Cusum)| {
             let mut parts: Vec<f64> = trial().filter_map(|unit| Some(unit.sums.get(at)?.w)).collect();
             parts.sort_by(|one, other| other.total_cmp(one));
-            sum.w - parts.iter().take(few).sum::<f64>()
+            let usual = parts.get(parts.len() / 2).copied().unwrap_or(0.0);
+            sum.w - parts.iter().take(few).map(|part| part - usual).sum::<f64>()
         };
         self.judge.sums.iter().enumerate().map(without).fold(0.0, f64::max)
     }
@@ -762,7 +764,7 @@
         let last = news.stage.0 == self.fig.stage_caps.len().saturating_sub(1) && !self.fig.replace;
         let wait = if last { self.fig.warm_up + TICK * 10 } else { Duration::ZERO };
         let calm = self.judge.ambient < NATS_FLOOR || self.judge.cleared;
-        let calm = calm && self.judge.pause.is_none();
+        let calm = calm && self.judge.pause.is_none() && self.meter.time_ratio < BUSY_RATIO;
         let clear = calm && fused <= 0.0 && self.worst() < CLEAR_NATS && youngest >= wait;
         let span = youngest.min(self.fig.warm_up); // past its warm-up, a unit's start is over
         let enough = f64::from(seen) >= self.evidence_for(news) && self.now >= self.judge.clear_since + span;
