A cold trial unit counts as its cold part of a place

Cause: the trial's share of tasks was sized by listed units while cold ones could take little, so the warm ones were overloaded and a good build looked slow.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -201,9 +201,10 @@
             (0..self.fleet.units.len()).filter(|&at| self.permits(task, at, false)).collect();
         let on_trial = |at: usize| self.cap_of(self.fleet.units[at].build).is_some();
         // A trial unit is to bear what a unit of the full fleet bears: so many of the tasks try it.
-        let ready = |trial: bool| {
-            let of_side = |at: &usize| self.fleet.units[*at].ready && on_trial(*at) == trial;
-            (0..self.fleet.units.len()).filter(of_side).count() as f64
+        let able_part = |unit: &Unit| if self.is_cold(unit) { self.fig.cold_from } else { 1.0 };
+        let ready = |trial: bool| -> f64 {
+            let units = self.fleet.units.iter();
+            units.filter(|unit| unit.ready && self.cap_of(unit.build).is_some() == trial).map(able_part).sum()
         };
         let (new, old) = (ready(true), ready(false));
         let places = if self.fig.replace { new + old } else { old.max(new) };
