--- a/src/decide.rs
+++ b/src/decide.rs
@@ -201,10 +201,12 @@
             (0..self.fleet.units.len()).filter(|&at| self.permits(task, at, false)).collect();
         let on_trial = |at: usize| self.cap_of(self.fleet.units[at].build).is_some();
         // A trial unit is to bear what a unit of the full fleet bears: so many of the tasks try it.
-        let able_part = |unit: &Unit| if self.is_cold(unit) { self.fig.cold_from } else { 1.0 };
         let ready = |trial: bool| -> f64 {
             let units = self.fleet.units.iter();
-            units.filter(|unit| unit.ready && self.cap_of(unit.build).is_some() == trial).map(able_part).sum()
+            units
+                .filter(|unit| unit.ready && self.cap_of(unit.build).is_some() == trial)
+                .map(|unit| self.warmth(unit, Duration::ZERO))
+                .sum()
         };
         let (new, old) = (ready(true), ready(false));
         let places = if self.fig.replace { new + old } else { old.max(new) };
@@ -286,15 +288,19 @@
         unit.started.is_some_and(|started| self.now < started + self.fig.warm_up)
     }
 
+    /// What a unit can do for sure of what it can do warm, some time ago.
+    fn warmth(&self, unit: &Unit, ago: Duration) -> f64 {
+        let Some(started) = unit.started.filter(|_| self.is_cold(unit)) else { return 1.0 };
+        let part = self.now.saturating_sub(started + ago).as_secs_f64() / self.fig.warm_up.as_secs_f64();
+        self.fig.cold_from + (1.0 - self.fig.cold_from) * part.min(1.0)
+    }
+
     /// Rule 4. What warm units bear from this relay, learned, times what a cold unit can do of it for sure.
     fn cold_room(&self, unit: &Unit, work: f64) -> bool {
-        let Some(started) = unit.started.filter(|_| self.is_cold(unit)) else { return true };
-        let age = self.now.saturating_sub(started + self.fig.overload_for / 2).as_secs_f64();
-        let warmth = (age / self.fig.warm_up.as_secs_f64()).min(1.0);
-        let part = self.fig.cold_from + (1.0 - self.fig.cold_from) * warmth;
-        let warm = self.meter.unit_rate * unit.nominal * self.fig.overload_for.as_secs_f64();
-        let sent = unit.sent_cold.sum(self.now, self.fig.overload_for);
-        sent + work <= (COLD_MARGIN * self.fig.fall_multiple * part * warm).max(1.0)
+        let span = self.fig.overload_for;
+        let warm = self.meter.unit_rate * unit.nominal * span.as_secs_f64();
+        let budget = COLD_MARGIN * self.fig.fall_multiple * self.warmth(unit, span / 2) * warm;
+        !self.is_cold(unit) || unit.sent_cold.sum(self.now, span) + work <= budget.max(1.0)
     }
 
     fn first_cap(&self) -> f64 {
