--- a/src/decide.rs
+++ b/src/decide.rs
@@ -7,13 +7,13 @@
 //! gate of every dispatch, [`Relay::close`] the one place of nacks and terminations. Departures from the design
 //! page are marked "departure" and argued in `docs/design.md`.
 
-use crate::histogram::{Histogram, Tally, Window};
+use crate::histogram::{excess, Histogram, Tally, Window};
 use crate::state::*;
 use crate::*;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap};
 
 // From the design page.
 const TICK: Duration = Duration::from_millis(100);
@@ -32,10 +32,7 @@
 const CLEAR_NATS: f64 = 2.0; // a sum above this is no ground to go on
 const SLOW_SHARE: f64 = 0.1; // of the earlier build's answers lie above the slow mark
 const LOADED: f64 = 1.25; // times the load before the trial
-const PAUSE: Duration = Duration::from_millis(2000); // of the trial, to see whether the earlier build recovers
-const PAUSE_CAP: f64 = 0.1; // below this share the trial is too small to slow the others
-const PAUSE_NATS: f64 = 4.7; // the most that one pause may prove; a lone relay needs two
-const SETTLE: Duration = Duration::from_millis(600); // of that, for open tasks to leave
+const SMALL_CAP: f64 = 0.1; // below this share a trial is too small to slow the earlier build
 const COLD_MARGIN: f64 = 0.7; // of what the rule on cold units would bear
 const BUSY_RATIO: f64 = 0.5; // mean answer time over quoted time above which tasks are given up early
 const ASIDE_SHARE: f64 = 0.3; // of a build's units may be set aside at once
@@ -71,9 +68,7 @@
     tasks: HashMap<TaskId, Task>,
     meter: Meter,
     news: Option<News>,
-    exposed: BTreeMap<(BuildId, usize), Window>,
-    lower_cap_at: Option<Duration>,
-    forward_keys: HashSet<Key>,
+    exposure: Exposure,
     judge: Judge,
     peers: BTreeMap<PeerId, PeerEntry>,
     ballot: Ballot,
@@ -87,7 +82,7 @@
             act.follow_list();
         }
         let top = settings.tracks.iter().map(|track| track.utility).fold(1e-9, f64::max);
-        let sums = vec![Cusum::default(); settings.tracks.len() + 3];
+        let sums = vec![Cusum::default(); settings.tracks.len() + 2];
         let tenants = vec![(0.0, 0.0); settings.tenant_quotas.len()];
         Relay {
             now,
@@ -98,9 +93,7 @@
             tasks: HashMap::new(),
             meter: Meter { limit: f64::INFINITY, tenants, ..Meter::default() },
             news: None,
-            exposed: BTreeMap::new(),
-            lower_cap_at: None,
-            forward_keys: HashSet::new(),
+            exposure: Exposure::default(),
             judge: Judge { sums, clear_since: now, ..Judge::default() },
             peers: BTreeMap::new(),
             ballot: Ballot::default(),
@@ -117,8 +110,6 @@
         self.fig.granularity * 2
     }
 
-    // ---- The list ----
-
     /// The list's units; the front tells entries there.
     pub fn list(&mut self) -> &mut Fleet {
         self.fleet.now = self.now;
@@ -129,8 +120,6 @@
         act.follow_list();
     }
 
-    // ---- Tasks ----
-
     pub fn task_taken(
         &mut self,
         id: TaskId,
@@ -210,7 +199,7 @@
         };
         let (new, old) = (ready(true), ready(false));
         let places = if self.fig.replace { new + old } else { old.max(new) };
-        let to_trial = task.failed_on.is_none() && self.judge.pause.is_none() && chance * places < new;
+        let to_trial = task.failed_on.is_none() && chance * places < new;
         // Preferences in order of weight; one that nothing meets is dropped.
         let mut prefer = |wanted: &dyn Fn(usize) -> bool| {
             if able.iter().any(|&at| wanted(at)) {
@@ -245,14 +234,10 @@
         let on_trial = self.cap_of(self.fleet.units[task.chosen].build).is_some();
         let keep = self.fig.window + self.slack() * 2;
         let unit = &mut self.fleet.units[task.chosen];
-        if unit.waiting.is_empty() {
-            unit.quiet_since = self.now;
-        }
-        unit.waiting.push(task.id.clone());
-        unit.sent_cold.add(self.now, task.work, self.fig.overload_for);
+        unit.sent(&task.id, self.now, task.work, self.fig.overload_for);
         if on_trial {
             let counted = if self.fig.by_track { task.track.0 } else { 0 };
-            self.exposed.entry((unit.build, counted)).or_default().add(self.now, 1.0, keep);
+            self.exposure.sent.entry((unit.build, counted)).or_default().add(self.now, 1.0, keep);
         }
         self.meter.in_flight += 1.0;
         task.out = Some((DispatchNo(task.tries), task.chosen, self.now));
@@ -303,20 +288,16 @@
         !self.is_cold(unit) || unit.sent_cold.sum(self.now, span) + work <= budget.max(1.0)
     }
 
-    fn first_cap(&self) -> f64 {
-        self.fig.stage_caps.first().copied().unwrap_or(0.0)
-    }
-
     /// The cap and stage of a build on trial; none for a build that is not.
     fn cap_of(&self, build: BuildId) -> Option<(f64, usize)> {
         let Some(news) = &self.news else {
             let lowest = self.fleet.units.iter().filter(|unit| unit.listed).map(|unit| unit.build).min();
-            return (lowest != Some(build)).then_some((self.first_cap(), 0));
+            return (lowest != Some(build)).then_some((self.fig.first_cap(), 0));
         };
         match (build.cmp(&news.build), news.phase) {
             (Ordering::Less, _) | (Ordering::Equal, Phase::Released) => None,
             (Ordering::Equal, _) => Some((news.cap, news.stage.0)),
-            (Ordering::Greater, _) => Some((self.first_cap(), 0)),
+            (Ordering::Greater, _) => Some((self.fig.first_cap(), 0)),
         }
     }
 
@@ -324,7 +305,7 @@
     fn exposure_room(&self, task: &Task, build: BuildId, as_share: bool) -> bool {
         let Figures { window, by_track, free, .. } = self.fig;
         let slack = self.slack();
-        if task.key.is_some_and(|key| self.forward_keys.contains(&key)) {
+        if task.key.is_some_and(|key| self.exposure.forward_keys.contains(&key)) {
             let trial = self.news.filter(|news| matches!(news.phase, Phase::OnTrial | Phase::Released));
             if trial.is_some_and(|news| build < news.build) {
                 return false;
@@ -338,7 +319,8 @@
         let counted = if by_track { task.track.0 } else { 0 };
         let of = if by_track { std::slice::from_ref(track) } else { &self.tracks[..] };
         let taken: f64 = of.iter().map(|track| track.taken.sum(self.now, window.saturating_sub(slack))).sum();
-        let sent = self.exposed.get(&(build, counted)).map_or(0.0, |sent| sent.sum(self.now, window + slack));
+        let sent =
+            self.exposure.sent.get(&(build, counted)).map_or(0.0, |sent| sent.sum(self.now, window + slack));
         sent + 1.0 <= if as_share { TRIAL_SHARE } else { 1.0 } * (free + cap * taken)
     }
 
@@ -440,7 +422,9 @@
             if self.news.is_some_and(|news| build <= news.build) {
                 track.failures.add(failed, KEEP);
                 slow.into_iter().for_each(|slow| track.slow.add(slow, KEEP));
-                self.judge_ambient(task, late || slow == Some(true), ended.spent);
+                // Departure: the earlier build's own lateness, against the time before the trial.
+                let ratio = log_ratio(track.failed_before + SLOW_SHARE, late || slow == Some(true));
+                self.judge.ambient = (self.judge.ambient + ratio).clamp(0.0, LOG_GAMMA);
             }
             return;
         }
@@ -465,61 +449,6 @@
         self.judge.sums[sum].z += ratio;
     }
 
-    /// Departure: a build that slows every unit, old and new, in step with its traffic defeats any comparison
-    /// side by side. When the earlier build's answers turn late without more load, all relays keep off the new
-    /// build for a moment: if the earlier one recovers, the new one is to blame; if not, something else is.
-    fn judge_ambient(&mut self, task: &Task, late: bool, spent: Duration) {
-        let before = self.tracks[task.track.0].failed_before + SLOW_SHARE;
-        self.judge.ambient = (self.judge.ambient + log_ratio(before, late)).clamp(0.0, LOG_GAMMA + 1.0);
-        self.judge.late_rate += (f64::from(u8::from(late)) - self.judge.late_rate) * 0.015;
-        let late_rate = self.judge.paused_rate.max(before + 0.05).min(0.95);
-        let Some((since, ratio)) = &mut self.judge.pause else {
-            // With the trial back, a build that is to blame makes answers late again.
-            let (good, bad) = (before, late_rate);
-            let again = if late { bad / good } else { (1.0 - bad) / (1.0 - good) }.ln();
-            let shared = &mut self.judge.sums[self.tracks.len() + 2];
-            shared.z += if self.judge.proved > 0.0 { again } else { 0.0 };
-            return;
-        };
-        if self.now.saturating_sub(spent) >= *since + SETTLE {
-            let (recovered, same) = (before, late_rate);
-            *ratio += if late { recovered / same } else { (1.0 - recovered) / (1.0 - same) }.ln();
-        }
-    }
-
-    /// Once a tick: begins a pause where the earlier build suffers, and draws its conclusion at its end.
-    fn pause(&mut self, act: Act) {
-        self.judge.ambient *= 0.97;
-        if self.news.is_none_or(|news| news.phase != Phase::OnTrial) {
-            (self.judge.pause, self.judge.ambient) = (None, 0.0);
-            return;
-        }
-        if let Some((_, ratio)) = self.judge.pause.filter(|(since, _)| self.now >= *since + PAUSE) {
-            self.judge.pause = None;
-            act.log(&format!("pause of the trial ends, recovery {ratio:.1} nats"));
-            let proved = ratio.clamp(-PAUSE_NATS, PAUSE_NATS);
-            self.judge.sums[self.tracks.len() + 2].z += proved;
-            self.judge.proved = (self.judge.proved + proved).max(0.0);
-            self.judge.cleared = ratio < CLEAR_NATS;
-            self.judge.ambient = 0.0;
-            return;
-        }
-        let asked = self.live_peers().any(|peer| peer.pausing && self.now < peer.at + TICK * 2);
-        let before = self.tracks.iter().map(|track| track.failed_before).fold(SLOW_SHARE, f64::max);
-        let suffers = self.judge.ambient > LOG_GAMMA && self.judge.late_rate > bad_rate(before);
-        let suffers =
-            suffers && !self.is_loaded() && self.meter.time_ratio < BUSY_RATIO && !self.judge.cleared;
-        let rested = self.judge.paused_at.is_none_or(|at| self.now > at + PAUSE * 2);
-        if (asked || suffers) && rested && self.judge.pause.is_none() {
-            (self.judge.pause, self.judge.paused_at) = (Some((self.now, 0.0)), Some(self.now));
-            self.judge.paused_rate = self.judge.late_rate;
-            act.log("trial paused: the earlier build is late without more load");
-            if self.fig.tells {
-                self.tell(act);
-            }
-        }
-    }
-
     /// More tasks for each place that answers than before the trial.
     fn is_loaded(&self) -> bool {
         self.load() > LOADED * self.judge.load_before
@@ -542,7 +471,7 @@
             self.tracks[task.track.0].times.add(ended.spent, KEEP as u32);
         }
         if self.fig.forward_only && self.news.is_some_and(|news| news.build == build) {
-            self.forward_keys.extend(task.key);
+            self.exposure.forward_keys.extend(task.key);
         }
     }
 
@@ -559,8 +488,6 @@
         }
     }
 
-    // ---- The build ----
-
     /// The build that the CUSUM judges: one this relay has itself seen on trial, else there is nothing to
     /// compare it with (a restarted relay must not judge a released build by itself).
     fn judged(&self) -> Option<BuildId> {
@@ -569,9 +496,12 @@
     }
 
     fn good_rate(&self) -> f64 {
-        let sum = |of: fn(&TrackState) -> f64| self.tracks.iter().map(of).sum::<f64>();
-        let trials = sum(|track| track.failures.trials).max(1.0);
-        sum(|track| track.good() * track.failures.trials) / trials
+        let weigh = |(good, all), track: &TrackState| {
+            let trials = track.failures.trials;
+            (good + track.good() * trials, all + trials)
+        };
+        let (good, all) = self.tracks.iter().fold((0.0, 0.0), weigh);
+        good / f64::max(all, 1.0)
     }
 
     /// Tasks a second for each place that answers.
@@ -591,16 +521,16 @@
         let Some(last) = self.news.replace(news).filter(|&last| last != news) else { return };
         if last.build != build {
             self.judge.sums.fill(Cusum::default());
-            (self.judge.bit, self.judge.proved) = (0, 0.0);
+            self.judge.bit = 0;
             self.judge.load_before = self.load();
             self.tracks.iter_mut().for_each(|track| track.trial_begins(SLOW_SHARE));
-            self.forward_keys.clear();
+            self.exposure.forward_keys.clear();
         } else if cap < last.cap {
-            self.lower_cap_at = Some(self.now + self.fig.drain_grace);
+            self.exposure.lower_cap_at = Some(self.now + self.fig.drain_grace);
         }
         if (last.build, last.stage) != (build, stage) {
             (self.judge.outcomes, self.judge.clear_since) = (0, self.now);
-            (self.judge.cleared, self.judge.ambient) = (cap < PAUSE_CAP, 0.0);
+            self.judge.ambient = 0.0;
         }
         self.ballot = Ballot { at: self.ballot.at, ..Ballot::default() };
         act.log(&format!("build {} stage {} {phase:?} cap {cap}", build.0, stage.0));
@@ -627,7 +557,6 @@
         self.ticks += 1;
         self.measure();
         self.run_cusum();
-        self.pause(act);
         let fused = self.fuse();
         if fused > 0.0 {
             self.judge.clear_since = self.now;
@@ -636,20 +565,6 @@
         if self.fig.tells && (self.ticks + u64::from(self.fig.me.0)).is_multiple_of(TELL_EVERY) {
             self.tell(act);
         }
-        self.rescue(act);
-    }
-
-    /// Takes tasks that may run again back from units that have gone silent.
-    fn rescue(&mut self, act: Act) {
-        for unit in self.fleet.units.iter().filter(|unit| self.fig.may_abandon && self.is_silent(unit)) {
-            for task in unit.waiting.iter().filter_map(|id| self.tasks.get(id)) {
-                let again = self.tracks[task.track.0].effect != Effect::Unrepeatable && !task.stream;
-                if let Some((dispatch, ..)) = task.out.filter(|out| again && out.2 < unit.quiet_since + TICK)
-                {
-                    act.abandon(&task.id, dispatch);
-                }
-            }
-        }
     }
 
     /// Once a tick: rates, the limit on open tasks, and the count afresh under a lower cap.
@@ -658,23 +573,17 @@
         let size: f64 = ready().map(|unit| unit.nominal).sum();
         let count = ready().count().max(1) as f64;
         let meter = &mut self.meter;
-        let per_s = meter.handled / TICK.as_secs_f64() / size.max(0.01);
-        meter.served_rate += (meter.handled / TICK.as_secs_f64() - meter.served_rate) * 0.1;
-        meter.handled = 0.0;
+        let per_s = meter.tick(TICK, 0.1) / size.max(0.01);
         meter.unit_rate = (meter.unit_rate * 0.999).max(meter.unit_rate * 0.95 + per_s * 0.05);
-        for (rate, count) in &mut meter.tenants {
-            *rate += (*count / TICK.as_secs_f64() - *rate) * 0.1;
-            *count = 0.0;
-        }
         // Little's law: as many open tasks as would be answered within that part of their quoted times.
         meter.limit = if meter.time_ratio > BUSY_RATIO {
             (meter.served_rate * BUSY_RATIO * meter.mean_quoted).max(count)
         } else {
             (meter.limit * 1.03 + 0.5).min(count * 16.0)
         };
-        if self.lower_cap_at.is_some_and(|at| self.now >= at) {
-            self.lower_cap_at = None;
-            self.exposed.values_mut().for_each(Window::clear);
+        if self.exposure.lower_cap_at.is_some_and(|at| self.now >= at) {
+            self.exposure.lower_cap_at = None;
+            self.exposure.sent.values_mut().for_each(Window::clear);
         }
     }
 
@@ -684,8 +593,7 @@
         for sum in judge.sums.iter_mut().chain(units) {
             *sum = Cusum { w: sum.w.max(0.0) + sum.z, z: 0.0 };
         }
-        let shared = &mut judge.sums[self.tracks.len() + 2];
-        shared.w = shared.w.min(judge.proved);
+        judge.ambient *= 0.97; // fades where the earlier build answers no more
         judge.outcome_rate += (judge.tick_outcomes - judge.outcome_rate) * 0.1;
         judge.tick_outcomes = 0.0;
         let rate = judge.outcome_rate;
@@ -707,10 +615,7 @@
         let count = trial().count();
         let few = ((count as f64 * ASIDE_SHARE / 2.0) as usize).max(usize::from(count >= 3));
         let without = |(at, sum): (usize, &Cusum)| {
-            let mut parts: Vec<f64> = trial().filter_map(|unit| Some(unit.sums.get(at)?.w)).collect();
-            parts.sort_by(|one, other| other.total_cmp(one));
-            let usual = parts.get(parts.len() / 2).copied().unwrap_or(0.0);
-            sum.w - parts.iter().take(few).map(|part| part - usual).sum::<f64>()
+            sum.w - excess(trial().filter_map(|unit| Some(unit.sums.get(at)?.w)).collect(), few)
         };
         self.judge.sums.iter().enumerate().map(without).fold(0.0, f64::max)
     }
@@ -743,8 +648,8 @@
     fn tell(&mut self, act: Act) {
         let Some(news) = &self.news else { return };
         let Judge { bit, divergence, outcomes, .. } = self.judge;
-        let (build, stage, pausing) = (news.build, news.stage, self.judge.pause.is_some());
-        let entry = PeerEntry { at: self.now, build, stage, bit, pausing, divergence, outcomes };
+        let (build, stage) = (news.build, news.stage);
+        let entry = PeerEntry { at: self.now, build, stage, bit, divergence, outcomes };
         act.tell_peers(&entry.encode());
     }
 
@@ -770,11 +675,15 @@
         // by, is the cheap place to wait for what shows late or under load.
         let last = news.stage.0 == self.fig.stage_caps.len().saturating_sub(1) && !self.fig.replace;
         let wait = if last { self.fig.warm_up + TICK * 10 } else { Duration::ZERO };
-        let calm = self.judge.ambient < NATS_FLOOR || self.judge.cleared;
-        let calm = calm && self.judge.pause.is_none() && self.meter.time_ratio < BUSY_RATIO;
+        // Departure: nothing goes on while tasks are shed, or while the earlier build is late as well: the new
+        // one may be what slows it.
+        let calm = self.meter.time_ratio < BUSY_RATIO;
+        let calm = calm && (self.judge.ambient < NATS_FLOOR || news.cap < SMALL_CAP);
         let clear = calm && fused <= 0.0 && self.worst() < CLEAR_NATS && youngest >= wait;
         let span = youngest.min(self.fig.warm_up); // past its warm-up, a unit's start is over
-        let enough = f64::from(seen) >= self.evidence_for(news) && self.now >= self.judge.clear_since + span;
+                                                   // Departure: the more the next stage exposes, the more outcomes of the fleet it takes to go there.
+        let next = self.fig.stage_caps.get(news.stage.0 + 1).copied().unwrap_or(1.0);
+        let enough = f64::from(seen) >= EVIDENCE * next && self.now >= self.judge.clear_since + span;
         if clear && enough {
             Vote::On
         } else {
@@ -782,12 +691,6 @@
         }
     }
 
-    /// Departure: outcomes of the fleet in this stage before it may go on; the more the next one exposes, the more.
-    fn evidence_for(&self, news: News) -> f64 {
-        let next = self.fig.stage_caps.get(news.stage.0 + 1).copied().unwrap_or(1.0);
-        (EVIDENCE * next).max(1.0)
-    }
-
     fn cast(&mut self, fused: f64, act: Act) {
         let Some(news) = self.news else { return };
         let wanted = (news.build, news.stage, self.stance(news, fused));
@@ -817,12 +720,15 @@
 }
 
 fn bad_rate(good: f64) -> f64 {
-    (2.0 * good).max(good + 0.05).min(0.98)
+    (2.0 * good).max(good + 0.05)
 }
 
 /// The bad-to-good log likelihood ratio of one outcome (the paper prints the inverse; see docs/design.md).
 fn log_ratio(good: f64, failed: bool) -> f64 {
     let good = good.clamp(0.01, 0.45);
-    let bad = bad_rate(good);
-    if failed { bad / good } else { (1.0 - bad) / (1.0 - good) }.ln()
+    nats(good, bad_rate(good), failed)
+}
+
+fn nats(from: f64, to: f64, failed: bool) -> f64 {
+    if failed { to / from } else { (1.0 - to) / (1.0 - from) }.ln()
 }
--- a/src/histogram.rs
+++ b/src/histogram.rs
@@ -104,3 +104,10 @@
         self.0.clear();
     }
 }
+
+/// By how much the `few` largest parts together exceed as many of the median one.
+pub fn excess(mut parts: Vec<f64>, few: usize) -> f64 {
+    parts.sort_by(|one, other| other.total_cmp(one));
+    let usual = parts.get(parts.len() / 2).copied().unwrap_or(0.0);
+    parts.iter().take(few).map(|part| part - usual).sum()
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,11 +2,10 @@
 
 use crate::histogram::{Histogram, Tally, Window};
 use crate::*;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// Version of the message to peers.
 const VERSION: u8 = 1;
-const PAUSING: u8 = 4;
 
 /// What the settings come down to.
 pub struct Figures {
@@ -99,7 +98,6 @@
     pub build: BuildId,
     pub stage: Stage,
     pub bit: u8,
-    pub pausing: bool,
     pub divergence: f64,
     pub outcomes: u32,
 }
@@ -115,18 +113,12 @@
 /// What the CUSUM and the fusion know of the build they judge.
 #[derive(Default)]
 pub struct Judge {
-    pub sums: Vec<Cusum>, // one a track, one over all, one of slow answers, one of pauses
+    pub sums: Vec<Cusum>, // one a track, one over all, one of slow answers
     pub outcomes: u32,    // of this stage
     pub tick_outcomes: f64,
     pub outcome_rate: f64,
-    pub on_trial: bool,                 // seen so by this relay
-    pub ambient: f64, // CUSUM of late answers by the earlier build against the time before the trial
-    pub pause: Option<(Duration, f64)>, // its start, log ratio of 'recovered' to 'as slow' in it
-    pub paused_at: Option<Duration>,
-    pub proved: f64,    // nats, by pauses
-    pub cleared: bool,  // by a pause in this stage
-    pub late_rate: f64, // of the earlier build, now and when the pause began
-    pub paused_rate: f64,
+    pub on_trial: bool,   // seen so by this relay
+    pub ambient: f64,     // CUSUM of late answers by the earlier build against the time before the trial
     pub load_before: f64, // tasks taken a second before the trial
     pub bit: u8,
     pub divergence: f64,
@@ -211,21 +203,12 @@
 impl PeerEntry {
     /// The message's form: version, build, stage, bit, I, outcomes of the stage; one of another form is none.
     pub fn decode(payload: &[u8], at: Duration) -> Option<PeerEntry> {
-        let &[VERSION, b0, b1, stage, bits, i0, i1, i2, i3, n0, n1] = payload else { return None };
+        let &[VERSION, b0, b1, stage, bit @ 0..=2, i0, i1, i2, i3, n0, n1] = payload else { return None };
         let divergence = f64::from(f32::from_be_bytes([i0, i1, i2, i3]));
         let build = BuildId(u16::from_be_bytes([b0, b1]));
         let outcomes = u16::from_be_bytes([n0, n1]).into();
-        let sound = divergence.is_finite() && divergence >= 0.0 && bits & 3 < 3 && bits < 8;
-        let (bit, pausing) = (bits & 3, bits & PAUSING != 0);
-        sound.then_some(PeerEntry {
-            at,
-            build,
-            stage: Stage(stage.into()),
-            bit,
-            pausing,
-            divergence,
-            outcomes,
-        })
+        let sound = divergence.is_finite() && divergence >= 0.0;
+        sound.then_some(PeerEntry { at, build, stage: Stage(stage.into()), bit, divergence, outcomes })
     }
 
     pub fn encode(&self) -> Vec<u8> {
@@ -233,14 +216,7 @@
         let divergence = (self.divergence as f32).to_be_bytes();
         let outcomes = u16::try_from(self.outcomes).unwrap_or(u16::MAX).to_be_bytes();
         let stage = u8::try_from(self.stage.0).unwrap_or(u8::MAX);
-        [
-            &[VERSION],
-            &build[..],
-            &[stage, self.bit | if self.pausing { PAUSING } else { 0 }],
-            &divergence,
-            &outcomes,
-        ]
-        .concat()
+        [&[VERSION], &build[..], &[stage, self.bit], &divergence, &outcomes].concat()
     }
 }
 
@@ -331,3 +307,43 @@
         self.units.iter_mut().filter(|unit| !unit.listed).for_each(|unit| unit.ready = false);
     }
 }
+
+/// What rule 5 is counted by.
+#[derive(Default)]
+pub struct Exposure {
+    /// Dispatches to each build on trial, of each track or of all.
+    pub sent: BTreeMap<(BuildId, usize), Window>,
+    pub lower_cap_at: Option<Duration>,
+    /// Keys that the newest build has answered, where they may not go back.
+    pub forward_keys: HashSet<Key>,
+}
+
+impl Unit {
+    /// Counts a dispatch that leaves for this unit.
+    pub fn sent(&mut self, id: &TaskId, now: Duration, work: f64, keep: Duration) {
+        if self.waiting.is_empty() {
+            self.quiet_since = now;
+        }
+        self.waiting.push(id.clone());
+        self.sent_cold.add(now, work, keep);
+    }
+}
+
+impl Figures {
+    /// The cap of the first stage, in which a build not yet announced counts.
+    pub fn first_cap(&self) -> f64 {
+        self.stage_caps.first().copied().unwrap_or(0.0)
+    }
+}
+
+impl Meter {
+    /// Takes up a tick's counts, each rate by `part` of the difference.
+    pub fn tick(&mut self, tick: Duration, part: f64) -> f64 {
+        let per_s = std::mem::take(&mut self.handled) / tick.as_secs_f64();
+        self.served_rate += (per_s - self.served_rate) * part;
+        for (rate, count) in &mut self.tenants {
+            *rate += (std::mem::take(count) / tick.as_secs_f64() - *rate) * part;
+        }
+        per_s
+    }
+}
