--- /dev/null
+++ b/tests/bench_free/mod.rs
@@ -0,0 +1,203 @@
+//! The one file of helpers: a relay with plain settings, and a trace of what it does.
+
+use beechcroft::decide::Relay;
+use beechcroft::*;
+use std::fmt::Write;
+use std::time::Duration;
+
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Writes each action as a short line; ticks' wake-ups and build news are left out.
+#[derive(Default)]
+pub struct Trace {
+    pub text: String,
+    pub sent: Vec<(TaskId, UnitId)>,
+}
+
+impl Trace {
+    fn line(&mut self, line: std::fmt::Arguments) {
+        writeln!(self.text, "{line}").unwrap();
+    }
+}
+
+impl Actions for Trace {
+    fn dispatch(&mut self, task: &TaskId, unit: &UnitId, time_out: Duration) {
+        self.sent.push((task.clone(), unit.clone()));
+        self.line(format_args!("dispatch {} to {} for {time_out:?}", task.0, unit.0));
+    }
+    fn nack(&mut self, task: &TaskId, hold_off: Duration) {
+        self.line(format_args!("nack {} for {hold_off:?}", task.0));
+    }
+    fn terminate(&mut self, task: &TaskId) {
+        self.line(format_args!("terminate {}", task.0));
+    }
+    fn abandon(&mut self, task: &TaskId, dispatch: DispatchNo) {
+        self.line(format_args!("abandon {} dispatch {}", task.0, dispatch.0));
+    }
+    fn probe(&mut self, unit: &UnitId) {
+        self.line(format_args!("probe {}", unit.0));
+    }
+    fn close_idle(&mut self, unit: &UnitId) {
+        self.line(format_args!("close idle {}", unit.0));
+    }
+    fn tell_peers(&mut self, payload: &[u8]) {
+        self.line(format_args!("tell {payload:?}"));
+    }
+    fn vote(&mut self, build: BuildId, stage: Stage, vote: Vote) {
+        self.line(format_args!("vote {vote:?} build {} stage {}", build.0, stage.0));
+    }
+    fn wake(&mut self, _after: Duration, _token: Token) {}
+    fn follow_list(&mut self) {
+        self.line(format_args!("follow list"));
+    }
+    fn fetch_list(&mut self) {
+        self.line(format_args!("fetch list"));
+    }
+    fn log(&mut self, _line: &str) {}
+}
+
+/// Track 0 is idempotent, 1 deduplicated for 5 s, 2 unrepeatable, in rising utility.
+pub fn settings() -> Settings {
+    let track = |effect, utility| Track {
+        effect,
+        quoted: ms(600),
+        abandon: ms(2500),
+        utility,
+        late_utility: 0.0,
+        quoted_stretch: 0.0,
+    };
+    let kept = Effect::Deduplicated { group: Group::All, window: ms(5000) };
+    Settings {
+        me: PeerId(0),
+        relays: 1,
+        zone: Some(ZoneId(0)),
+        tracks: vec![track(Effect::Idempotent, 1.0), track(kept, 3.0), track(Effect::Unrepeatable, 5.0)],
+        tenant_quotas: vec![],
+        over_share_worth: 0.1,
+        utility_by_work: false,
+        granularity: ms(5),
+        cross_zone_charge: 0.0,
+        late_fail_charge: 0.05,
+        nominal_known: false,
+        ask_for_list: false,
+        load_by_probe: false,
+        may_probe: true,
+        may_tell_peers: true,
+        may_abandon: true,
+        may_name_hold_off: true,
+        parallel_tries: false,
+        max_dispatches: 3,
+        max_hold_off: ms(1000),
+        drain_grace: ms(250),
+        cold_from: 0.4,
+        warm_up: ms(3600),
+        fall_multiple: 2.0,
+        overload_for: ms(3000),
+        ask_within: ms(10_000),
+        gate: GateMode::ByCount,
+        replace: false,
+        stage_caps: vec![0.05, 0.2, 0.7, 1.0],
+        closed_stages: 1,
+        exposure_free: 2.0,
+        exposure_window: ms(4000),
+        exposure_by_track: false,
+        forward_only: false,
+        soak: ms(1000),
+        answer_wait: ms(1200),
+        vote_life: ms(10_000),
+        votes_per_s: 100.0,
+        on_votes: 1,
+        back_votes: 1,
+        delay_price: 0.35,
+        damage_price: 4.0,
+    }
+}
+
+/// A relay on a clock, among units whose answers the test decides.
+pub struct Stand {
+    pub relay: Relay,
+    pub trace: Trace,
+    pub now: Duration,
+    tasks: u64,
+}
+
+impl Stand {
+    /// Builds 1 on units a0.., released, and 2 on units b0.., unannounced.
+    pub fn new(settings: &Settings, old: usize, new: usize) -> Stand {
+        let now = ms(100_000);
+        let mut trace = Trace::default();
+        let relay = Relay::start(settings, 7, now, &mut trace);
+        let mut stand = Stand { relay, trace, now, tasks: 0 };
+        (0..old).for_each(|at| stand.list(&format!("a{at}"), 1, Health::Ready, None));
+        (0..new).for_each(|at| stand.list(&format!("b{at}"), 2, Health::Ready, None));
+        stand.news(1, 3, Phase::Released, 1.0);
+        stand
+    }
+
+    pub fn list(&mut self, unit: &str, build: u16, health: Health, started: Option<Duration>) {
+        let list = self.relay.list();
+        list.begins(false);
+        let (id, zone) = (UnitId(unit.into()), Some(ZoneId(0)));
+        list.entry(id, BuildId(build), zone, CellId(0), health, 1.0, started);
+        list.ends();
+    }
+
+    pub fn news(&mut self, build: u16, stage: usize, phase: Phase, cap: f64) {
+        self.relay.build_news(BuildId(build), Stage(stage), phase, cap, &mut self.trace);
+    }
+
+    /// Takes a task and returns the unit that it is dispatched to, if any.
+    pub fn take(&mut self, track: usize) -> (TaskId, Option<UnitId>) {
+        self.tasks += 1;
+        let id = TaskId(format!("t{}", self.tasks).into());
+        let before = self.trace.sent.len();
+        let (key, left) = (None, ms(2500));
+        self.relay.task_taken(id.clone(), TrackId(track), None, key, left, None, &mut self.trace);
+        (id, self.trace.sent.get(before).map(|(_, unit)| unit.clone()))
+    }
+
+    pub fn end(&mut self, task: &TaskId, dispatch: u32, outcome: Outcome, spent: u64) {
+        let (dispatch, settled) = (DispatchNo(dispatch), outcome == Outcome::Ok);
+        self.relay.dispatch_ended(task, dispatch, outcome, ms(spent), settled, &mut self.trace);
+    }
+
+    pub fn pass(&mut self, millis: u64) {
+        self.now += ms(millis);
+        self.relay.clock(self.now);
+    }
+
+    /// Lets ticks pass, each with some tasks on track 0 that all end as `answer` says for their unit.
+    pub fn traffic(&mut self, ticks: u64, tasks: u64, answer: impl Fn(&str, u64) -> (Outcome, u64)) {
+        for tick in 0..ticks {
+            self.pass(100);
+            for nth in 0..tasks {
+                let (task, mut unit) = self.take(0);
+                for dispatch in 0.. {
+                    let Some(at) = unit else { break };
+                    let (outcome, spent) = answer(&at.0, tick * tasks + nth);
+                    let before = self.trace.sent.len();
+                    self.end(&task, dispatch, outcome, spent);
+                    unit = self.trace.sent.get(before).map(|(_, unit)| unit.clone());
+                }
+            }
+            self.relay.woken(Token(0), &mut self.trace);
+        }
+    }
+
+    /// How many dispatches of those sent went to units whose name begins so.
+    pub fn sent_to(&self, prefix: &str) -> usize {
+        self.trace.sent.iter().filter(|(_, unit)| unit.0.starts_with(prefix)).count()
+    }
+
+    /// The votes in the trace, one a line.
+    pub fn votes(&self) -> String {
+        self.trace
+            .text
+            .lines()
+            .filter(|line| line.starts_with("vote"))
+            .map(|line| format!("{line}\n"))
+            .collect()
+    }
+}
--- /dev/null
+++ b/tests/decide.rs
@@ -0,0 +1,314 @@
+//! Short traces of decisions, kept beside the code that they show.
+
+mod bench_free;
+
+use beechcroft::*;
+use bench_free::{ms, settings, Stand};
+use expect_test::{expect, Expect};
+
+fn check(stand: &Stand, kept: Expect) {
+    kept.assert_eq(&stand.trace.text);
+}
+
+fn fine(_: &str, nth: u64) -> (Outcome, u64) {
+    (Outcome::Ok, 60 + nth % 7 * 10)
+}
+
+/// Fails so many in a hundred on units of the new build.
+fn failing(percent: u64) -> impl Fn(&str, u64) -> (Outcome, u64) {
+    move |unit, nth| match unit.starts_with('b') && nth * 37 % 100 < percent {
+        true => (Outcome::Error, 50),
+        false => fine(unit, nth),
+    }
+}
+
+#[test]
+fn a_task_that_may_have_run_goes_on_only_as_its_track_allows() {
+    let mut stand = Stand::new(&settings(), 3, 0);
+    for track in 0..3 {
+        let (task, _) = stand.take(track);
+        stand.pass(50);
+        stand.end(&task, 0, Outcome::Reset, 50);
+    }
+    check(
+        &stand,
+        expect![[r#"
+        dispatch t1 to a1 for 590ms
+        dispatch t1 to a2 for 540ms
+        dispatch t2 to a1 for 590ms
+        dispatch t2 to a0 for 540ms
+        dispatch t3 to a2 for 590ms
+        terminate t3
+    "#]],
+    );
+}
+
+#[test]
+fn proof_of_not_having_run_frees_an_unrepeatable_task() {
+    let mut stand = Stand::new(&settings(), 3, 0);
+    let (task, _) = stand.take(2);
+    stand.end(&task, 0, Outcome::Full, 1);
+    stand.end(&task, 1, Outcome::ConnectFailed, 1);
+    stand.end(&task, 2, Outcome::Full, 1);
+    check(
+        &stand,
+        expect![[r#"
+        dispatch t1 to a1 for 590ms
+        dispatch t1 to a2 for 590ms
+        dispatch t1 to a1 for 590ms
+        nack t1 for 0ns
+    "#]],
+    );
+}
+
+#[test]
+fn a_deduplicated_task_is_not_repeated_past_its_window() {
+    let mut plain = settings();
+    let kept = Effect::Deduplicated { group: Group::All, window: ms(300) };
+    plain.tracks[1].effect = kept;
+    let mut stand = Stand::new(&plain, 3, 0);
+    let (task, _) = stand.take(1);
+    stand.pass(400);
+    stand.end(&task, 0, Outcome::Reset, 400);
+    check(
+        &stand,
+        expect![[r#"
+        dispatch t1 to a1 for 590ms
+        nack t1 for 0ns
+    "#]],
+    );
+}
+
+#[test]
+fn a_task_past_its_quoted_time_is_given_up_at_once() {
+    let mut stand = Stand::new(&settings(), 3, 0);
+    let (task, _) = stand.take(0);
+    stand.pass(595);
+    stand.end(&task, 0, Outcome::TimeOut, 595);
+    check(
+        &stand,
+        expect![[r#"
+        dispatch t1 to a1 for 590ms
+        nack t1 for 1s
+    "#]],
+    );
+}
+
+#[test]
+fn nothing_goes_to_a_unit_that_drains_or_is_gone() {
+    let mut stand = Stand::new(&settings(), 2, 0);
+    stand.list("a0", 1, Health::Draining, None);
+    (0..20).for_each(|_| drop(stand.take(0)));
+    stand.list("a1", 1, Health::Gone, None);
+    let (_, unit) = stand.take(0);
+    expect!["a0 0, a1 20, after that None"].assert_eq(&format!(
+        "a0 {}, a1 {}, after that {unit:?}",
+        stand.sent_to("a0"),
+        stand.sent_to("a1")
+    ));
+}
+
+#[test]
+fn a_build_on_trial_gets_no_more_than_its_share_even_unannounced() {
+    let mut stand = Stand::new(&settings(), 2, 2);
+    stand.traffic(30, 10, fine);
+    let unannounced = stand.sent_to("b");
+    stand.news(2, 1, Phase::OnTrial, 0.2);
+    stand.traffic(40, 10, fine);
+    let second = stand.sent_to("b") - unannounced;
+    stand.news(2, 1, Phase::Reverting, 0.0);
+    stand.traffic(10, 10, fine);
+    let back = stand.sent_to("b") - unannounced - second;
+    // 0.8 of 2 + 0.05 x 300, then of 2 + 0.2 x 400 in each 4 s, then nothing.
+    expect!["unannounced 13, in the second stage 65, on the way back 0"].assert_eq(&format!(
+        "unannounced {unannounced}, in the second stage {second}, on the way back {back}"
+    ));
+}
+
+#[test]
+fn closed_stages_take_idempotent_tasks_only() {
+    let mut stand = Stand::new(&settings(), 1, 6);
+    stand.news(2, 0, Phase::OnTrial, 0.5);
+    (0..30).for_each(|nth| drop(stand.take(1 + nth % 2)));
+    expect!["to the new build 0 of 30"].assert_eq(&format!(
+        "to the new build {} of {}",
+        stand.sent_to("b"),
+        stand.trace.sent.len()
+    ));
+}
+
+#[test]
+fn a_key_answered_by_the_new_build_does_not_go_back() {
+    let mut one_way = settings();
+    one_way.forward_only = true;
+    one_way.closed_stages = 0;
+    let mut stand = Stand::new(&one_way, 1, 0);
+    stand.news(2, 3, Phase::OnTrial, 1.0);
+    stand.list("a0", 1, Health::Draining, None);
+    stand.list("b0", 2, Health::Ready, None);
+    let keyed = |stand: &mut Stand, id: &str| {
+        let (id, key) = (TaskId(id.into()), Some(Key(5)));
+        stand.relay.task_taken(id.clone(), TrackId(0), None, key, ms(900), None, &mut stand.trace);
+        stand.end(&id, 0, Outcome::Ok, 40);
+    };
+    keyed(&mut stand, "first");
+    stand.list("a0", 1, Health::Ready, None);
+    stand.list("b0", 2, Health::Gone, None);
+    keyed(&mut stand, "second");
+    check(
+        &stand,
+        expect![[r#"
+        dispatch first to b0 for 590ms
+        nack second for 0ns
+    "#]],
+    );
+}
+
+#[test]
+fn a_cold_unit_gets_a_part_of_what_warm_ones_bear() {
+    let mut frail = settings();
+    frail.fall_multiple = 1.0;
+    let mut stand = Stand::new(&frail, 4, 0);
+    stand.traffic(50, 8, fine);
+    let started = Some(stand.now);
+    stand.list("c0", 1, Health::Ready, started);
+    let before = stand.sent_to("a");
+    stand.traffic(30, 8, fine);
+    let (cold, warm) = (stand.sent_to("c"), stand.sent_to("a") - before);
+    expect!["cold unit 24, each warm one 54"]
+        .assert_eq(&format!("cold unit {cold}, each warm one {}", warm / 4));
+}
+
+#[test]
+fn a_lone_relay_sends_a_failing_build_back() {
+    let mut stand = Stand::new(&settings(), 6, 3);
+    stand.traffic(50, 5, fine);
+    stand.news(2, 1, Phase::OnTrial, 0.2);
+    stand.traffic(60, 5, failing(40));
+    expect![[r#"
+        vote Back build 2 stage 1
+        vote Back build 2 stage 1
+        vote Back build 2 stage 1
+    "#]]
+    .assert_eq(&stand.votes());
+}
+
+#[test]
+fn a_sound_build_goes_on_once_there_is_evidence_and_not_before() {
+    let mut stand = Stand::new(&settings(), 6, 3);
+    stand.traffic(50, 5, fine);
+    stand.news(2, 1, Phase::OnTrial, 0.2);
+    stand.traffic(5, 5, fine);
+    let early = stand.votes();
+    stand.traffic(50, 5, fine);
+    expect![[r#"
+        early: 
+        later: vote On build 2 stage 1
+    "#]]
+    .assert_eq(&format!("early: {early}\nlater: {}", stand.votes()));
+}
+
+#[test]
+fn one_bad_machine_does_not_condemn_a_build() {
+    let mut stand = Stand::new(&settings(), 6, 4);
+    stand.traffic(50, 8, fine);
+    stand.news(2, 2, Phase::OnTrial, 0.7);
+    stand.traffic(40, 8, |unit, nth| if unit == "b1" { (Outcome::Error, 5) } else { fine(unit, nth) });
+    expect![[r#"
+        vote On build 2 stage 2
+    "#]]
+    .assert_eq(&stand.votes());
+}
+
+#[test]
+fn a_restarted_relay_does_not_judge_a_released_build() {
+    let mut stand = Stand::new(&settings(), 4, 0);
+    stand.traffic(60, 8, |_, nth| if nth % 4 == 0 { (Outcome::Error, 40) } else { (Outcome::Ok, 60) });
+    expect![""].assert_eq(&stand.votes());
+}
+
+#[test]
+fn slowness_of_both_builds_holds_and_does_not_send_back() {
+    let mut stand = Stand::new(&settings(), 6, 3);
+    stand.traffic(60, 6, fine);
+    stand.news(2, 1, Phase::OnTrial, 0.2);
+    stand.traffic(30, 6, |_, nth| (Outcome::Ok, 150 + nth % 5 * 40));
+    let slow = stand.votes();
+    stand.traffic(60, 6, fine);
+    expect![[r#"
+        while slow: 
+        after: vote On build 2 stage 1
+        vote On build 2 stage 1
+        vote On build 2 stage 1
+        vote On build 2 stage 1
+        vote On build 2 stage 1
+    "#]]
+    .assert_eq(&format!("while slow: {slow}\nafter: {}", stand.votes()));
+}
+
+#[test]
+fn alarms_of_peers_are_fused_by_weight_and_lapse() {
+    let mut fleet = settings();
+    fleet.relays = 3;
+    let alarm = |divergence: f32, bit: u8| {
+        let [i0, i1, i2, i3] = divergence.to_be_bytes();
+        [1, 0, 2, 1, bit, i0, i1, i2, i3, 0, 30]
+    };
+    let votes = |notes: &[(u32, Vec<u8>)], wait: u64| {
+        let mut stand = Stand::new(&fleet, 6, 3);
+        stand.news(2, 1, Phase::OnTrial, 0.2);
+        notes.iter().for_each(|(from, note)| stand.relay.note_from(PeerId(*from), note));
+        stand.pass(wait);
+        stand.relay.woken(Token(0), &mut stand.trace);
+        stand.votes()
+    };
+    let two = [(1, alarm(1.0, 1).to_vec()), (2, alarm(1.0, 1).to_vec())];
+    let small = [(1, alarm(9.0, 0).to_vec()), (2, alarm(0.1, 1).to_vec())];
+    let sure = [(1, alarm(9.0, 0).to_vec()), (2, alarm(0.1, 2).to_vec())];
+    let foreign = [(1, vec![9, 0, 2]), (2, alarm(f32::NAN, 2).to_vec())];
+    let told =
+        [votes(&two, 100), votes(&two, 4000), votes(&small, 100), votes(&sure, 100), votes(&foreign, 100)];
+    expect![[r#"
+        [
+            "vote Back build 2 stage 1\n",
+            "",
+            "",
+            "vote Back build 2 stage 1\n",
+            "",
+        ]"#]]
+    .assert_eq(&format!("{told:#?}"));
+}
+
+#[test]
+fn an_unanswered_vote_is_cast_again_and_a_standing_one_renewed() {
+    let mut stand = Stand::new(&settings(), 6, 3);
+    stand.traffic(50, 5, fine);
+    stand.news(2, 1, Phase::OnTrial, 0.2);
+    stand.traffic(50, 5, fine);
+    let first = stand.votes().lines().count();
+    stand.relay.vote_answered(Outcome::Full);
+    stand.traffic(3, 5, fine);
+    let again = stand.votes().lines().count();
+    stand.relay.vote_answered(Outcome::Ok);
+    stand.traffic(30, 5, fine);
+    let standing = stand.votes().lines().count();
+    stand.traffic(40, 5, fine);
+    let renewed = stand.votes().lines().count();
+    expect!["cast 1, after 'full' 2, standing 2, renewed 3"]
+        .assert_eq(&format!("cast {first}, after 'full' {again}, standing {standing}, renewed {renewed}"));
+}
+
+#[test]
+fn under_overload_the_least_utility_is_given_up_with_a_time_to_come_back() {
+    let mut stand = Stand::new(&settings(), 2, 0);
+    stand.traffic(40, 4, |_, _| (Outcome::Ok, 500));
+    let open: Vec<_> = (0..16).map(|nth| (nth % 3, stand.take(nth % 3).1.is_some())).collect();
+    let taken = |track| open.iter().filter(|(of, sent)| *of == track && *sent).count();
+    let last = stand.trace.text.lines().last().unwrap_or_default().to_owned();
+    expect!["taken of 5 or 6 by track: 3, 4, 5; nack t176 for 1s"].assert_eq(&format!(
+        "taken of 5 or 6 by track: {}, {}, {}; {last}",
+        taken(0),
+        taken(1),
+        taken(2)
+    ));
+}
