--- a/crates/beechcroft-adapter/src/settings.rs
+++ b/crates/beechcroft-adapter/src/settings.rs
@@ -172,6 +172,7 @@
         on_votes: rollout.count("on_votes").unwrap_or(1),
         back_votes: rollout.count("noes_needed")?,
         delay_price: rollout.number_or("delay_price", 0.0)?,
+        complaint_share: rollout.number_or("complaint_share", 0.0)?,
         damage_price: rollout.number_or("damage_price", 0.0)?,
     };
     Ok(Named { settings, tracks: names, tenants, zones, load: stats.words("names").unwrap_or_default() })
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -31,6 +31,7 @@
 const EVIDENCE: f64 = 50.0; // outcomes before all of the traffic may go to a build
 const CLEAR_NATS: f64 = 2.0; // a sum above this is no ground to go on
 const SLOW_SHARE: f64 = 0.1; // of the earlier build's answers lie above the slow mark
+const FLAG_WEIGHT: f64 = 2.0; // wrong answers that one report may speak for
 const LOADED: f64 = 1.25; // times the load before the trial
 const SMALL_CAP: f64 = 0.1; // below this share a trial is too small to slow the earlier build
 const COLD_MARGIN: f64 = 0.7; // of what the rule on cold units would bear
@@ -184,18 +185,15 @@
 
     /// Stage 2: a build at random, then two random choices by in-flight count among its units.
     fn choose(&mut self, task: &mut Task, _act: Act) -> Flow {
-        let (chance, one, two) =
-            (self.rng.random::<f64>(), self.rng.random::<u32>(), self.rng.random::<u32>());
+        let (chance, one, two): (f64, u32, u32) = self.rng.random();
         let mut able: Vec<usize> =
             (0..self.fleet.units.len()).filter(|&at| self.permits(task, at, false)).collect();
         let on_trial = |at: usize| self.cap_of(self.fleet.units[at].build).is_some();
         // A trial unit is to bear what a unit of the full fleet bears: so many of the tasks try it.
         let ready = |trial: bool| -> f64 {
-            let units = self.fleet.units.iter();
-            units
-                .filter(|unit| unit.ready && self.cap_of(unit.build).is_some() == trial)
-                .map(|unit| self.warmth(unit, Duration::ZERO))
-                .sum()
+            let of_side = |unit: &&Unit| unit.ready && self.cap_of(unit.build).is_some() == trial;
+            let units = self.fleet.units.iter().filter(of_side);
+            units.map(|unit| self.warmth(unit, Duration::ZERO)).sum()
         };
         let (new, old) = (ready(true), ready(false));
         let places = if self.fig.replace { new + old } else { old.max(new) };
@@ -249,10 +247,7 @@
     /// The one gate of every dispatch. `as_share` asks for the design's share of the exposure, not all of it.
     fn permits(&self, task: &Task, at: usize, as_share: bool) -> bool {
         let (unit, track) = (&self.fleet.units[at], &self.tracks[task.track.0]);
-        if !unit.ready || task.out.is_some() || task.tries >= self.fig.max_dispatches || self.now >= task.end
-        {
-            return false;
-        }
+        let open = task.out.is_none() && task.tries < self.fig.max_dispatches && self.now < task.end;
         let repeat = task.ran.is_none_or(|(ran_at, since)| match track.effect {
             Effect::Idempotent => true,
             Effect::Unrepeatable => false,
@@ -266,7 +261,11 @@
                 same && self.now + self.slack() < since + window
             }
         });
-        repeat && self.cold_room(unit, task.work) && self.exposure_room(task, unit.build, as_share)
+        unit.ready
+            && open
+            && repeat
+            && self.cold_room(unit, task.work)
+            && self.exposure_room(task, unit.build, as_share)
     }
 
     fn is_cold(&self, unit: &Unit) -> bool {
@@ -410,7 +409,7 @@
             return; // departure: cold or silent units are no evidence against a build
         }
         // Departure: more load than before the trial, or slowness of both builds, is no evidence by comparison.
-        let loaded = self.is_loaded() || self.judge.ambient > NATS_FLOOR;
+        let loaded = self.load() > LOADED * self.judge.load_before || self.judge.ambient > NATS_FLOOR;
         let (build, judged) = (unit.build, self.judged() == Some(unit.build));
         let (overall, all) = (log_ratio(self.good_rate(), failed), self.tracks.len());
         let track = &mut self.tracks[task.track.0];
@@ -449,11 +448,6 @@
         self.judge.sums[sum].z += ratio;
     }
 
-    /// More tasks for each place that answers than before the trial.
-    fn is_loaded(&self) -> bool {
-        self.load() > LOADED * self.judge.load_before
-    }
-
     fn learn_times(&mut self, task: &Task, ended: &Ended) {
         // A time-out of a unit that still answers others shows load as a slow answer does.
         let silent = self.fleet.units[ended.unit].streak >= STREAK;
@@ -504,11 +498,14 @@
         good / f64::max(all, 1.0)
     }
 
-    /// Tasks a second for each place that answers.
+    /// Tasks a second for each place; earlier units that do not answer are none, the judged build's own are.
     fn load(&self) -> f64 {
-        let place = |unit: &Unit| self.fig.replace || self.cap_of(unit.build).is_none();
-        let units = self.fleet.units.iter();
-        let places = units.filter(|unit| unit.ready && place(unit) && !self.is_aside(unit)).count().max(1);
+        let judged = self.judged();
+        let place = |unit: &&Unit| match self.cap_of(unit.build) {
+            _ if Some(unit.build) == judged => self.fig.replace || self.cap_of(unit.build).is_none(),
+            cap => cap.is_none() && !self.is_aside(unit),
+        };
+        let places = self.fleet.units.iter().filter(|unit| unit.ready).filter(place).count().max(1);
         let span = Duration::from_secs(2);
         let taken: f64 = self.tracks.iter().map(|track| track.taken.sum(self.now, span)).sum();
         taken / span.as_secs_f64() / places as f64
@@ -539,8 +536,10 @@
     pub fn complaint(&mut self, unit: &UnitId, track: TrackId) {
         let Some(&at) = self.fleet.index.get(unit) else { return };
         if self.judged() == Some(self.fleet.units[at].build) {
-            // The answer was counted as good when it came; both sums are set right.
-            let right = |good: f64| log_ratio(good, true) - log_ratio(good, false);
+            // The answer was counted as good when it came; both sums are set right. Departure: as only a share
+            // of the wrong ones is reported, each report speaks for as many, but is no alarm by itself.
+            let wrong = (1.0 / self.fig.complaint_share.max(0.01)).clamp(1.0, FLAG_WEIGHT);
+            let right = |good: f64| (log_ratio(good, true) - log_ratio(good, false)) * wrong;
             self.blame(at, track.0, right(self.tracks[track.0].good()));
             self.blame(at, self.tracks.len(), right(self.good_rate()));
         } else {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -143,6 +143,8 @@
     pub back_votes: u32,
     pub delay_price: f64,
     pub damage_price: f64,
+    /// The share of wrong answers that clients report.
+    pub complaint_share: f64,
 }
 
 /// What the list says of a unit.
--- a/src/state.rs
+++ b/src/state.rs
@@ -35,6 +35,7 @@
     pub vote_life: Duration,
     pub vote_gap: Duration,
     pub answer_wait: Duration,
+    pub complaint_share: f64,
 }
 
 pub struct TrackState {
@@ -177,6 +178,7 @@
             vote_life: settings.vote_life,
             vote_gap: Duration::from_secs_f64(relays / settings.votes_per_s.max(0.1)),
             answer_wait: settings.answer_wait,
+            complaint_share: settings.complaint_share,
         }
     }
 }
--- a/tests/bench_free/mod.rs
+++ b/tests/bench_free/mod.rs
@@ -112,6 +112,7 @@
         back_votes: 1,
         delay_price: 0.35,
         damage_price: 4.0,
+        complaint_share: 0.5,
     }
 }
 
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -312,3 +312,21 @@
         taken(2)
     ));
 }
+
+#[test]
+fn reports_of_wrong_answers_condemn_a_build_and_a_single_one_does_not() {
+    let votes = |reports: u64| {
+        let mut stand = Stand::new(&settings(), 6, 3);
+        stand.traffic(50, 5, fine);
+        stand.news(2, 1, Phase::OnTrial, 0.2);
+        for nth in 0..40 {
+            stand.traffic(1, 5, fine);
+            if nth >= 20 && nth < 20 + reports {
+                stand.relay.complaint(&UnitId("b0".into()), TrackId(0));
+                stand.relay.complaint(&UnitId("b1".into()), TrackId(1));
+            }
+        }
+        stand.votes().lines().last().unwrap_or("none").to_owned()
+    };
+    expect!["none; vote Back build 2 stage 1"].assert_eq(&format!("{}; {}", votes(1), votes(4)));
+}
