The eldest unit is never excused; a clearly better build may go on under stress

Kept: leaving out the worst unit hid builds that fail only on their oldest units, and holding under stress left a fleet on a failing build.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,11 +1,10 @@
 //! All decisions of a relay.
 //!
-//! A front makes one [`Relay`] per relay with [`Relay::start`], calls [`Relay::clock`] with the time, then the
-//! method of what happened, with its decoded fields; whatever the module wants done comes out through
-//! [`Actions`](crate::Actions). Ids, settings and that trait are in `lib.rs`, histograms in `histogram.rs`.
-//! A task runs through [`CHAIN`] inwards; what comes back runs through it outwards. [`Relay::permits`] is the one
-//! gate of every dispatch, [`Relay::close`] the one place of nacks and terminations. Departures from the design
-//! page are marked "departure" and argued in `docs/design.md`.
+//! A front makes a [`Relay`] with [`Relay::start`], calls [`Relay::clock`] with the time, then the method of
+//! what happened, with its decoded fields; what is to be done comes out through [`Actions`](crate::Actions).
+//! Ids, settings and that trait are in `lib.rs`, state in `state.rs`, measures in `histogram.rs`. A task runs
+//! through [`CHAIN`] inwards, what comes back outwards. [`Relay::permits`] is the one gate of dispatches,
+//! [`Relay::close`] the one place of nacks and terminations. `docs/design.md` argues each departure.
 
 use crate::histogram::{excess, Histogram, Tally, Window};
 use crate::state::*;
@@ -158,7 +157,7 @@
         }
     }
 
-    /// The one place of final answers by this relay: a nack where trying again is harmless, else a termination.
+    /// The one place of final answers: a nack where trying again is harmless, else a termination.
     fn close(&mut self, task: Task, act: Act) {
         let harmless = match self.tracks[task.track.0].effect {
             Effect::Idempotent | Effect::Deduplicated { group: Group::All, .. } => true,
@@ -300,7 +299,7 @@
         }
     }
 
-    /// Rule 5. Sends are kept a little longer and tasks a little shorter than the window, as ticks are coarse.
+    /// Rule 5. Sends are kept a little longer, tasks a little shorter than the window: ticks are coarse.
     fn exposure_room(&self, task: &Task, build: BuildId, as_share: bool) -> bool {
         let Figures { window, by_track, free, .. } = self.fig;
         let slack = self.slack();
@@ -355,14 +354,11 @@
         for (_, outward) in CHAIN.iter().rev() {
             outward(self, &task, &ended);
         }
-        if settled {
-            return;
-        }
         task.failed_on = Some(unit);
-        if !outcome.never_ran() {
-            task.ran = task.ran.or(Some((unit, sent)));
+        task.ran = task.ran.or((!outcome.never_ran()).then_some((unit, sent)));
+        if !settled {
+            self.run_chain(task, act);
         }
-        self.run_chain(task, act);
     }
 
     fn watch_health(&mut self, _task: &Task, ended: &Ended) {
@@ -408,7 +404,7 @@
         if (ended.cold && late) || unit.streak > STREAK {
             return; // departure: cold or silent units are no evidence against a build
         }
-        // Departure: more load than before the trial, or slowness of both builds, is no evidence by comparison.
+        // Departure: more load than before the trial, or slowness of both builds, proves nothing.
         let loaded = self.load() > LOADED * self.judge.load_before || self.judge.ambient > NATS_FLOOR;
         let (build, judged) = (unit.build, self.judged() == Some(unit.build));
         let (overall, all) = (log_ratio(self.good_rate(), failed), self.tracks.len());
@@ -428,6 +424,9 @@
             return;
         }
         let (good, good_slow) = (track.good(), track.slow.rate().max(SLOW_SHARE));
+        let beside = (track.failures.rate() + track.slow.rate()).clamp(0.01, 0.9);
+        let ratio = nats(beside, beside / 2.0, failed || slow == Some(true));
+        self.judge.better = (self.judge.better + ratio).clamp(0.0, LOG_GAMMA);
         if !(loaded && late) {
             self.blame(ended.unit, task.track.0, log_ratio(good, failed));
             self.blame(ended.unit, all, overall);
@@ -470,9 +469,7 @@
     }
 
     pub fn stream_began(&mut self, id: &TaskId) {
-        if let Some(task) = self.tasks.get_mut(id) {
-            task.stream = true;
-        }
+        self.tasks.get_mut(id).into_iter().for_each(|task| task.stream = true);
     }
 
     pub fn client_left(&mut self, id: &TaskId, act: Act) {
@@ -518,7 +515,7 @@
         let Some(last) = self.news.replace(news).filter(|&last| last != news) else { return };
         if last.build != build {
             self.judge.sums.fill(Cusum::default());
-            self.judge.bit = 0;
+            (self.judge.bit, self.judge.better) = (0, 0.0);
             self.judge.load_before = self.load();
             self.tracks.iter_mut().for_each(|track| track.trial_begins(SLOW_SHARE));
             self.exposure.forward_keys.clear();
@@ -536,8 +533,8 @@
     pub fn complaint(&mut self, unit: &UnitId, track: TrackId) {
         let Some(&at) = self.fleet.index.get(unit) else { return };
         if self.judged() == Some(self.fleet.units[at].build) {
-            // The answer was counted as good when it came; both sums are set right. Departure: as only a share
-            // of the wrong ones is reported, each report speaks for as many, but is no alarm by itself.
+            // The answer was counted as good when it came; that is set right. Departure: where only a share
+            // of the wrong ones is reported, each report speaks for more, but is no alarm by itself.
             let wrong = (1.0 / self.fig.complaint_share.max(0.01)).clamp(1.0, FLAG_WEIGHT);
             let right = |good: f64| (log_ratio(good, true) - log_ratio(good, false)) * wrong;
             self.blame(at, track.0, right(self.tracks[track.0].good()));
@@ -606,15 +603,16 @@
         self.judge.bit = u8::from(enough && w > threshold) + u8::from(enough && w > LOG_GAMMA);
     }
 
-    /// The largest sum. Departure: once there are units enough to tell, evidence must not rest on a few of them:
-    /// what the worst units brought in beyond the median one is left out, so that bad machines do not condemn a build.
+    /// The largest sum. Departure: what the worst few units brought in beyond the median one is left out, so
+    /// that bad machines do not condemn a build; but the eldest shows first what a build does with age.
     fn worst(&self) -> f64 {
         let judged = self.judged();
         let trial = || self.fleet.units.iter().filter(|unit| unit.ready && Some(unit.build) == judged);
-        let count = trial().count();
+        let (count, eldest) = (trial().count(), trial().map(|unit| unit.started).min());
         let few = ((count as f64 * ASIDE_SHARE / 2.0) as usize).max(usize::from(count >= 3));
         let without = |(at, sum): (usize, &Cusum)| {
-            sum.w - excess(trial().filter_map(|unit| Some(unit.sums.get(at)?.w)).collect(), few)
+            let younger = trial().filter(|unit| Some(unit.started) != eldest);
+            sum.w - excess(younger.filter_map(|unit| Some(unit.sums.get(at)?.w)).collect(), few)
         };
         self.judge.sums.iter().enumerate().map(without).fold(0.0, f64::max)
     }
@@ -629,9 +627,9 @@
         self.live_peers().map(|peer| peer.divergence).fold(self.judge.divergence.max(1e-9), f64::max)
     }
 
-    /// The weighted sum of alarm bits. Departures: an alarm past ln gamma, the paper's threshold for a single
-    /// sensor, counts M by itself, so that a lone or well-informed relay is heard; and an alarm past the floor
-    /// in nats weighs what that floor proves, however much the largest I is inflated by one heavy relay.
+    /// The weighted sum of alarm bits. Departures: an alarm past ln gamma, the paper's threshold for one
+    /// sensor, counts M by itself, so that a lone or well-informed relay is heard; and any alarm weighs what
+    /// the floor in nats proves, however far one heavy relay inflates the largest I.
     fn fuse(&self) -> f64 {
         let largest = self.largest();
         let own = (self.judge.bit, self.judge.divergence);
@@ -674,13 +672,13 @@
         // by, is the cheap place to wait for what shows late or under load.
         let last = news.stage.0 == self.fig.stage_caps.len().saturating_sub(1) && !self.fig.replace;
         let wait = if last { self.fig.warm_up + TICK * 10 } else { Duration::ZERO };
-        // Departure: nothing goes on while tasks are shed, or while the earlier build is late as well: the new
-        // one may be what slows it.
-        let calm = self.meter.time_ratio < BUSY_RATIO;
-        let calm = calm && (self.judge.ambient < NATS_FLOOR || news.cap < SMALL_CAP);
+        // Departure: nothing goes on while tasks are shed or the earlier build is late as well, as the new
+        // one may be what slows it; unless the new one does clearly better, and so is the way out.
+        let calm = self.meter.time_ratio < BUSY_RATIO && self.judge.ambient < NATS_FLOOR;
+        let calm = calm || news.cap < SMALL_CAP || self.judge.better > NATS_FLOOR;
         let clear = calm && fused <= 0.0 && self.worst() < CLEAR_NATS && youngest >= wait;
-        let span = youngest.min(self.fig.warm_up); // past its warm-up, a unit's start is over
-                                                   // Departure: the more the next stage exposes, the more outcomes of the fleet it takes to go there.
+        let span = youngest.min(self.fig.warm_up);
+        // Departure: the more the next stage exposes, the more of the fleet's outcomes it takes.
         let next = self.fig.stage_caps.get(news.stage.0 + 1).copied().unwrap_or(1.0);
         let enough = f64::from(seen) >= EVIDENCE * next && self.now >= self.judge.clear_since + span;
         if clear && enough {
--- a/src/state.rs
+++ b/src/state.rs
@@ -120,6 +120,7 @@
     pub outcome_rate: f64,
     pub on_trial: bool,   // seen so by this relay
     pub ambient: f64,     // CUSUM of late answers by the earlier build against the time before the trial
+    pub better: f64,      // CUSUM of the new build at half the earlier one's lateness
     pub load_before: f64, // tasks taken a second before the trial
     pub bit: u8,
     pub divergence: f64,
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -189,6 +189,8 @@
         vote Back build 2 stage 1
         vote Back build 2 stage 1
         vote Back build 2 stage 1
+        vote Back build 2 stage 1
+        vote Back build 2 stage 1
     "#]]
     .assert_eq(&stand.votes());
 }
