--- a/src/decide.rs
+++ b/src/decide.rs
@@ -215,7 +215,7 @@
         let burden = |at: usize| {
             let unit = &self.fleet.units[at];
             let away = if unit.zone != self.fig.zone && self.fig.zones_cost { ZONE_PENALTY } else { 0.0 };
-            (unit.waiting.len() as f64 + 1.0 + away) / unit.nominal
+            (unit.waiting.len() as f64 + 1.0 + away) / (unit.nominal * self.warmth(unit, Duration::ZERO))
         };
         task.chosen = if burden(second) < burden(first) { second } else { first };
         Flow::Pass
