--- a/src/decide.rs
+++ b/src/decide.rs
@@ -404,8 +404,12 @@
         if (ended.cold && late) || unit.streak > STREAK {
             return; // departure: cold or silent units are no evidence against a build
         }
-        // Departure: more load than before the trial, or slowness of both builds, proves nothing.
-        let loaded = self.load() > LOADED * self.judge.load_before || self.judge.ambient > NATS_FLOOR;
+        // Departure: lateness under more load than before the trial, or when both builds are late, proves
+        // nothing; nor do dispatches that were out then and come back after.
+        if self.load() > LOADED * self.judge.load_before || self.judge.ambient > NATS_FLOOR {
+            self.judge.excused_at = self.now;
+        }
+        let excused = self.now.saturating_sub(ended.spent) <= self.judge.excused_at;
         let (build, judged) = (unit.build, self.judged() == Some(unit.build));
         let (overall, all) = (log_ratio(self.good_rate(), failed), self.tracks.len());
         let track = &mut self.tracks[task.track.0];
@@ -427,11 +431,11 @@
         let beside = (track.failures.rate() + track.slow.rate()).clamp(0.01, 0.9);
         let ratio = nats(beside, beside / 2.0, failed || slow == Some(true));
         self.judge.better = (self.judge.better + ratio).clamp(0.0, LOG_GAMMA);
-        if !(loaded && late) {
+        if !(excused && late) {
             self.blame(ended.unit, task.track.0, log_ratio(good, failed));
             self.blame(ended.unit, all, overall);
         }
-        let compared = !loaded && !ended.cold && self.news.is_some_and(|news| news.phase == Phase::OnTrial);
+        let compared = !excused && !ended.cold && self.news.is_some_and(|news| news.phase == Phase::OnTrial);
         if let Some(slow) = slow.filter(|_| compared) {
             self.blame(ended.unit, all + 1, log_ratio(good_slow, slow));
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -118,10 +118,11 @@
     pub outcomes: u32,    // of this stage
     pub tick_outcomes: f64,
     pub outcome_rate: f64,
-    pub on_trial: bool,   // seen so by this relay
-    pub ambient: f64,     // CUSUM of late answers by the earlier build against the time before the trial
-    pub better: f64,      // CUSUM of the new build at half the earlier one's lateness
-    pub load_before: f64, // tasks taken a second before the trial
+    pub on_trial: bool,       // seen so by this relay
+    pub ambient: f64,         // CUSUM of late answers by the earlier build against the time before the trial
+    pub better: f64,          // CUSUM of the new build at half the earlier one's lateness
+    pub excused_at: Duration, // when lateness last proved nothing
+    pub load_before: f64,     // tasks taken a second before the trial
     pub bit: u8,
     pub divergence: f64,
     pub clear_since: Duration,
