Units out of favour do not count for the trial's share

Cause: vanished trial units, still listed as ready, were counted when the trial's share was sized; the live ones had 11 to 15 open tasks each and timed out. Told from a bad build by the in-flight counts. Holds against hangs and failing machines as well; may starve a trial whose units are all out of favour, which then neither goes on nor back.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -140,9 +140,8 @@
             *count += 1.0;
             self.rng.random::<f64>() > 1.1 * self.fig.quotas[tenant] / rate.max(1e-9)
         });
-        let (end, quoted) = (self.now + left, self.now + quoted);
-        let mut task =
-            Task::new(id, track, key, end.saturating_sub(self.slack()), quoted.saturating_sub(self.slack()));
+        let by = |span: Duration| (self.now + span).saturating_sub(self.slack());
+        let mut task = Task::new(id, track, key, by(left), by(quoted));
         (task.work, task.over_share) = (relative, over_share);
         self.run_chain(task, act);
     }
@@ -163,12 +162,12 @@
             Effect::Idempotent | Effect::Deduplicated { group: Group::All, .. } => true,
             Effect::Deduplicated { .. } | Effect::Unrepeatable => task.ran.is_none(),
         };
-        if !harmless {
-            return act.terminate(&task.id);
-        }
-        // Busy or past its quoted time, another try now would only add load.
+        // Busy or late, another try now would only add load.
         let busy = self.meter.time_ratio > BUSY_RATIO || self.now + self.slack() >= task.quoted;
-        act.nack(&task.id, if busy { self.fig.hold_off } else { Duration::ZERO });
+        match harmless {
+            true => act.nack(&task.id, if busy { self.fig.hold_off } else { Duration::ZERO }),
+            false => act.terminate(&task.id),
+        }
     }
 
     /// Stage 1: gives up early what load leaves no room for, least utility first.
@@ -190,8 +189,8 @@
         let on_trial = |at: usize| self.cap_of(self.fleet.units[at].build).is_some();
         // A trial unit is to bear what a unit of the full fleet bears: so many of the tasks try it.
         let ready = |trial: bool| -> f64 {
-            let of_side = |unit: &&Unit| unit.ready && self.cap_of(unit.build).is_some() == trial;
-            let units = self.fleet.units.iter().filter(of_side);
+            let side = |unit: &&Unit| unit.ready && self.cap_of(unit.build).is_some() == trial;
+            let units = self.fleet.units.iter().filter(side).filter(|unit| !self.is_aside(unit));
             units.map(|unit| self.warmth(unit, Duration::ZERO)).sum()
         };
         let (new, old) = (ready(true), ready(false));
