The busier, the more evenly old and new units bear the load

Cause: under overload the limit lets in what old and new units bear together, but the trial took a place's part of it.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -190,7 +190,9 @@
             units.map(|unit| self.warmth(unit, Duration::ZERO)).sum()
         };
         let (new, old) = (ready(true), ready(false));
-        let places = if self.fig.replace { new + old } else { old.max(new) };
+        // The busier, the more evenly both sides bear it: what is let in then fits old and new together.
+        let busy = (self.meter.time_ratio / BUSY_RATIO * 2.0 - 1.0).clamp(0.0, 1.0);
+        let places = old.max(new) + old.min(new) * if self.fig.replace { 1.0 } else { busy };
         let to_trial = task.failed_on.is_none() && chance * places < new;
         // Preferences in order of weight; one that nothing meets is dropped.
         let mut prefer = |wanted: &dyn Fn(usize) -> bool| {
@@ -681,9 +683,10 @@
         // Departure: the more the next stage exposes, the more of the fleet's outcomes it takes.
         let next = *self.fig.stage_caps.get(news.stage.0 + 1).unwrap_or(&1.0);
         let enough = f64::from(seen) >= EVIDENCE * next && self.now >= self.judge.clear_since + span;
-        match clear && enough {
-            true => Vote::On,
-            false => Vote::Nothing,
+        if clear && enough {
+            Vote::On
+        } else {
+            Vote::Nothing
         }
     }
 
