Tasks go to either build where one is overfull; cut-off units may all be set aside

Causes: on a saturated fleet of unequal machines, trial units on slow machines held 13 to 20 open tasks while others held 5; a room cut off refused connections while only 3 in 10 units could be set aside. Settings that no decision uses are out of the interface.

--- a/crates/beechcroft-adapter/src/settings.rs
+++ b/crates/beechcroft-adapter/src/settings.rs
@@ -90,7 +90,6 @@
     Ok(Track {
         effect,
         quoted: node.span("aim_s")?,
-        abandon: node.span("give_up_s")?,
         utility: node.number("points")?,
         late_utility: node.number_or("late_worth", 0.0)?,
         quoted_stretch: node.number_or("aim_stretch", 0.0)?,
@@ -129,7 +128,6 @@
         "automatic" => GateMode::Automatic,
         _ => return Err(rollout.lacks("gate_mode")),
     };
-    let how = stats.word_or("how", "none")?;
     let settings = Settings {
         me: PeerId(all.count("me")?),
         relays: all.count("instances")?.max(1),
@@ -137,18 +135,12 @@
         tracks,
         tenant_quotas,
         over_share_worth: all.number_or("over_share_worth", 1.0)?,
-        utility_by_work: all.word_or("worth_by", "request")? == "work",
         granularity: all.span_or("granularity_s", Duration::ZERO)?,
         cross_zone_charge: charges.number_or("cross_zone", 0.0)?,
-        late_fail_charge: charges.number_or("late_fail", 0.0)?,
-        nominal_known: all.word_or("weight_kind", "none")? != "none",
         ask_for_list: all.word_or("discovery", "pushed")? == "on_request",
-        load_by_probe: how == "probe",
-        may_probe: limits.yes_or("probing", false)?,
         may_tell_peers: limits.yes_or("peers", false)?,
         may_abandon: limits.yes_or("cancel", false)?,
         may_name_hold_off: limits.yes_or("retry_after", false)?,
-        parallel_tries: limits.yes_or("parallel_tries", false)?,
         max_dispatches: limits.count("max_attempts")?,
         max_hold_off: limits.span_or("max_retry_after_s", Duration::ZERO)?,
         drain_grace: rules.span("drain_grace_s")?,
@@ -156,7 +148,6 @@
         warm_up: rules.span("warm_up_s")?,
         fall_multiple: rules.number("fall_multiple")?,
         overload_for: rules.span("overload_for_s")?,
-        ask_within: rules.span_or("ask_within_s", Duration::from_secs(10))?,
         gate,
         replace: rollout.word_or("layout", "parallel")? == "replace",
         stage_caps: stage_caps.ok_or_else(|| rollout.lacks("stage_cap"))?,
@@ -165,15 +156,10 @@
         exposure_window: rollout.span("counted_over_s")?,
         exposure_by_track: rollout.word("per")? == "each_class",
         forward_only: rollout.yes_or("forward_only", false)?,
-        soak: rollout.span_or("soak_s", Duration::ZERO)?,
         answer_wait: rollout.span("answer_wait_s")?,
         vote_life: rollout.span("vote_life_s")?,
         votes_per_s: rollout.number("calls_per_s")?,
-        on_votes: rollout.count("on_votes").unwrap_or(1),
-        back_votes: rollout.count("noes_needed")?,
-        delay_price: rollout.number_or("delay_price", 0.0)?,
         complaint_share: rollout.number_or("complaint_share", 0.0)?,
-        damage_price: rollout.number_or("damage_price", 0.0)?,
     };
     Ok(Named { settings, tracks: names, tenants, zones, load: stats.words("names").unwrap_or_default() })
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -36,18 +36,12 @@
 const COLD_MARGIN: f64 = 0.7; // of what the rule on cold units would bear
 const BUSY_RATIO: f64 = 0.5; // mean answer time over quoted time above which tasks are given up early
 const ASIDE_SHARE: f64 = 0.3; // of a build's units may be set aside at once
+const CROWDED: f64 = 2.0; // times another unit's open tasks from which a task goes there
 const STREAK: u32 = 3; // failures in a row that set a unit aside
 const ZONE_PENALTY: f64 = 2.0; // open tasks more before a crossing pays
 
 type Act<'a> = &'a mut dyn Actions;
 
-struct Ended {
-    unit: usize,
-    outcome: Outcome,
-    spent: Duration,
-    cold: bool,
-}
-
 enum Flow {
     Pass,
     Keep,
@@ -179,7 +173,7 @@
 
     /// Stage 2: a build at random, then two random choices by in-flight count among its units.
     fn choose(&mut self, task: &mut Task, _act: Act) -> Flow {
-        let (chance, one, two): (f64, u32, u32) = self.rng.random();
+        let (chance, one, two, three): (f64, u32, u32, u32) = self.rng.random();
         let mut able: Vec<usize> =
             (0..self.fleet.units.len()).filter(|&at| self.permits(task, at, false)).collect();
         let on_trial = |at: usize| self.cap_of(self.fleet.units[at].build).is_some();
@@ -202,11 +196,11 @@
         };
         prefer(&|at| !on_trial(at) || self.permits(task, at, true));
         prefer(&|at| !self.is_aside(&self.fleet.units[at]));
-        prefer(&|at| on_trial(at) == to_trial);
         prefer(&|at| task.failed_on != Some(at));
-        if able.is_empty() {
-            return Flow::End;
-        }
+        let either = able.clone();
+        able.retain(|&at| on_trial(at) == to_trial);
+        let Some(&third) = either.get(three as usize % either.len().max(1)) else { return Flow::End };
+        able.extend(able.is_empty().then_some(third));
         let first = able[one as usize % able.len()];
         let second = able[two as usize % able.len()];
         let burden = |at: usize| {
@@ -214,7 +208,9 @@
             let away = if unit.zone != self.fig.zone && self.fig.zones_cost { ZONE_PENALTY } else { 0.0 };
             (unit.waiting.len() as f64 + 1.0 + away) / (unit.nominal * self.warmth(unit, Duration::ZERO))
         };
-        task.chosen = if burden(second) < burden(first) { second } else { first };
+        let least = if burden(second) < burden(first) { second } else { first };
+        // Whatever overloads one side, small units or a share too large, tasks then go to either.
+        task.chosen = if burden(least) > CROWDED * burden(third) { third } else { least };
         Flow::Pass
     }
 
@@ -363,6 +359,7 @@
         let of_build = || self.fleet.units.iter().filter(|unit| unit.ready && unit.build == build);
         let aside = of_build().filter(|unit| self.now < unit.away_until).count() as f64;
         let room = aside + 1.0 <= ASIDE_SHARE * of_build().count() as f64;
+        let room = room || ended.outcome == Outcome::ConnectFailed; // nothing runs there
         let unit = &mut self.fleet.units[ended.unit];
         let failed = match ended.outcome {
             Outcome::Ok => false,
@@ -408,10 +405,10 @@
         let (build, judged) = (unit.build, self.judged() == Some(unit.build));
         let (overall, all) = (log_ratio(self.good_rate(), failed), self.tracks.len());
         let track = &mut self.tracks[task.track.0];
-        if track.mark.is_none() && f64::from(track.times.total()) > BASELINE {
-            track.mark = Some(track.times.bin_at(SLOW_SHARE));
-        }
-        let slow = track.mark.filter(|_| !failed).map(|mark| Histogram::bin(ended.spent) > mark);
+        let slow = track
+            .slow_mark(SLOW_SHARE, BASELINE)
+            .filter(|_| !failed)
+            .map(|mark| Histogram::bin(ended.spent) > mark);
         if !judged {
             if self.news.is_some_and(|news| build <= news.build) {
                 track.failures.add(failed, KEEP);
@@ -646,11 +643,8 @@
     }
 
     fn tell(&mut self, act: Act) {
-        let Some(news) = &self.news else { return };
-        let Judge { bit, divergence, outcomes, .. } = self.judge;
-        let (build, stage) = (news.build, news.stage);
-        let entry = PeerEntry { at: self.now, build, stage, bit, divergence, outcomes };
-        act.tell_peers(&entry.encode());
+        let entry = self.news.map(|news| self.judge.entry(news, self.now));
+        entry.into_iter().for_each(|entry| act.tell_peers(&entry.encode()));
     }
 
     /// Which vote this relay stands for.
--- a/src/state.rs
+++ b/src/state.rs
@@ -263,6 +263,13 @@
         self.slow = Tally::default();
     }
 
+    /// The mark of slow answers, set late where more than `least` times are known only now.
+    pub fn slow_mark(&mut self, slow_share: f64, least: f64) -> Option<usize> {
+        let known = f64::from(self.times.total()) > least;
+        self.mark = self.mark.or_else(|| known.then(|| self.times.bin_at(slow_share)));
+        self.mark
+    }
+
     /// The good rate of failures: before the trial or beside it, whichever is higher.
     pub fn good(&self) -> f64 {
         self.failed_before.max(self.failures.rate())
@@ -351,3 +358,19 @@
         per_s
     }
 }
+
+impl Judge {
+    /// What this relay tells its peers.
+    pub fn entry(&self, news: News, at: Duration) -> PeerEntry {
+        let Judge { bit, divergence, outcomes, .. } = *self;
+        PeerEntry { at, build: news.build, stage: news.stage, bit, divergence, outcomes }
+    }
+}
+
+/// How a dispatch ended, as the chain takes it outwards.
+pub struct Ended {
+    pub unit: usize,
+    pub outcome: Outcome,
+    pub spent: Duration,
+    pub cold: bool,
+}
