Lateness after the release is no evidence

Errors and reports still count; a build that only turns slow after its release is no longer sent back.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -396,12 +396,13 @@
         if (ended.cold && late) || unit.streak > STREAK {
             return; // departure: cold or silent units are no evidence against a build
         }
-        // Departure: lateness under more load than before the trial, or when both builds are late, proves
-        // nothing; nor do dispatches that were out then and come back after.
+        // Departure: lateness under more load than before the trial, when both builds are late, or after the
+        // release proves nothing; nor do dispatches that were out at such a time and come back after.
         if self.load() > LOADED * self.judge.load_before || self.judge.ambient > NATS_FLOOR {
             self.judge.excused_at = self.now;
         }
-        let excused = self.now.saturating_sub(ended.spent) <= self.judge.excused_at;
+        let trial = self.news.is_some_and(|news| news.phase == Phase::OnTrial);
+        let excused = !trial || self.now.saturating_sub(ended.spent) <= self.judge.excused_at;
         let (build, judged) = (unit.build, self.judged() == Some(unit.build));
         let (overall, all) = (log_ratio(self.good_rate(), failed), self.tracks.len());
         let track = &mut self.tracks[task.track.0];
@@ -427,8 +428,7 @@
             self.blame(ended.unit, task.track.0, log_ratio(good, failed));
             self.blame(ended.unit, all, overall);
         }
-        let compared = !excused && !ended.cold && self.news.is_some_and(|news| news.phase == Phase::OnTrial);
-        if let Some(slow) = slow.filter(|_| compared) {
+        if let Some(slow) = slow.filter(|_| !excused && !ended.cold) {
             self.blame(ended.unit, all + 1, log_ratio(good_slow, slow));
         }
         self.judge.outcomes += 1;
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -376,3 +376,21 @@
     expect!["6 of 30 to the new build"]
         .assert_eq(&format!("{} of 30 to the new build", stand.sent_to("b") - before));
 }
+
+#[test]
+fn a_released_build_goes_back_for_errors_and_not_for_lateness() {
+    let votes = |outcome: Outcome| {
+        let mut stand = Stand::new(&settings(), 6, 3);
+        stand.traffic(50, 6, fine);
+        stand.news(2, 3, Phase::OnTrial, 1.0);
+        stand.traffic(5, 6, fine);
+        stand.news(2, 3, Phase::Released, 1.0);
+        stand.traffic(40, 6, |unit, nth| if nth % 5 == 0 { (outcome, 590) } else { fine(unit, nth) });
+        stand.votes().lines().next().unwrap_or("none").to_owned()
+    };
+    expect!["none; vote Back build 2 stage 3"].assert_eq(&format!(
+        "{}; {}",
+        votes(Outcome::TimeOut),
+        votes(Outcome::Error)
+    ));
+}
