--- a/src/decide.rs
+++ b/src/decide.rs
@@ -608,7 +608,9 @@
             let younger = trial().filter(|unit| Some(unit.started) != eldest);
             sum.w - excess(younger.filter_map(|unit| Some(unit.sums.get(at)?.w)).collect(), few)
         };
-        self.judge.sums.iter().enumerate().map(without).fold(0.0, f64::max)
+        let first = trial().filter(|unit| Some(unit.started) == eldest).flat_map(|unit| &unit.sums);
+        let sums = self.judge.sums.iter().enumerate().map(without).chain(first.map(|sum| sum.w));
+        sums.fold(0.0, f64::max)
     }
 
     fn live_peers(&self) -> impl Iterator<Item = &PeerEntry> {
