--- a/crates/beechcroft-adapter/src/settings.rs
+++ b/crates/beechcroft-adapter/src/settings.rs
@@ -10,6 +10,7 @@
     pub tracks: Vec<String>,
     pub tenants: Vec<String>,
     pub zones: Vec<String>,
+    pub kinds: Vec<String>,
     pub load: Vec<String>,
 }
 
@@ -162,5 +163,13 @@
         delay_price: rollout.number_or("delay_price", 0.0)?,
         complaint_share: rollout.number_or("complaint_share", 0.0)?,
     };
-    Ok(Named { settings, tracks: names, tenants, zones, load: stats.words("names").unwrap_or_default() })
+    let kinds = all.words("kinds").unwrap_or_default();
+    Ok(Named {
+        settings,
+        tracks: names,
+        tenants,
+        zones,
+        kinds,
+        load: stats.words("names").unwrap_or_default(),
+    })
 }
--- a/crates/beechcroft-adapter/src/wire.rs
+++ b/crates/beechcroft-adapter/src/wire.rs
@@ -339,6 +339,13 @@
                             .iter()
                             .position(|zone| Some(zone.as_str()) == entry.get("zone"))
                             .map(ZoneId),
+                        KindId(
+                            names
+                                .kinds
+                                .iter()
+                                .position(|kind| Some(kind.as_str()) == entry.get("type"))
+                                .unwrap_or(0),
+                        ),
                         CellId(entry.opt("pod")?.unwrap_or(0)),
                         health,
                         entry.opt("nominal")?.unwrap_or(1.0),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -316,7 +316,7 @@
     }
 
     fn is_silent(&self, unit: &Unit) -> bool {
-        let slowest = self.tracks.iter().map(|track| Histogram::edge(track.times.bin_at(0.02))).max();
+        let slowest = self.tracks.iter().map(|track| track.slowest(0.02)).max();
         unit.waiting.len() >= 2 && self.now > unit.quiet_since + slowest.unwrap_or_default().max(TICK * 3)
     }
 
@@ -398,11 +398,11 @@
         }
         let trial = self.news.is_some_and(|news| news.phase == Phase::OnTrial);
         let excused = !trial || self.now.saturating_sub(ended.spent) <= self.judge.excused_at;
-        let (build, judged) = (unit.build, self.judged() == Some(unit.build));
+        let (build, kind, judged) = (unit.build, unit.kind, self.judged() == Some(unit.build));
         let (overall, all) = (log_ratio(self.good_rate(), failed), self.tracks.len());
         let track = &mut self.tracks[task.track.0];
         let slow = track
-            .slow_mark(SLOW_SHARE, BASELINE)
+            .slow_mark(kind, SLOW_SHARE, BASELINE)
             .filter(|_| !failed)
             .map(|mark| Histogram::bin(ended.spent) > mark);
         if !judged {
@@ -450,9 +450,9 @@
             return;
         }
         self.meter.handled += task.work;
-        let build = self.fleet.units[ended.unit].build;
+        let Unit { build, kind, .. } = self.fleet.units[ended.unit];
         if self.cap_of(build).is_none() {
-            self.tracks[task.track.0].times.add(ended.spent, KEEP as u32);
+            self.tracks[task.track.0].times.entry(kind).or_default().add(ended.spent, KEEP as u32);
         }
         if self.fig.forward_only && self.news.is_some_and(|news| news.build == build) {
             self.exposure.forward_keys.extend(task.key);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,6 +36,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ZoneId(pub usize);
 
+/// A kind of machine: position in the front's own list of kinds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct KindId(pub usize);
+
 /// A cell: a small set of units that share knowledge of keys.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct CellId(pub u64);
--- a/src/state.rs
+++ b/src/state.rs
@@ -44,13 +44,13 @@
     pub quoted: Duration,
     pub stretch: f64,
     pub late_pays: bool,
-    pub utility: f64, // over the highest one
-    pub times: Histogram,
+    pub utility: f64,                       // over the highest one
+    pub times: BTreeMap<KindId, Histogram>, // of the earlier build's answers
     pub taken: Window,
     pub failures: Tally,
-    pub slow: Tally,         // answers above the mark, beside the trial
-    pub mark: Option<usize>, // bin of the slowest answers before the trial
-    pub failed_before: f64,  // rate of failures before the trial
+    pub slow: Tally,                    // answers above the mark, beside the trial
+    pub marks: BTreeMap<KindId, usize>, // bins of the slowest answers before the trial, by kind of machine
+    pub failed_before: f64,             // rate of failures before the trial
 }
 
 #[derive(Default)]
@@ -58,6 +58,7 @@
     pub id: UnitId,
     pub build: BuildId,
     pub zone: Option<ZoneId>,
+    pub kind: KindId,
     pub cell: CellId,
     pub nominal: f64,
     pub ready: bool,
@@ -197,11 +198,11 @@
             stretch: track.quoted_stretch,
             late_pays: track.late_utility > 0.0,
             utility: track.utility / top,
-            times: Histogram::default(),
+            times: BTreeMap::new(),
             taken: Window::default(),
             failures: Tally::default(),
             slow: Tally::default(),
-            mark: None,
+            marks: BTreeMap::new(),
             failed_before: 0.0,
         }
     }
@@ -261,16 +262,25 @@
 impl TrackState {
     /// Keeps what the earlier build did under the full load, before the trial takes some of it.
     pub fn trial_begins(&mut self, slow_share: f64) {
-        self.mark = (self.times.total() > 0).then(|| self.times.bin_at(slow_share));
+        self.marks = self.times.iter().map(|(&kind, times)| (kind, times.bin_at(slow_share))).collect();
         self.failed_before = self.failures.rate();
         self.slow = Tally::default();
     }
 
-    /// The mark of slow answers, set late where more than `least` times are known only now.
-    pub fn slow_mark(&mut self, slow_share: f64, least: f64) -> Option<usize> {
-        let known = f64::from(self.times.total()) > least;
-        self.mark = self.mark.or_else(|| known.then(|| self.times.bin_at(slow_share)));
-        self.mark
+    /// The mark of slow answers on a kind of machine, set late where it becomes known only now.
+    pub fn slow_mark(&mut self, kind: KindId, slow_share: f64, least: f64) -> Option<usize> {
+        let times = self.times.get(&kind).filter(|times| f64::from(times.total()) > least);
+        let late = times.map(|times| times.bin_at(slow_share));
+        self.marks.get(&kind).copied().or_else(|| {
+            self.marks.extend(late.map(|mark| (kind, mark)));
+            late
+        })
+    }
+
+    /// The time above which no more than `share` of the answers of the slowest kind lie.
+    pub fn slowest(&self, share: f64) -> Duration {
+        let edges = self.times.values().map(|times| Histogram::edge(times.bin_at(share)));
+        edges.max().unwrap_or_default()
     }
 
     /// The good rate of failures: before the trial or beside it, whichever is higher.
@@ -297,6 +307,7 @@
         id: UnitId,
         build: BuildId,
         zone: Option<ZoneId>,
+        kind: KindId,
         cell: CellId,
         health: Health,
         nominal: f64,
@@ -314,6 +325,7 @@
             *unit = Unit { id, waiting, sent_cold, quiet_since: self.now, ..Unit::default() };
         }
         (unit.build, unit.zone, unit.cell, unit.nominal) = (build, zone, cell, nominal.max(0.01));
+        unit.kind = kind;
         (unit.started, unit.ready, unit.listed) = (started, health == Health::Ready, health != Health::Gone);
     }
 
--- a/tests/bench_free/mod.rs
+++ b/tests/bench_free/mod.rs
@@ -116,7 +116,7 @@
         let list = self.relay.list();
         list.begins(false);
         let (id, zone) = (UnitId(unit.into()), Some(ZoneId(0)));
-        list.entry(id, BuildId(build), zone, CellId(0), health, 1.0, started);
+        list.entry(id, BuildId(build), zone, KindId(0), CellId(0), health, 1.0, started);
         list.ends();
     }
 
