Say each thing once: ready units of a build, counters of rule 5, list fields

One filter for a build's ready units, one place for what is live and for the counter of rule 5, one reading of a unit's health in the adapter. Warm units no longer have a cold budget worked out, nor idle ones the slowest answer, for every task. The adapter only checks load reports instead of building what nobody reads; an unused measure is gone.

--- a/crates/beechcroft-adapter/src/settings.rs
+++ b/crates/beechcroft-adapter/src/settings.rs
@@ -11,7 +11,6 @@
     pub tenants: Vec<String>,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
-    pub load: Vec<String>,
 }
 
 struct Node<'a>(&'a Value, &'static str);
@@ -105,7 +104,7 @@
     let rules = all.at("invariants", "invariants.")?;
     let rollout = all.at("family_info", "family_info.")?;
     let charges = all.at("charges", "charges.")?;
-    let stats = all.at("stats", "stats.")?;
+    all.at("stats", "stats.")?; // load reports are not used, but a deployment states them
     let mut tracks = Vec::new();
     let mut names = Vec::new();
     for class in all.list("classes")? {
@@ -164,12 +163,5 @@
         complaint_share: rollout.number_or("complaint_share", 0.0)?,
     };
     let kinds = all.words("kinds").unwrap_or_default();
-    Ok(Named {
-        settings,
-        tracks: names,
-        tenants,
-        zones,
-        kinds,
-        load: stats.words("names").unwrap_or_default(),
-    })
+    Ok(Named { settings, tracks: names, tenants, zones, kinds })
 }
--- a/crates/beechcroft-adapter/src/wire.rs
+++ b/crates/beechcroft-adapter/src/wire.rs
@@ -72,30 +72,31 @@
             other => return Err(format!("verdict: malformed '{other}'")),
         })
     }
+    /// The place of a field's name among those of the settings, if it is one of them.
+    fn among(&self, field: &str, names: &[String]) -> Option<usize> {
+        let text = self.get(field)?;
+        names.iter().position(|name| name == text)
+    }
     fn position(&self, field: &str, names: &[String]) -> Result<usize, String> {
         let text = self.text(field)?;
-        names.iter().position(|name| name == text).ok_or_else(|| format!("{field}: unknown '{text}'"))
+        self.among(field, names).ok_or_else(|| format!("{field}: unknown '{text}'"))
+    }
+    fn health(&self) -> Result<Health, String> {
+        Ok(match self.text("health")? {
+            "ready" => Health::Ready,
+            "draining" => Health::Draining,
+            "gone" => Health::Gone,
+            other => return Err(format!("health: malformed '{other}'")),
+        })
     }
-    fn load(&self, names: &[String]) -> Result<Load, String> {
-        let mut load = Load::default();
+    /// Load reports are only checked: the module has no use for them yet.
+    fn check_load(&self) -> Result<(), String> {
         let pairs = self.get("usage").filter(|text| !text.is_empty() && *text != "-");
-        for pair in pairs.into_iter().flat_map(|text| text.split(',')) {
-            let (name, value) = pair.split_once(':').ok_or_else(|| format!("usage: malformed '{pair}'"))?;
-            let value: f64 = value.parse().map_err(|_| format!("usage: malformed '{pair}'"))?;
-            if !names.iter().any(|known| known == name) {
-                continue;
-            }
-            match name {
-                "rif" => load.in_flight = Some(value),
-                "q" => load.queued = Some(value),
-                "busy" => load.busy = Some(value),
-                "lat_ms" => load.latency = Some(value),
-                "rate" => load.rate = Some(value),
-                "fail_rate" => load.fail_rate = Some(value),
-                _ => {}
-            }
+        let sound = |pair: &str| pair.split_once(':').is_some_and(|(_, value)| value.parse::<f64>().is_ok());
+        match pairs.into_iter().flat_map(|text| text.split(',')).find(|pair| !sound(pair)) {
+            Some(pair) => Err(format!("usage: malformed '{pair}'")),
+            None => Ok(()),
         }
-        Ok(load)
     }
     fn payload(&self) -> Result<Vec<u8>, String> {
         let text = self.text("payload")?;
@@ -252,10 +253,7 @@
         line.opt::<f64>("nominal")?;
         line.opt::<f64>("started_at_s")?;
         line.opt::<u64>("pod")?;
-        match line.text("health")? {
-            "ready" | "draining" | "gone" => Ok(()),
-            other => Err(format!("health: malformed '{other}'")),
-        }
+        line.health().map(drop)
     }
 
     fn event(&mut self, line: &Line) -> Result<(), String> {
@@ -325,29 +323,14 @@
                 relay.list().begins(whole);
                 for rest in entries {
                     let entry = Line { name: "M", rest };
-                    let health = match entry.text("health")? {
-                        "ready" => Health::Ready,
-                        "draining" => Health::Draining,
-                        _ => Health::Gone,
-                    };
                     let started = entry.opt::<f64>("started_at_s")?.unwrap_or(0.0).max(0.0);
                     relay.list().entry(
                         entry.unit()?,
                         BuildId(entry.num::<f64>("runs")? as u16),
-                        names
-                            .zones
-                            .iter()
-                            .position(|zone| Some(zone.as_str()) == entry.get("zone"))
-                            .map(ZoneId),
-                        KindId(
-                            names
-                                .kinds
-                                .iter()
-                                .position(|kind| Some(kind.as_str()) == entry.get("type"))
-                                .unwrap_or(0),
-                        ),
+                        entry.among("zone", &names.zones).map(ZoneId),
+                        KindId(entry.among("type", &names.kinds).unwrap_or(0)),
                         CellId(entry.opt("pod")?.unwrap_or(0)),
-                        health,
+                        entry.health()?,
                         entry.opt("nominal")?.unwrap_or(1.0),
                         (started > 0.0).then(|| Duration::from_secs_f64(started)),
                     );
@@ -378,7 +361,7 @@
             }
             "REPORT_BACK" => {
                 line.unit()?;
-                line.load(&names.load)?;
+                line.check_load()?;
                 let (dispatch, outcome) = (DispatchNo(line.num("trial")?), line.outcome()?);
                 let (spent, settled) = (line.span("spent_s")?, line.flag("settled")?);
                 relay.dispatch_ended(&line.task()?, dispatch, outcome, spent, settled, act);
@@ -390,7 +373,7 @@
                 line.unit()?;
                 line.outcome()?;
                 line.span("spent_s")?;
-                line.load(&names.load)?;
+                line.check_load()?;
             }
             "NOTE_FROM" => relay.note_from(PeerId(line.num("sender")?), &line.payload()?),
             "PROMOTION" => {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -221,8 +221,8 @@
         let unit = &mut self.fleet.units[task.chosen];
         unit.sent(&task.id, self.now, task.work, self.fig.overload_for);
         if on_trial {
-            let counted = if self.fig.by_track { task.track.0 } else { 0 };
-            self.exposure.sent.entry((unit.build, counted)).or_default().add(self.now, 1.0, keep);
+            let counter = (unit.build, self.fig.counted(task.track));
+            self.exposure.sent.entry(counter).or_default().add(self.now, 1.0, keep);
         }
         self.meter.in_flight += 1.0;
         task.out = Some((DispatchNo(task.tries), task.chosen, self.now));
@@ -268,10 +268,13 @@
 
     /// Rule 4. What warm units bear from this relay, learned, times what a cold unit can do of it for sure.
     fn cold_room(&self, unit: &Unit, work: f64) -> bool {
+        if !self.is_cold(unit) {
+            return true;
+        }
         let span = self.fig.overload_for;
         let warm = self.meter.unit_rate * unit.nominal * span.as_secs_f64();
         let budget = COLD_MARGIN * self.fig.fall_multiple * self.warmth(unit, span / 2) * warm;
-        !self.is_cold(unit) || unit.sent_cold.sum(self.now, span) + work <= budget.max(1.0)
+        unit.sent_cold.sum(self.now, span) + work <= budget.max(1.0)
     }
 
     /// The cap and stage of a build on trial; none for a build that is not.
@@ -292,8 +295,7 @@
         let Figures { window, by_track, free, .. } = self.fig;
         let slack = self.slack();
         let forward = task.key.is_some_and(|key| self.exposure.forward_keys.contains(&key));
-        let trial = self.news.filter(|news| matches!(news.phase, Phase::OnTrial | Phase::Released));
-        if forward && trial.is_some_and(|news| build < news.build) {
+        if forward && self.news.is_some_and(|news| news.is_live() && build < news.build) {
             return false;
         }
         let Some((cap, stage)) = self.cap_of(build) else { return true };
@@ -301,11 +303,10 @@
         if cap <= 0.0 || (stage < self.fig.closed_stages && track.effect != Effect::Idempotent) {
             return false;
         }
-        let counted = if by_track { task.track.0 } else { 0 };
+        let counter = (build, self.fig.counted(task.track));
         let of = if by_track { std::slice::from_ref(track) } else { &self.tracks[..] };
         let taken: f64 = of.iter().map(|track| track.taken.sum(self.now, window.saturating_sub(slack))).sum();
-        let sent =
-            self.exposure.sent.get(&(build, counted)).map_or(0.0, |sent| sent.sum(self.now, window + slack));
+        let sent = self.exposure.sent.get(&counter).map_or(0.0, |sent| sent.sum(self.now, window + slack));
         sent + 1.0 <= if as_share { TRIAL_SHARE } else { 1.0 } * (free + cap * taken)
     }
 
@@ -316,8 +317,8 @@
     }
 
     fn is_silent(&self, unit: &Unit) -> bool {
-        let slowest = self.tracks.iter().map(|track| track.slowest(0.02)).max();
-        unit.waiting.len() >= 2 && self.now > unit.quiet_since + slowest.unwrap_or_default().max(TICK * 3)
+        let slowest = || self.tracks.iter().map(|track| track.slowest(0.02)).fold(TICK * 3, Duration::max);
+        unit.waiting.len() >= 2 && self.now > unit.quiet_since + slowest()
     }
 
     pub fn dispatch_ended(
@@ -351,9 +352,8 @@
     fn watch_health(&mut self, _task: &Task, ended: &Ended) {
         let build = self.fleet.units[ended.unit].build;
         // Never more than a share of a build's units are set aside: beyond that it is not the units.
-        let of_build = || self.fleet.units.iter().filter(|unit| unit.ready && unit.build == build);
-        let aside = of_build().filter(|unit| self.now < unit.away_until).count() as f64;
-        let room = aside + 1.0 <= ASIDE_SHARE * of_build().count() as f64;
+        let aside = self.fleet.ready_of(build).filter(|unit| self.now < unit.away_until).count() as f64;
+        let room = aside + 1.0 <= ASIDE_SHARE * self.fleet.ready_of(build).count() as f64;
         let room = room || ended.outcome == Outcome::ConnectFailed; // nothing runs there
         let unit = &mut self.fleet.units[ended.unit];
         let failed = match ended.outcome {
@@ -472,8 +472,7 @@
     /// The build that the CUSUM judges: one this relay has itself seen on trial, else there is nothing to
     /// compare it with (a restarted relay must not judge a released build by itself).
     fn judged(&self) -> Option<BuildId> {
-        let live = |news: &News| matches!(news.phase, Phase::OnTrial | Phase::Released);
-        self.news.filter(live).map(|news| news.build).filter(|_| self.judge.on_trial)
+        self.news.filter(|news| news.is_live() && self.judge.on_trial).map(|news| news.build)
     }
 
     fn good_rate(&self) -> f64 {
@@ -488,9 +487,9 @@
     /// Tasks a second for each place; earlier units that do not answer are none, the judged build's own are.
     fn load(&self) -> f64 {
         let judged = self.judged();
-        let place = |unit: &&Unit| match self.cap_of(unit.build) {
-            _ if Some(unit.build) == judged => self.fig.replace || self.cap_of(unit.build).is_none(),
-            cap => cap.is_none() && !self.is_aside(unit),
+        let place = |unit: &&Unit| match (Some(unit.build) == judged, self.cap_of(unit.build)) {
+            (true, cap) => self.fig.replace || cap.is_none(),
+            (false, cap) => cap.is_none() && !self.is_aside(unit),
         };
         let places = self.fleet.units.iter().filter(|unit| unit.ready).filter(place).count().max(1);
         let span = Duration::from_secs(2);
@@ -598,7 +597,7 @@
     /// that bad machines do not condemn a build; but the eldest shows first what a build does with age.
     fn worst(&self) -> f64 {
         let judged = self.judged();
-        let trial = || self.fleet.units.iter().filter(|unit| unit.ready && Some(unit.build) == judged);
+        let trial = || judged.into_iter().flat_map(|build| self.fleet.ready_of(build));
         let (count, eldest) = (trial().count(), trial().map(|unit| unit.started).min());
         let few = ((count as f64 * ASIDE_SHARE / 2.0) as usize).max(usize::from(count >= 3));
         let without = |(at, sum): (usize, &Cusum)| {
@@ -661,7 +660,7 @@
         if self.fig.gate == GateMode::FirstVoice && self.fig.me.0 >= PROCEED_VOICES {
             return Vote::Nothing;
         }
-        let trial = self.fleet.units.iter().filter(|unit| unit.ready && unit.build == news.build);
+        let trial = self.fleet.ready_of(news.build);
         let youngest = trial.map(|unit| self.now.saturating_sub(unit.started.unwrap_or_default())).min();
         let Some(youngest) = youngest else { return Vote::Nothing };
         let peers = self.live_peers().filter(|peer| peer.stage == news.stage);
--- a/src/histogram.rs
+++ b/src/histogram.rs
@@ -41,12 +41,6 @@
         self.total
     }
 
-    /// The share of times in bins above `bin`.
-    pub fn share_above(&self, bin: usize) -> f64 {
-        let above: u32 = self.counts.iter().skip(bin + 1).sum();
-        f64::from(above) / f64::from(self.total.max(1))
-    }
-
     /// The lowest bin with no more than `share` of the times above it.
     pub fn bin_at(&self, share: f64) -> usize {
         let mut above = self.total;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -185,17 +185,6 @@
     Back,
 }
 
-/// A unit's report of its load; what a deployment does not report is absent.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Load {
-    pub in_flight: Option<f64>,
-    pub queued: Option<f64>,
-    pub busy: Option<f64>,
-    pub latency: Option<f64>,
-    pub rate: Option<f64>,
-    pub fail_rate: Option<f64>,
-}
-
 /// Everything the module can do.
 pub trait Actions {
     fn dispatch(&mut self, task: &TaskId, unit: &UnitId, time_out: Duration);
--- a/src/state.rs
+++ b/src/state.rs
@@ -113,6 +113,13 @@
     pub cap: f64,
 }
 
+impl News {
+    /// On trial or released: the build may still go on, or back by a vote.
+    pub fn is_live(&self) -> bool {
+        matches!(self.phase, Phase::OnTrial | Phase::Released)
+    }
+}
+
 /// What the CUSUM and the fusion know of the build they judge.
 #[derive(Default)]
 pub struct Judge {
@@ -187,6 +194,20 @@
             delay_price: settings.delay_price,
         }
     }
+
+    /// The cap of the first stage, in which a build not yet announced counts.
+    pub fn first_cap(&self) -> f64 {
+        self.stage_caps.first().copied().unwrap_or(0.0)
+    }
+
+    /// The counter of rule 5 that a track falls under.
+    pub fn counted(&self, track: TrackId) -> usize {
+        if self.by_track {
+            track.0
+        } else {
+            0
+        }
+    }
 }
 
 impl TrackState {
@@ -206,6 +227,34 @@
             failed_before: 0.0,
         }
     }
+
+    /// Keeps what the earlier build did under the full load, before the trial takes some of it.
+    pub fn trial_begins(&mut self, slow_share: f64) {
+        self.marks = self.times.iter().map(|(&kind, times)| (kind, times.bin_at(slow_share))).collect();
+        self.failed_before = self.failures.rate();
+        self.slow = Tally::default();
+    }
+
+    /// The mark of slow answers on a kind of machine, set late where it becomes known only now.
+    pub fn slow_mark(&mut self, kind: KindId, slow_share: f64, least: f64) -> Option<usize> {
+        let times = self.times.get(&kind).filter(|times| f64::from(times.total()) > least);
+        let late = times.map(|times| times.bin_at(slow_share));
+        self.marks.get(&kind).copied().or_else(|| {
+            self.marks.extend(late.map(|mark| (kind, mark)));
+            late
+        })
+    }
+
+    /// The time above which no more than `share` of the answers of the slowest kind lie.
+    pub fn slowest(&self, share: f64) -> Duration {
+        let edges = self.times.values().map(|times| Histogram::edge(times.bin_at(share)));
+        edges.max().unwrap_or_default()
+    }
+
+    /// The good rate of failures: before the trial or beside it, whichever is higher.
+    pub fn good(&self) -> f64 {
+        self.failed_before.max(self.failures.rate())
+    }
 }
 
 impl PeerEntry {
@@ -257,35 +306,15 @@
         self.mean_work = if self.mean_work > 0.0 { self.mean_work * 0.98 + hint * 0.02 } else { hint };
         hint / self.mean_work
     }
-}
-
-impl TrackState {
-    /// Keeps what the earlier build did under the full load, before the trial takes some of it.
-    pub fn trial_begins(&mut self, slow_share: f64) {
-        self.marks = self.times.iter().map(|(&kind, times)| (kind, times.bin_at(slow_share))).collect();
-        self.failed_before = self.failures.rate();
-        self.slow = Tally::default();
-    }
 
-    /// The mark of slow answers on a kind of machine, set late where it becomes known only now.
-    pub fn slow_mark(&mut self, kind: KindId, slow_share: f64, least: f64) -> Option<usize> {
-        let times = self.times.get(&kind).filter(|times| f64::from(times.total()) > least);
-        let late = times.map(|times| times.bin_at(slow_share));
-        self.marks.get(&kind).copied().or_else(|| {
-            self.marks.extend(late.map(|mark| (kind, mark)));
-            late
-        })
-    }
-
-    /// The time above which no more than `share` of the answers of the slowest kind lie.
-    pub fn slowest(&self, share: f64) -> Duration {
-        let edges = self.times.values().map(|times| Histogram::edge(times.bin_at(share)));
-        edges.max().unwrap_or_default()
-    }
-
-    /// The good rate of failures: before the trial or beside it, whichever is higher.
-    pub fn good(&self) -> f64 {
-        self.failed_before.max(self.failures.rate())
+    /// Takes up a tick's counts, each rate by `part` of the difference.
+    pub fn tick(&mut self, tick: Duration, part: f64) -> f64 {
+        let per_s = std::mem::take(&mut self.handled) / tick.as_secs_f64();
+        self.served_rate += (per_s - self.served_rate) * part;
+        for (rate, count) in &mut self.tenants {
+            *rate += (std::mem::take(count) / tick.as_secs_f64() - *rate) * part;
+        }
+        per_s
     }
 }
 
@@ -329,6 +358,11 @@
         (unit.started, unit.ready, unit.listed) = (started, health == Health::Ready, health != Health::Gone);
     }
 
+    /// The units of a build to which new work may go, as far as the list tells.
+    pub fn ready_of(&self, build: BuildId) -> impl Iterator<Item = &Unit> {
+        self.units.iter().filter(move |unit| unit.ready && unit.build == build)
+    }
+
     pub fn ends(&mut self) {
         self.units.iter_mut().filter(|unit| !unit.listed).for_each(|unit| unit.ready = false);
     }
@@ -355,25 +389,6 @@
     }
 }
 
-impl Figures {
-    /// The cap of the first stage, in which a build not yet announced counts.
-    pub fn first_cap(&self) -> f64 {
-        self.stage_caps.first().copied().unwrap_or(0.0)
-    }
-}
-
-impl Meter {
-    /// Takes up a tick's counts, each rate by `part` of the difference.
-    pub fn tick(&mut self, tick: Duration, part: f64) -> f64 {
-        let per_s = std::mem::take(&mut self.handled) / tick.as_secs_f64();
-        self.served_rate += (per_s - self.served_rate) * part;
-        for (rate, count) in &mut self.tenants {
-            *rate += (std::mem::take(count) / tick.as_secs_f64() - *rate) * part;
-        }
-        per_s
-    }
-}
-
 impl Judge {
     /// What this relay tells its peers.
     pub fn entry(&self, news: News, at: Duration) -> PeerEntry {
--- a/tests/bench_free/mod.rs
+++ b/tests/bench_free/mod.rs
@@ -167,7 +167,6 @@
         self.trace.sent.iter().filter(|(_, unit)| unit.0.starts_with(prefix)).count()
     }
 
-    /// The votes in the trace, one a line.
     pub fn votes(&self) -> String {
         self.trace
             .text
