--- a/crates/beechcroft-adapter/src/main.rs
+++ b/crates/beechcroft-adapter/src/main.rs
@@ -1,6 +1,5 @@
 //! Hosts one [`Relay`] for each `who` of the bench's wire: framing, names and numbers, nothing else.
 
-mod settings;
 mod wire;
 
 use std::io::{self, Write};
--- a/crates/beechcroft-adapter/src/wire.rs
+++ b/crates/beechcroft-adapter/src/wire.rs
@@ -1,8 +1,8 @@
 //! The bench's wire: lines in, calls to the module, actions out. Decoded fields go straight into calls.
 
-use crate::settings::{self, Named};
 use beechcroft::decide::Relay;
 use beechcroft::*;
+use beechcroft_settings::Named;
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
@@ -143,12 +143,6 @@
     fn abandon(&mut self, task: &TaskId, dispatch: DispatchNo) {
         self.line(format_args!("ABANDON tid={} trial={}", task.0, dispatch.0));
     }
-    fn probe(&mut self, unit: &UnitId) {
-        self.line(format_args!("INSPECT unit={}", unit.0));
-    }
-    fn close_idle(&mut self, unit: &UnitId) {
-        self.line(format_args!("CLOSE_IDLE unit={}", unit.0));
-    }
     fn tell(&mut self, peer: Option<PeerId>, payload: &[u8]) {
         let mut hex = String::with_capacity(payload.len() * 2);
         for byte in payload {
@@ -174,9 +168,6 @@
     fn follow_list(&mut self) {
         self.line(format_args!("TAIL want=1"));
     }
-    fn fetch_list(&mut self) {
-        self.line(format_args!("GET_LIST"));
-    }
     fn log(&mut self, line: &str) {
         let _ = writeln!(self.out, "RECORD who={} what={line}", self.who);
     }
@@ -302,7 +293,8 @@
         if line.name == "BOOT" {
             let salt: i128 = line.num("salt")?;
             let at = line.rest.find("params=").ok_or("params: missing")?;
-            let names = settings::read(&line.rest[at + "params=".len()..])?;
+            let names = beechcroft_settings::read(&line.rest[at + "params=".len()..])
+                .map_err(|what| format!("params{what}"))?;
             let relay = Relay::start(&names.settings, salt as u64, self.now, act);
             all.insert(who, Instance { relay, names });
             return Ok(());
--- /dev/null
+++ b/crates/beechcroft-relay/src/life/config.rs
@@ -0,0 +1,132 @@
+//! The one place where configuration is read, checked and given defaults. An error is one line that names the key.
+
+use crate::memory::module::News;
+use crate::wire::budget::SOCKETS_MIN;
+use crate::wire::discovery::{List, Places};
+use crate::wire::peers::Addresses;
+use crate::wire::platform;
+use beechcroft_settings::Named;
+use log::warn;
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// Descriptors where the configuration states no limit.
+const SOCKETS: u64 = 1024;
+
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub sockets: usize,
+    pub peers: Option<Addresses>,
+    pub rollouts: Option<SocketAddr>,
+    pub news: Option<News>,
+    pub known: Option<List>,
+    pub names: Named,
+}
+
+/// Reads the file that `PROXY_CONFIG` names. Variables of the environment win over the file, as they are what the
+/// operators see at the start; a disagreement is logged.
+pub fn read(variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    let path = variable("PROXY_CONFIG").ok_or("PROXY_CONFIG: not set")?;
+    let text = std::fs::read_to_string(&path).map_err(|error| format!("PROXY_CONFIG: {path}: {error}"))?;
+    decode(&text, variable)
+}
+
+pub fn decode(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    let all: Value = serde_json::from_str(text).map_err(|error| format!("PROXY_CONFIG: no JSON: {error}"))?;
+    let stated = |key: &str, name: &str| {
+        let (file, variable) = (text_at(&all, key)?, variable(name));
+        if let (Some(file), Some(variable)) = (&file, &variable) {
+            if file != variable {
+                warn!("{name} is '{variable}', '{key}' of the file is '{file}': the variable holds");
+            }
+        }
+        Ok::<_, String>(variable.or(file))
+    };
+    let needed = |key: &str, name: &str| stated(key, name)?.ok_or_else(|| malformed(key));
+    let listen = address(&needed("listen", "PROXY_LISTEN")?, "listen")?;
+    let discovery = address(&needed("discovery", "PROXY_DISCOVERY")?, "discovery")?;
+    let settings = all.get("settings").filter(|value| value.is_object());
+    let settings = settings.ok_or_else(|| malformed("settings"))?;
+    let names = beechcroft_settings::read_value(settings).map_err(|what| format!("settings{what}"))?;
+    let news = all.pointer("/rollouts/news").filter(|news| !news.is_null()).cloned();
+    let news = news.map(platform::decode_news).transpose();
+    let known = all.get("known").filter(|known| !known.is_null());
+    let known = known.map(|known| Places::new(&names).decode(known.to_string().as_bytes())).transpose();
+    Ok(Config {
+        name: stated("name", "PROXY_NAME")?.unwrap_or_else(|| "relay".to_owned()),
+        listen,
+        discovery,
+        seed: seed(&all)?,
+        sockets: sockets(&all)?,
+        peers: peers(&all, &names)?,
+        rollouts: address_at(&all, "/rollouts/address")?,
+        news: news.map_err(|error| format!("rollouts.news: {error}"))?,
+        known: known.map_err(|error| format!("known: {error}"))?,
+        names,
+    })
+}
+
+fn malformed(key: &str) -> String {
+    format!("{key}: missing or malformed")
+}
+
+fn text_at(all: &Value, key: &str) -> Result<Option<String>, String> {
+    match all.get(key) {
+        None | Some(Value::Null) => Ok(None),
+        Some(Value::String(text)) => Ok(Some(text.clone())),
+        Some(_) => Err(malformed(key)),
+    }
+}
+
+fn address(text: &str, key: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("{key}: '{text}' is no address"))
+}
+
+fn address_at(all: &Value, pointer: &str) -> Result<Option<SocketAddr>, String> {
+    let key = pointer.trim_start_matches('/').replace('/', ".");
+    match all.pointer(pointer) {
+        None | Some(Value::Null) => Ok(None),
+        Some(Value::String(text)) => address(text, &key).map(Some),
+        Some(_) => Err(malformed(&key)),
+    }
+}
+
+/// Hexadecimal digits, as the operators write it, or a number.
+fn seed(all: &Value) -> Result<u64, String> {
+    let seed = match all.get("seed") {
+        Some(Value::String(digits)) => u64::from_str_radix(digits, 16).ok(),
+        Some(Value::Number(number)) => number.as_u64(),
+        _ => None,
+    };
+    seed.ok_or_else(|| malformed("seed"))
+}
+
+fn sockets(all: &Value) -> Result<usize, String> {
+    let stated = all.pointer("/limits/sockets").filter(|stated| !stated.is_null());
+    let sockets = stated.map_or(Some(SOCKETS), Value::as_u64).ok_or_else(|| malformed("limits.sockets"))?;
+    let sockets = usize::try_from(sockets).unwrap_or(usize::MAX).min(1 << 20);
+    if sockets < SOCKETS_MIN {
+        return Err(format!("limits.sockets: {sockets} is out of range, {SOCKETS_MIN} are needed"));
+    }
+    Ok(sockets)
+}
+
+/// Where relays are spoken to, if they may be.
+fn peers(all: &Value, names: &Named) -> Result<Option<Addresses>, String> {
+    let settings = &names.settings;
+    if settings.me.0 >= settings.relays {
+        return Err(format!("settings.me: {} is out of range", settings.me.0));
+    }
+    let listen = address_at(all, "/peer_listen")?.filter(|_| settings.may_tell_peers && settings.relays > 1);
+    let Some(listen) = listen else { return Ok(None) };
+    let list = all.get("peers").and_then(Value::as_array).ok_or_else(|| malformed("peers"))?;
+    let peers = list.iter().map(|peer| address(peer.as_str().unwrap_or_default(), "peers"));
+    let peers = peers.collect::<Result<Vec<_>, _>>()?;
+    if peers.len() != settings.relays as usize {
+        return Err(format!("peers: {} addresses for {} relays", peers.len(), settings.relays));
+    }
+    Ok(Some(Addresses { listen, peers, all: address_at(all, "/peers_all")? }))
+}
--- /dev/null
+++ b/crates/beechcroft-relay/src/life/mod.rs
@@ -0,0 +1,6 @@
+//! From start to exit: the configuration, the phases, the signals, and how the parts are put together.
+
+pub mod config;
+pub mod phases;
+pub mod run;
+pub mod signals;
--- /dev/null
+++ b/crates/beechcroft-relay/src/memory/tasks.rs
@@ -0,0 +1,97 @@
+//! Open tasks: who waits for the answer, and what is out. A task is kept until it is answered and nothing is out.
+
+use crate::wire::units::UnitMailbox;
+use crate::wire::{Answer, Call};
+use beechcroft::{DispatchNo, TaskId, TrackId};
+use std::collections::HashMap;
+use std::sync::Arc;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// A task as the clients' side hands it over.
+pub struct Taken {
+    pub id: TaskId,
+    pub track: TrackId,
+    pub hints: Hints,
+    pub abandon_at: Instant,
+    pub call: Arc<Call>,
+    pub answer: oneshot::Sender<Answer>,
+}
+
+/// Further figures that a task may carry.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Hints {
+    pub tenant: Option<beechcroft::TenantId>,
+    pub key: Option<beechcroft::Key>,
+    pub work: Option<std::time::Duration>,
+}
+
+pub struct Open {
+    pub call: Arc<Call>,
+    answer: Option<oneshot::Sender<Answer>>,
+    tries: u32,
+    out: Option<(DispatchNo, Option<UnitMailbox>)>,
+}
+
+#[derive(Default)]
+pub struct Tasks(HashMap<TaskId, Open>);
+
+impl Tasks {
+    /// Takes a task; an id that is still open hands the task back.
+    pub fn take(&mut self, taken: Taken) -> Result<(), Taken> {
+        if self.0.contains_key(&taken.id) {
+            return Err(taken);
+        }
+        let open = Open { call: taken.call, answer: Some(taken.answer), tries: 0, out: None };
+        self.0.insert(taken.id, open);
+        Ok(())
+    }
+
+    /// Counts a dispatch of a task that is not yet answered; gives its number and what to send.
+    pub fn sent(&mut self, id: &TaskId, to: Option<&UnitMailbox>) -> Option<(DispatchNo, Arc<Call>)> {
+        let open = self.0.get_mut(id).filter(|open| open.answer.is_some())?;
+        let no = DispatchNo(open.tries);
+        open.tries += 1;
+        open.out = Some((no, to.cloned()));
+        Some((no, open.call.clone()))
+    }
+
+    /// Gives the final answer; a second one finds nobody. Whether somebody was still owed it.
+    pub fn answer(&mut self, id: &TaskId, answer: Answer) -> bool {
+        let waiting = self.0.get_mut(id).and_then(|open| open.answer.take());
+        let owed = waiting.is_some_and(|waiting| waiting.send(answer).is_ok());
+        self.forget_if_done(id);
+        owed
+    }
+
+    /// The client left: no answer is owed.
+    pub fn left(&mut self, id: &TaskId) {
+        self.0.get_mut(id).into_iter().for_each(|open| open.answer = None);
+        self.forget_if_done(id);
+    }
+
+    /// A dispatch ended; whether the task is settled.
+    pub fn ended(&mut self, id: &TaskId, no: DispatchNo) -> bool {
+        let Some(open) = self.0.get_mut(id) else { return true };
+        open.out.take_if(|(out, _)| *out == no);
+        let settled = open.answer.is_none();
+        self.forget_if_done(id);
+        settled
+    }
+
+    /// Where a dispatch is out.
+    pub fn out(&self, id: &TaskId, no: DispatchNo) -> Option<&UnitMailbox> {
+        let out = self.0.get(id)?.out.as_ref();
+        out.filter(|(out, _)| *out == no).and_then(|(_, unit)| unit.as_ref())
+    }
+
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    fn forget_if_done(&mut self, id: &TaskId) {
+        if self.0.get(id).is_some_and(|open| open.answer.is_none() && open.out.is_none()) {
+            self.0.remove(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/beechcroft-relay/src/memory/timers.rs
@@ -0,0 +1,27 @@
+//! Wake-ups that the module asked for, by time and, at one time, in the order of asking.
+
+use beechcroft::Token;
+use std::collections::BTreeMap;
+use tokio::time::Instant;
+
+#[derive(Default)]
+pub struct Timers {
+    due: BTreeMap<(Instant, u64), Token>,
+    asked: u64,
+}
+
+impl Timers {
+    pub fn add(&mut self, at: Instant, token: Token) {
+        self.asked += 1;
+        self.due.insert((at, self.asked), token);
+    }
+
+    pub fn next(&self) -> Option<Instant> {
+        self.due.keys().next().map(|(at, _)| *at)
+    }
+
+    pub fn take_due(&mut self, now: Instant) -> Option<Token> {
+        let first = self.due.first_entry().filter(|first| first.key().0 <= now)?;
+        Some(first.remove())
+    }
+}
--- /dev/null
+++ b/crates/beechcroft-relay/src/wire/budget.rs
@@ -0,0 +1,70 @@
+//! What sockets alone need: parts of the descriptors, waits and sizes. Nothing here decides about tasks, units or
+//! builds; the module does.
+
+use std::time::Duration;
+
+/// The protocol's longest body, of requests and of answers.
+pub const BODY_MAX: usize = 64 * 1024;
+/// The longest `X-Txn` that is taken; the protocol's have 16 characters.
+pub const TXN_MAX: usize = 128;
+/// Room for a message's head; ours are a few hundred bytes, and hyper asks for 8 KiB at least.
+pub const HEAD_MAX: usize = 16 * 1024;
+/// The whole list of a large fleet is about 200 bytes a unit.
+pub const LIST_MAX: usize = 8 * 1024 * 1024;
+/// A longer line ends the platform's own connections.
+pub const LINE_MAX: usize = 8 * 1024;
+/// The longest datagram between relays.
+pub const NOTE_MAX: usize = 256;
+
+/// A client that takes longer to send a head, or stays idle for longer, loses its connection.
+pub const HEAD_WAIT: Duration = Duration::from_secs(30);
+/// After an `accept` that failed, for want of descriptors above all: some are free soon, and no loop spins.
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// After a datagram that could not be received, so that no loop spins.
+pub const NOTE_PAUSE: Duration = Duration::from_millis(5);
+/// New connections arrive for up to 0.4 s after SIGTERM; a relay that left sooner would reset them.
+pub const LINGER: Duration = Duration::from_millis(700);
+/// SIGKILL comes the longest wait plus 0.7 s after SIGTERM; we are gone a little sooner.
+pub const LEAVE_WITHIN: Duration = Duration::from_millis(600);
+
+/// Connections to a unit are kept for this part of the time after which it may close them, as a request written
+/// while it closes one is lost.
+pub const KEEP_PART: f64 = 0.5;
+/// Idle connections kept to one unit.
+pub const KEEP_IDLE: usize = 16;
+/// Dispatches that one unit may hold from here at once; a unit keeps a limited number of connections.
+pub const UNIT_CALLS: usize = 96;
+
+/// How long a watch waits for news: what discovery has to tell counts as told 2 s after that, and 6 s at least.
+pub const WATCH_WAIT: Duration = Duration::from_secs(3);
+/// Beyond that wait, discovery is silent, and is asked anew.
+pub const WATCH_SLACK: Duration = Duration::from_millis(700);
+/// Between watches where one failed; the next is to follow within 200 ms.
+pub const WATCH_PAUSE: Duration = Duration::from_millis(100);
+
+/// Pings come each second; after this many without a line another connection listens.
+pub const PING_LAPSE: Duration = Duration::from_millis(2500);
+/// For a connection of the platform's, or of discovery's, to come up.
+pub const CONTROL_CONNECT: Duration = Duration::from_secs(1);
+/// Between connections to the platform where one failed.
+pub const PLATFORM_PAUSE: Duration = Duration::from_millis(200);
+
+/// The parts of the descriptors: one is left for each thing that is neither (list, platform, peers, logs, timers).
+#[derive(Clone, Copy, Debug)]
+pub struct Budget {
+    pub clients: usize,
+    pub units: usize,
+}
+
+/// Below this many descriptors a relay cannot serve.
+pub const SOCKETS_MIN: usize = 64;
+/// Kept back for the list, the platform, peers, standard streams and the runtime.
+const OTHERS: usize = 32;
+
+impl Budget {
+    /// Clients get the larger part: a connection in the backlog is a task that counts as taken.
+    pub fn of(sockets: usize) -> Budget {
+        let rest = sockets.saturating_sub(OTHERS);
+        Budget { clients: rest * 3 / 5, units: rest * 2 / 5 }
+    }
+}
--- /dev/null
+++ b/crates/beechcroft-relay/src/wire/clients.rs
@@ -0,0 +1,287 @@
+//! Clients: axum in front. A request is decoded once into a task, its answer encoded once; connections are
+//! accepted within their part of the descriptors, and closed when the relay leaves or that part runs short.
+
+use crate::life::phases::{Life, Phase};
+use crate::memory::module::{Event, Mailbox};
+use crate::memory::tasks::{Hints, Taken};
+use crate::wire::budget::{ACCEPT_PAUSE, BODY_MAX, HEAD_MAX, HEAD_WAIT, TXN_MAX};
+use crate::wire::sparse::Sparse;
+use crate::wire::units::{KEY, REMAINING, TXN};
+use crate::wire::{Answer, Call};
+use axum::body::Body;
+use axum::extract::{Request, State};
+use axum::response::Response;
+use axum::routing::get;
+use axum::Router;
+use beechcroft::{Effect, Key, TaskId, TenantId, TrackId};
+use beechcroft_settings::Named;
+use http::request::Parts;
+use http::{header, HeaderMap, HeaderValue, Method, StatusCode};
+use hyper::server::conn::http1;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use smol_str::SmolStr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{oneshot, watch, OwnedSemaphorePermit, Semaphore};
+use tokio::time::Instant;
+
+const LANE: &str = "x-lane";
+const LABELS: &str = "x-labels";
+
+/// What the front knows of the deployment.
+pub struct Front {
+    tracks: Vec<(String, Effect)>,
+    tenants: Vec<String>,
+    module: Mailbox,
+    life: Life,
+}
+
+impl Front {
+    pub fn new(names: &Named, module: Mailbox, life: Life) -> Front {
+        let effects = names.settings.tracks.iter().map(|track| track.effect);
+        let tracks = names.tracks.iter().cloned().zip(effects).collect();
+        Front { tracks, tenants: names.tenants.clone(), module, life }
+    }
+}
+
+/// What a client's request says of its task.
+#[derive(Debug)]
+pub struct Asked {
+    pub id: TaskId,
+    pub track: TrackId,
+    pub hints: Hints,
+    pub remaining: Duration,
+    txn: HeaderValue,
+    idempotency_key: Option<HeaderValue>,
+}
+
+/// Why a request is no task: 4xx at once.
+type Fault = (StatusCode, &'static str);
+
+impl Front {
+    pub fn decode(&self, head: &Parts) -> Result<Asked, Fault> {
+        let bad = |what| (StatusCode::BAD_REQUEST, what);
+        let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+        let lane = text(LANE).ok_or(bad("X-Lane: missing or malformed"))?;
+        let track = self.tracks.iter().position(|(name, _)| name == lane);
+        let track = track.ok_or((StatusCode::NOT_FOUND, "X-Lane: unknown"))?;
+        if head.uri.path().split('/').nth(1) != Some(lane) {
+            return Err((StatusCode::NOT_FOUND, "path: its first part is not X-Lane"));
+        }
+        let effect = self.tracks[track].1;
+        let method = if effect == Effect::Idempotent { Method::GET } else { Method::POST };
+        if head.method != method {
+            return Err((StatusCode::METHOD_NOT_ALLOWED, "method: not that of the track"));
+        }
+        let txn = text(TXN).filter(|txn| (1..=TXN_MAX).contains(&txn.len()));
+        let txn = txn.ok_or(bad("X-Txn: missing or malformed"))?;
+        let remaining = text(REMAINING).filter(|text| text.bytes().all(|byte| byte.is_ascii_digit()));
+        let remaining = remaining.and_then(|text| text.parse::<u32>().ok()); // some 49 days at most
+        let remaining = remaining.ok_or(bad("X-Remaining-Ms: missing or malformed"))?;
+        let idempotency_key = head.headers.get(KEY).filter(|key| !key.is_empty()).cloned();
+        if matches!(effect, Effect::Deduplicated { .. }) && idempotency_key.is_none() {
+            return Err(bad("Idempotency-Key: missing"));
+        }
+        Ok(Asked {
+            id: TaskId(SmolStr::new(txn)),
+            track: TrackId(track),
+            hints: self.hints(&head.headers).ok_or(bad("X-Labels: malformed"))?,
+            remaining: Duration::from_millis(remaining.into()),
+            txn: head.headers[TXN].clone(),
+            idempotency_key,
+        })
+    }
+
+    /// The further figures, named as on the simulator's wire; others are passed over.
+    fn hints(&self, headers: &HeaderMap) -> Option<Hints> {
+        let mut hints = Hints::default();
+        let Some(labels) = headers.get(LABELS) else { return Some(hints) };
+        for label in labels.to_str().ok()?.split(',').filter(|label| !label.is_empty()) {
+            match label.trim().split_once('=')? {
+                ("client_group", "0") => {}
+                ("client_group", name) => {
+                    let place = self.tenants.iter().position(|tenant| tenant == name)?;
+                    hints.tenant = Some(TenantId(place));
+                }
+                ("route_key", key) => hints.key = Some(Key(key.parse().ok()?)),
+                ("work_hint_s", work) => {
+                    hints.work = Some(Duration::try_from_secs_f64(work.parse().ok()?).ok()?);
+                }
+                _ => {}
+            }
+        }
+        Some(hints)
+    }
+}
+
+/// Tells the module that the client left, unless the answer came first.
+struct Waiting {
+    module: Mailbox,
+    id: Option<TaskId>,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let left = self.id.take();
+        left.into_iter().for_each(|id| drop(self.module.send(Event::Left(id))));
+    }
+}
+
+fn plain(status: StatusCode, text: &'static str) -> Response {
+    let mut response = Response::new(Body::from(text));
+    *response.status_mut() = status;
+    response
+}
+
+fn encode(answer: Answer) -> Response {
+    match answer {
+        Answer::Handled(reply) => {
+            let mut response = Response::new(Body::from(reply.body));
+            let headers = response.headers_mut();
+            reply.content_type.into_iter().for_each(|kind| drop(headers.insert(header::CONTENT_TYPE, kind)));
+            response
+        }
+        Answer::Nacked(hold_off) => {
+            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "nacked\n");
+            if !hold_off.is_zero() {
+                let after = HeaderValue::try_from(format!("{:.3}", hold_off.as_secs_f64()));
+                let headers = response.headers_mut();
+                after.into_iter().for_each(|after| drop(headers.insert(header::RETRY_AFTER, after)));
+            }
+            response
+        }
+        Answer::Terminated => plain(StatusCode::BAD_GATEWAY, "terminated\n"),
+    }
+}
+
+/// Dropped when the client closes its connection, which tells the module.
+async fn task(State(front): State<Arc<Front>>, request: Request) -> Response {
+    let arrived = Instant::now();
+    let (head, body) = request.into_parts();
+    let asked = match front.decode(&head) {
+        Ok(asked) => asked,
+        Err((status, what)) => return plain(status, what),
+    };
+    let abandon_at = arrived + asked.remaining;
+    let body = match tokio::time::timeout_at(abandon_at, axum::body::to_bytes(body, BODY_MAX)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(_)) => return plain(StatusCode::PAYLOAD_TOO_LARGE, "body: too long or broken"),
+        Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "body: did not arrive in time"),
+    };
+    let call = Arc::new(Call {
+        method: head.method,
+        target: head.uri,
+        txn: asked.txn,
+        idempotency_key: asked.idempotency_key,
+        content_type: head.headers.get(header::CONTENT_TYPE).cloned(),
+        body,
+    });
+    let (answer, answered) = oneshot::channel();
+    let (id, track, hints) = (asked.id.clone(), asked.track, asked.hints);
+    let taken = Taken { id, track, hints, abandon_at, call, answer };
+    if front.module.send(Event::Task(taken)).is_err() {
+        return plain(StatusCode::SERVICE_UNAVAILABLE, "leaving\n");
+    }
+    let mut waiting = Waiting { module: front.module.clone(), id: Some(asked.id) };
+    let answer = answered.await;
+    waiting.id = None;
+    // No answer: the module did not take it, as a task with this id is open.
+    answer.map_or_else(|_| plain(StatusCode::CONFLICT, "X-Txn: such a task is open"), encode)
+}
+
+async fn healthz(State(front): State<Arc<Front>>) -> Response {
+    match front.life.now() {
+        Phase::Serving => plain(StatusCode::OK, "serving\n"),
+        _ => plain(StatusCode::SERVICE_UNAVAILABLE, "not serving\n"),
+    }
+}
+
+/// The clients' connections.
+pub struct Clients {
+    room: Arc<Semaphore>,
+    most: usize,
+    /// Raised to make every connection close after its answer, or at once if it is idle.
+    close: watch::Sender<u64>,
+}
+
+impl Clients {
+    pub fn new(most: usize) -> Clients {
+        Clients { room: Arc::new(Semaphore::new(most)), most, close: watch::Sender::new(0) }
+    }
+
+    pub fn open(&self) -> usize {
+        self.most - self.room.available_permits()
+    }
+
+    /// Accepts until dropped.
+    pub async fn accept(&self, listener: TcpListener, front: Front) {
+        let front = Arc::new(front);
+        let mut phases = front.life.watch();
+        let router = Router::new().route("/healthz", get(healthz)).fallback(task).with_state(front.clone());
+        let odd = Sparse::new("clients");
+        loop {
+            let permit = tokio::select! {
+                biased;
+                // Kept connections close as soon as the relay leaves; new ones serve one request each.
+                _ = phases.wait_for(|phase| *phase >= Phase::Leaving), if !self.is_leaving(&front) => {
+                    self.close_kept();
+                    continue;
+                }
+                permit = self.room.clone().acquire_owned() => permit,
+            };
+            let Ok(permit) = permit else { return };
+            if self.room.available_permits() < self.most / 8 {
+                odd.warn(format!("{} connections are open, idle ones are closed", self.open()));
+                self.close_kept();
+            }
+            let accepted = tokio::select! {
+                biased;
+                _ = phases.wait_for(|phase| *phase >= Phase::Leaving), if !self.is_leaving(&front) => {
+                    self.close_kept();
+                    continue;
+                }
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
+                Ok((stream, _)) => {
+                    let close = self.close.subscribe();
+                    let once = self.is_leaving(&front);
+                    tokio::spawn(connection(stream, router.clone(), close, once, permit));
+                }
+                Err(error) => {
+                    odd.warn(format!("accept: {error}"));
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn is_leaving(&self, front: &Front) -> bool {
+        *self.close.borrow() > 0 && front.life.now() >= Phase::Leaving
+    }
+
+    fn close_kept(&self) {
+        self.close.send_modify(|times| *times += 1);
+    }
+}
+
+async fn connection(
+    stream: TcpStream, router: Router, mut close: watch::Receiver<u64>, once: bool,
+    _permit: OwnedSemaphorePermit,
+) {
+    let _ = stream.set_nodelay(true);
+    let connection = http1::Builder::new()
+        .keep_alive(!once)
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_WAIT)
+        .max_buf_size(HEAD_MAX)
+        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(router));
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = close.changed() => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
--- /dev/null
+++ b/crates/beechcroft-relay/src/wire/discovery.rs
@@ -0,0 +1,144 @@
+//! Discovery: its list as it comes and goes, and the client that asks for it. The list's actor decides when.
+
+use crate::wire::budget::{CONTROL_CONNECT, LIST_MAX, WATCH_SLACK, WATCH_WAIT};
+use crate::wire::link::{Connector, HttpClient};
+use crate::wire::units::Listing;
+use beechcroft::{BuildId, CellId, Health, KindId, UnitId, ZoneId};
+use beechcroft_settings::Named;
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use serde::Deserialize;
+use smol_str::SmolStr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Semaphore;
+
+/// The whole list, or what changed.
+#[derive(Debug)]
+pub struct List {
+    pub index: u64,
+    pub whole: bool,
+    pub entries: Vec<Entry>,
+}
+
+#[derive(Debug)]
+pub struct Entry {
+    pub unit: UnitId,
+    pub listing: Listing,
+    pub build: BuildId,
+    pub zone: Option<ZoneId>,
+    pub kind: KindId,
+    pub cell: CellId,
+    pub health: Health,
+    pub nominal: f64,
+}
+
+#[derive(Deserialize)]
+struct ListForm {
+    index: u64,
+    snapshot: bool,
+    endpoints: Vec<EntryForm>,
+}
+
+#[derive(Deserialize)]
+struct EntryForm {
+    name: SmolStr,
+    address: SocketAddr,
+    #[serde(default)]
+    zone: SmolStr,
+    #[serde(default, rename = "type")]
+    kind: SmolStr,
+    #[serde(default)]
+    group: u64,
+    status: SmolStr,
+    #[serde(default = "full_size")]
+    weight: f64,
+    #[serde(default)]
+    since_ms: u64,
+    revision_no: u16,
+}
+
+fn full_size() -> f64 {
+    1.0
+}
+
+/// The places of zones and kinds of machines among the names of the settings.
+pub struct Places {
+    zones: Vec<String>,
+    kinds: Vec<String>,
+}
+
+impl Places {
+    pub fn new(names: &Named) -> Places {
+        Places { zones: names.zones.clone(), kinds: names.kinds.clone() }
+    }
+
+    pub fn decode(&self, text: &[u8]) -> Result<List, String> {
+        let form: ListForm = serde_json::from_slice(text).map_err(|error| error.to_string())?;
+        let entries = form.endpoints.into_iter().map(|entry| self.entry(entry));
+        Ok(List { index: form.index, whole: form.snapshot, entries: entries.collect::<Result<_, _>>()? })
+    }
+
+    fn entry(&self, form: EntryForm) -> Result<Entry, String> {
+        let among = |names: &[String], name: &str| names.iter().position(|known| known == name);
+        let health = match form.status.as_str() {
+            "active" => Health::Ready,
+            "leaving" => Health::Draining,
+            "left" => Health::Gone,
+            other => return Err(format!("status of {}: unknown '{other}'", form.name)),
+        };
+        if form.name.is_empty() || !form.weight.is_finite() {
+            return Err(format!("entry '{}': name or weight is void", form.name));
+        }
+        let started = (form.since_ms > 0).then(|| Duration::from_millis(form.since_ms));
+        let listing = Listing { address: form.address, started, leaving: health != Health::Ready };
+        Ok(Entry {
+            unit: UnitId(form.name),
+            listing,
+            build: BuildId(form.revision_no),
+            zone: among(&self.zones, &form.zone).map(ZoneId),
+            kind: KindId(among(&self.kinds, &form.kind).unwrap_or(0)),
+            cell: CellId(form.group),
+            health,
+            nominal: form.weight,
+        })
+    }
+}
+
+pub struct Discovery {
+    address: SocketAddr,
+    places: Places,
+    client: HttpClient,
+}
+
+impl Discovery {
+    pub fn new(address: SocketAddr, places: Places) -> Discovery {
+        // Two: the watch's own, and its successor where it fell silent.
+        let room = Arc::new(Semaphore::new(2));
+        let client =
+            Connector { to: address, time_out: CONTROL_CONNECT, room }.client(WATCH_WAIT + WATCH_SLACK);
+        Discovery { address, places, client }
+    }
+
+    /// What is newer than a version, as soon as there is anything; the whole list where none is held.
+    pub async fn ask(&self, after: Option<u64>) -> Result<List, String> {
+        let wait = if after.is_some() { WATCH_WAIT } else { Duration::ZERO };
+        let answer = tokio::time::timeout(wait + WATCH_SLACK, self.call(after)).await;
+        let body = answer.map_err(|_| "silent".to_owned())??;
+        self.places.decode(&body)
+    }
+
+    async fn call(&self, after: Option<u64>) -> Result<Bytes, String> {
+        let watch = after.map(|index| format!("?index={index}&wait={}", WATCH_WAIT.as_millis()));
+        let uri = format!("http://{}/v1/servers{}", self.address, watch.unwrap_or_default());
+        let request = Request::get(uri).body(Full::default()).map_err(|error| error.to_string())?;
+        let answer = self.client.request(request).await.map_err(|error| error.to_string())?;
+        if answer.status() != StatusCode::OK {
+            return Err(format!("status {}", answer.status()));
+        }
+        let body = Limited::new(answer.into_body(), LIST_MAX).collect().await;
+        body.map(|body| body.to_bytes()).map_err(|error| error.to_string())
+    }
+}
--- /dev/null
+++ b/crates/beechcroft-relay/src/wire/link.rs
@@ -0,0 +1,105 @@
+//! Outgoing HTTP connections: hyper-util's client over connections that are bounded, timed and without delay.
+
+use crate::wire::budget::KEEP_IDLE;
+use bytes::Bytes;
+use http::Uri;
+use http_body_util::Full;
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::client::legacy::connect::{Connected, Connection};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+pub type HttpClient = Client<Connector, Full<Bytes>>;
+
+/// Why there was no connection although nobody was asked: our own descriptors are spent.
+#[derive(Debug)]
+pub struct NoRoom;
+
+impl std::fmt::Display for NoRoom {
+    fn fmt(&self, to: &mut std::fmt::Formatter) -> std::fmt::Result {
+        to.write_str("no descriptor left for another connection")
+    }
+}
+
+impl std::error::Error for NoRoom {}
+
+/// Connects to one address, whatever the request's own says.
+#[derive(Clone)]
+pub struct Connector {
+    pub to: SocketAddr,
+    pub time_out: Duration,
+    pub room: Arc<Semaphore>,
+}
+
+impl Connector {
+    async fn connect(self) -> Result<Link, Box<dyn std::error::Error + Send + Sync>> {
+        let permit = self.room.try_acquire_owned().map_err(|_| NoRoom)?;
+        let stream = tokio::time::timeout(self.time_out, TcpStream::connect(self.to)).await??;
+        stream.set_nodelay(true)?;
+        Ok(Link { stream: TokioIo::new(stream), _permit: permit })
+    }
+
+    /// A client of its own pool. It resends nothing by itself; a kept connection is dropped after `keep`.
+    pub fn client(self, keep: Duration) -> HttpClient {
+        Client::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(keep)
+            .pool_max_idle_per_host(KEEP_IDLE)
+            .build(self)
+    }
+}
+
+impl tower_service::Service<Uri> for Connector {
+    type Response = Link;
+    type Error = Box<dyn std::error::Error + Send + Sync>;
+    type Future = Pin<Box<dyn Future<Output = Result<Link, Self::Error>> + Send>>;
+
+    fn poll_ready(&mut self, _: &mut Context) -> Poll<Result<(), Self::Error>> {
+        Poll::Ready(Ok(()))
+    }
+    fn call(&mut self, _: Uri) -> Self::Future {
+        Box::pin(self.clone().connect())
+    }
+}
+
+/// A connection that holds its part of the descriptors for as long as it is open.
+pub struct Link {
+    stream: TokioIo<TcpStream>,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Connection for Link {
+    fn connected(&self) -> Connected {
+        Connected::new()
+    }
+}
+
+impl Read for Link {
+    fn poll_read(
+        mut self: Pin<&mut Self>, context: &mut Context, into: ReadBufCursor,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, into)
+    }
+}
+
+impl Write for Link {
+    fn poll_write(mut self: Pin<&mut Self>, context: &mut Context, from: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, from)
+    }
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/crates/beechcroft-relay/src/wire/platform.rs
@@ -0,0 +1,365 @@
+//! The platform: JSON-RPC lines over TCP. One actor keeps a connection that listens, another beside it once the
+//! first falls silent, and the votes that wait for their answers; each connection is carried by a task of its own.
+
+use crate::memory::module::{Event, Mailbox, News};
+use crate::wire::budget::{CONTROL_CONNECT, LINE_MAX, PING_LAPSE, PLATFORM_PAUSE};
+use crate::wire::sparse::Sparse;
+use beechcroft::{BuildId, Outcome, Phase, Stage, TrackId, UnitId, Vote};
+use serde::Deserialize;
+use serde_json::{json, Value};
+use smol_str::SmolStr;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{sleep_until, timeout, Instant};
+
+pub type PlatformMailbox = mpsc::UnboundedSender<Ballot>;
+
+/// A vote to be cast.
+#[derive(Clone, Copy, Debug)]
+pub struct Ballot {
+    pub build: BuildId,
+    pub stage: Stage,
+    pub vote: Vote,
+}
+
+/// One line of the platform's.
+#[derive(Debug)]
+pub enum Told {
+    Ping,
+    News(News),
+    Dispute { unit: UnitId, kind: SmolStr },
+    Answer { id: u64, outcome: Outcome, news: Option<News> },
+    Listens,
+}
+
+#[derive(Deserialize)]
+struct LineForm {
+    id: Option<u64>,
+    method: Option<SmolStr>,
+    params: Option<Value>,
+    result: Option<Value>,
+    error: Option<ErrorForm>,
+}
+
+#[derive(Deserialize)]
+struct ErrorForm {
+    message: SmolStr,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct NewsForm {
+    version: u16,
+    step: u8,
+    status: SmolStr,
+    max_weight: f64,
+}
+
+#[derive(Deserialize)]
+struct DisputeForm {
+    pod: SmolStr,
+    kind: SmolStr,
+}
+
+/// The state of the newest build, as news and answers hold it and as the configuration does.
+pub fn decode_news(value: Value) -> Result<News, String> {
+    let form: NewsForm = serde_json::from_value(value).map_err(|error| error.to_string())?;
+    let phase = match form.status.as_str() {
+        "canary" => Phase::OnTrial,
+        "reverting" => Phase::Reverting,
+        "stable" => Phase::Released,
+        "reverted" => Phase::Withdrawn,
+        other => return Err(format!("status: unknown '{other}'")),
+    };
+    if !(0.0..=1.0).contains(&form.max_weight) {
+        return Err(format!("maxWeight: {} is out of range", form.max_weight));
+    }
+    Ok(News { build: BuildId(form.version), stage: Stage(form.step.into()), phase, cap: form.max_weight })
+}
+
+pub fn decode(line: &[u8]) -> Result<Told, String> {
+    let form: LineForm = serde_json::from_slice(line).map_err(|error| error.to_string())?;
+    let params = form.params.unwrap_or_default();
+    match (form.method.as_deref(), form.id) {
+        (Some("ping"), _) => Ok(Told::Ping),
+        (Some("ROLLOUT"), _) => decode_news(params).map(Told::News),
+        (Some("DISPUTE"), _) => {
+            let form: DisputeForm = serde_json::from_value(params).map_err(|error| error.to_string())?;
+            Ok(Told::Dispute { unit: UnitId(form.pod), kind: form.kind })
+        }
+        (Some(other), _) => Err(format!("method: unknown '{other}'")),
+        (None, Some(id)) => match (form.error, form.result) {
+            (Some(error), _) => Ok(Told::Answer { id, outcome: refusal(&error.message), news: None }),
+            (None, Some(Value::Bool(true))) => Ok(Told::Listens),
+            (None, Some(state)) => {
+                decode_news(state).map(|news| Told::Answer { id, outcome: Outcome::Ok, news: Some(news) })
+            }
+            (None, None) => Err("neither result nor error".to_owned()),
+        },
+        (None, None) => Err("neither method nor id".to_owned()),
+    }
+}
+
+fn refusal(message: &str) -> Outcome {
+    match message {
+        "BUSY" => Outcome::Full,
+        "FAILED" => Outcome::Error,
+        _ => Outcome::Moot, // STALE, or a call that the platform does not take
+    }
+}
+
+pub fn encode_listen(id: u64) -> String {
+    format!("{}\n", json!({"jsonrpc": "2.0", "id": id, "method": "listen"}))
+}
+
+pub fn encode_vote(id: u64, ballot: &Ballot) -> String {
+    let vote = match ballot.vote {
+        Vote::Nothing => "abstain",
+        Vote::On => "promote",
+        Vote::Hold => "pause",
+        Vote::Back => "abort",
+    };
+    let params = json!({"version": ballot.build.0, "step": ballot.stage.0, "vote": vote});
+    format!("{}\n", json!({"jsonrpc": "2.0", "id": id, "method": "verdict", "params": params}))
+}
+
+/// What a connection's task reports: that it came up, a line, or its end.
+enum Report {
+    Up,
+    Line(Result<Told, String>),
+    Ended(String),
+}
+
+/// A connection as the actor sees it. Dropping it ends its task and closes the connection.
+struct Line {
+    number: u64,
+    to_write: mpsc::UnboundedSender<String>,
+    up: bool,
+    heard_at: Instant,
+    opened_at: Instant,
+}
+
+/// A vote written and not yet answered.
+struct Waiting {
+    line: u64,
+    until: Instant,
+}
+
+struct PlatformActor {
+    address: SocketAddr,
+    answer_wait: Duration,
+    tracks: Vec<String>,
+    module: Mailbox,
+    odd: Sparse,
+    reports: mpsc::UnboundedSender<(u64, Report)>,
+    /// Oldest first; two at most: one that listens and its successor.
+    lines: Vec<Line>,
+    waiting: BTreeMap<u64, Waiting>,
+    next: u64,
+    /// No new connection before that.
+    pause_until: Instant,
+    first: Option<oneshot::Sender<()>>,
+}
+
+/// Starts the actor; `first` is told once the platform was reached, or could not be, for the first time.
+pub fn spawn(
+    address: SocketAddr, answer_wait: Duration, tracks: Vec<String>, module: Mailbox,
+    first: oneshot::Sender<()>,
+) -> PlatformMailbox {
+    let (sender, mailbox) = mpsc::unbounded_channel();
+    let (reports, reported) = mpsc::unbounded_channel();
+    let actor = PlatformActor {
+        address,
+        answer_wait,
+        tracks,
+        module,
+        odd: Sparse::new("platform"),
+        reports,
+        lines: Vec::new(),
+        waiting: BTreeMap::new(),
+        next: 1,
+        pause_until: Instant::now(),
+        first: Some(first),
+    };
+    tokio::spawn(actor.run(mailbox, reported));
+    sender
+}
+
+impl PlatformActor {
+    async fn run(
+        mut self, mut mailbox: mpsc::UnboundedReceiver<Ballot>,
+        mut reported: mpsc::UnboundedReceiver<(u64, Report)>,
+    ) {
+        loop {
+            self.keep_listening();
+            let due = self.due();
+            tokio::select! {
+                biased;
+                Some((number, report)) = reported.recv() => self.report(number, report),
+                ballot = mailbox.recv() => match ballot {
+                    Some(ballot) => self.cast(ballot),
+                    None => return,
+                },
+                () = sleep_until(due) => self.give_up_late_votes(),
+            }
+        }
+    }
+
+    fn id(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    /// Opens a connection where none is left, and a second one where the last shows no life.
+    fn keep_listening(&mut self) {
+        let now = Instant::now();
+        let silent = self.lines.last().is_none_or(|line| now >= line.heard_at + PING_LAPSE);
+        if !silent || now < self.pause_until {
+            return;
+        }
+        if self.lines.len() > 1 {
+            self.end(self.lines[1].number); // the successor that stayed silent too
+        }
+        let (number, listen) = (self.id(), self.id());
+        let (to_write, texts) = mpsc::unbounded_channel();
+        let _ = to_write.send(encode_listen(listen));
+        tokio::spawn(carry(self.address, number, texts, self.reports.clone()));
+        self.lines.push(Line { number, to_write, up: false, heard_at: now, opened_at: now });
+        self.pause_until = now + PLATFORM_PAUSE;
+    }
+
+    /// When something is to be done although nothing happens.
+    fn due(&self) -> Instant {
+        let lapse = self.lines.last().map_or(self.pause_until, |line| line.heard_at + PING_LAPSE);
+        let vote = self.waiting.values().map(|waiting| waiting.until).min();
+        vote.into_iter().fold(lapse.max(self.pause_until), Instant::min)
+    }
+
+    fn report(&mut self, number: u64, report: Report) {
+        let Some(at) = self.lines.iter().position(|line| line.number == number) else { return };
+        match report {
+            Report::Up => (self.lines[at].up, self.lines[at].heard_at) = (true, Instant::now()),
+            Report::Ended(why) => {
+                if self.lines[at].opened_at.elapsed() > PLATFORM_PAUSE {
+                    log::info!("platform: connection ended: {why}");
+                } else {
+                    self.odd.warn(&why);
+                }
+                self.end(number);
+            }
+            Report::Line(told) => {
+                self.lines[at].heard_at = Instant::now();
+                // The one that lives replaces those before it.
+                let stale: Vec<u64> = self.lines[..at].iter().map(|line| line.number).collect();
+                stale.into_iter().for_each(|number| self.end(number));
+                match told {
+                    Ok(told) => self.told(told),
+                    Err(error) => self.odd.warn(format!("line not understood: {error}")),
+                }
+            }
+        }
+        if let Some(first) = self.first.take() {
+            let _ = first.send(());
+        }
+    }
+
+    fn told(&mut self, told: Told) {
+        let event = match told {
+            Told::Ping | Told::Listens => return,
+            Told::News(news) => Event::News(news),
+            Told::Dispute { unit, kind } => match self.tracks.iter().position(|track| *track == kind) {
+                Some(track) => Event::Complaint(unit, TrackId(track)),
+                None => return self.odd.warn(format!("dispute of the unknown track '{kind}'")),
+            },
+            Told::Answer { id, outcome, news } => match (self.waiting.remove(&id), news) {
+                (Some(_), news) => Event::VoteAnswered(outcome, news),
+                (None, Some(news)) => Event::News(news), // given up before
+                (None, None) => return,
+            },
+        };
+        let _ = self.module.send(event);
+    }
+
+    /// Drops a connection; its votes may have been counted, or may yet be.
+    fn end(&mut self, number: u64) {
+        self.lines.retain(|line| line.number != number);
+        let lost: Vec<u64> =
+            self.waiting.iter().filter(|(_, vote)| vote.line == number).map(|(&id, _)| id).collect();
+        lost.into_iter().for_each(|id| self.unanswered(id));
+    }
+
+    fn unanswered(&mut self, id: u64) {
+        self.waiting.remove(&id);
+        let _ = self.module.send(Event::VoteAnswered(Outcome::TimeOut, None));
+    }
+
+    fn give_up_late_votes(&mut self) {
+        let now = Instant::now();
+        let late = self.waiting.iter().filter(|(_, vote)| vote.until <= now).map(|(&id, _)| id);
+        late.collect::<Vec<u64>>().into_iter().for_each(|id| self.unanswered(id));
+    }
+
+    /// On the connection last heard of. Without one the vote was surely not carried out.
+    fn cast(&mut self, ballot: Ballot) {
+        let id = self.id();
+        let text = encode_vote(id, &ballot);
+        let line = self.lines.iter().filter(|line| line.up).max_by_key(|line| line.heard_at);
+        match line.filter(|line| line.to_write.send(text).is_ok()) {
+            Some(line) => {
+                let until = Instant::now() + self.answer_wait;
+                self.waiting.insert(id, Waiting { line: line.number, until });
+            }
+            None => drop(self.module.send(Event::VoteAnswered(Outcome::ConnectFailed, None))),
+        }
+    }
+}
+
+/// Carries one connection: lines in, texts out, until it breaks or the actor drops it.
+async fn carry(
+    address: SocketAddr, number: u64, mut texts: mpsc::UnboundedReceiver<String>,
+    reports: mpsc::UnboundedSender<(u64, Report)>,
+) {
+    let why = match timeout(CONTROL_CONNECT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => speak(stream, &mut texts, |told| reports.send((number, told)).is_ok()).await,
+        Ok(Err(error)) => format!("connect: {error}"),
+        Err(_) => "connect: no answer".to_owned(),
+    };
+    let _ = reports.send((number, Report::Ended(why)));
+}
+
+/// Why it ended.
+async fn speak(
+    stream: TcpStream, texts: &mut mpsc::UnboundedReceiver<String>, report: impl Fn(Report) -> bool,
+) -> String {
+    let _ = stream.set_nodelay(true);
+    report(Report::Up);
+    let (read, mut write) = stream.into_split();
+    let mut read = BufReader::with_capacity(LINE_MAX, read);
+    let mut line = Vec::new();
+    loop {
+        // A line read in part stays in `line` while a text is written.
+        let mut rest = (&mut read).take((LINE_MAX - line.len()) as u64);
+        tokio::select! {
+            text = texts.recv() => match text {
+                Some(text) => if let Err(error) = write.write_all(text.as_bytes()).await {
+                    return error.to_string();
+                },
+                None => return "no longer needed".to_owned(),
+            },
+            read = rest.read_until(b'\n', &mut line) => match read {
+                Ok(0) => return "closed".to_owned(),
+                Ok(_) if line.ends_with(b"\n") => {
+                    report(Report::Line(decode(&line)));
+                    line.clear();
+                }
+                Ok(_) if line.len() >= LINE_MAX => return "line too long".to_owned(),
+                Ok(_) => {}
+                Err(error) => return error.to_string(),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/beechcroft-relay/src/wire/units.rs
@@ -0,0 +1,291 @@
+//! Units: one actor for each, which alone speaks with it. A dispatch goes out as an HTTP call and comes back as
+//! one outcome; `ConnectFailed`, `Full` and `Moot` only where it is proven that the task never ran.
+
+use crate::memory::module::{Ended, Event, Mailbox};
+use crate::wire::budget::{BODY_MAX, KEEP_PART, UNIT_CALLS};
+use crate::wire::link::{Connector, HttpClient, NoRoom};
+use crate::wire::sparse::Sparse;
+use crate::wire::{Call, Reply};
+use beechcroft::{DispatchNo, Outcome, TaskId};
+use beechcroft_settings::Transport;
+use bytes::Bytes;
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use http::{header, HeaderMap, Request, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::connect::{capture_connection, CaptureConnection};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch, Semaphore};
+use tokio::time::{sleep_until, Instant};
+
+pub const TXN: &str = "x-txn";
+pub const REMAINING: &str = "x-remaining-ms";
+pub const KEY: &str = "idempotency-key";
+const TURNED_AWAY: &str = "x-turned-away";
+
+pub type UnitMailbox = mpsc::UnboundedSender<ToUnit>;
+
+pub enum ToUnit {
+    Listed(Listing),
+    /// No longer on the list.
+    Gone,
+    Dispatch(Dispatch),
+    Abandon(TaskId, DispatchNo),
+}
+
+/// What the list says of a unit, as far as its connections go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Listing {
+    pub address: SocketAddr,
+    pub started: Option<Duration>,
+    pub leaving: bool,
+}
+
+pub struct Dispatch {
+    pub task: TaskId,
+    pub no: DispatchNo,
+    pub call: Arc<Call>,
+    pub at: Instant,
+    pub time_out: Duration,
+}
+
+/// What all units' actors share.
+#[derive(Clone)]
+pub struct Shared {
+    pub module: Mailbox,
+    pub room: Arc<Semaphore>,
+    pub dial_time_out: Duration,
+    pub keep: Duration,
+}
+
+impl Shared {
+    pub fn new(module: Mailbox, connections: usize, transport: &Transport) -> Shared {
+        Shared {
+            module,
+            room: Arc::new(Semaphore::new(connections)),
+            dial_time_out: transport.dial_time_out,
+            keep: transport.idle_close.mul_f64(KEEP_PART),
+        }
+    }
+
+    pub fn spawn(&self, listing: Listing) -> UnitMailbox {
+        let (sender, mailbox) = mpsc::unbounded_channel();
+        let actor =
+            UnitActor { shared: self.clone(), listing, client: self.client(listing), orders: HashMap::new() };
+        tokio::spawn(actor.run(mailbox));
+        sender
+    }
+
+    fn client(&self, listing: Listing) -> HttpClient {
+        let Shared { room, dial_time_out, keep, .. } = self.clone();
+        Connector { to: listing.address, time_out: dial_time_out, room }.client(keep)
+    }
+}
+
+/// What a call under way is told.
+#[derive(Clone, Copy, PartialEq)]
+enum Order {
+    Proceed,
+    Leave,
+    Abandon,
+}
+
+struct UnitActor {
+    shared: Shared,
+    listing: Listing,
+    client: HttpClient,
+    orders: HashMap<(TaskId, u32), watch::Sender<Order>>,
+}
+
+impl UnitActor {
+    /// Until nobody holds the mailbox and no call is open.
+    async fn run(mut self, mut mailbox: mpsc::UnboundedReceiver<ToUnit>) {
+        let odd = Sparse::new("unit's answer");
+        let mut calls = FuturesUnordered::new();
+        let mut open = true;
+        loop {
+            tokio::select! {
+                biased;
+                message = mailbox.recv(), if open => match message {
+                    Some(ToUnit::Listed(listing)) => self.listed(listing),
+                    Some(ToUnit::Gone) => self.listed(Listing { leaving: true, ..self.listing }),
+                    Some(ToUnit::Abandon(task, no)) => {
+                        if let Some(order) = self.orders.get(&(task, no.0)) {
+                            order.send_replace(Order::Abandon);
+                        }
+                    }
+                    Some(ToUnit::Dispatch(dispatch)) => calls.push(self.call(dispatch)),
+                    None => open = false,
+                },
+                Some((ended, oddity)) = calls.next() => {
+                    self.orders.remove(&(ended.task.clone(), ended.no.0));
+                    oddity.into_iter().for_each(|oddity| odd.warn(format!("{} {oddity}", self.listing.address)));
+                    let _ = self.shared.module.send(Event::Ended(ended));
+                }
+                else => return,
+            }
+        }
+    }
+
+    /// A new address or start is a new machine: its connections are new ones.
+    fn listed(&mut self, listing: Listing) {
+        if (listing.address, listing.started) != (self.listing.address, self.listing.started) {
+            self.client = self.shared.client(listing);
+        }
+        self.listing = listing;
+        if listing.leaving {
+            for order in self.orders.values() {
+                order.send_replace(Order::Leave);
+            }
+        }
+    }
+
+    fn call(
+        &mut self, dispatch: Dispatch,
+    ) -> impl std::future::Future<Output = (Ended, Option<String>)> + use<> {
+        let spent_room = self.orders.len() >= UNIT_CALLS;
+        let (order, told) = watch::channel(if self.listing.leaving { Order::Leave } else { Order::Proceed });
+        self.orders.insert((dispatch.task.clone(), dispatch.no.0), order);
+        let (client, address) = (self.client.clone(), self.listing.address);
+        async move {
+            let Dispatch { task, no, call, at, time_out } = dispatch;
+            let got = match encode(&call, address, time_out) {
+                _ if spent_room => Got::of(Outcome::Moot),
+                Ok(request) => exchange(client, request, told, at + time_out).await,
+                Err(error) => Got { oddity: Some(error.to_string()), ..Got::of(Outcome::Moot) },
+            };
+            let Got { outcome, reply, oddity } = got;
+            (Ended { task, no, outcome, reply, spent: at.elapsed() }, oddity)
+        }
+    }
+}
+
+/// What came of a call.
+struct Got {
+    outcome: Outcome,
+    reply: Option<Reply>,
+    oddity: Option<String>,
+}
+
+impl Got {
+    fn of(outcome: Outcome) -> Got {
+        Got { outcome, reply: None, oddity: None }
+    }
+}
+
+fn encode(call: &Call, address: SocketAddr, wait: Duration) -> Result<Request<Full<Bytes>>, http::Error> {
+    let path = call.target.path_and_query().map_or("/", |path| path.as_str());
+    let uri: Uri = format!("http://{address}{path}").parse()?;
+    let mut request = Request::builder()
+        .method(call.method.clone())
+        .uri(uri)
+        .header(TXN, &call.txn)
+        .header(REMAINING, wait.as_millis() as u64);
+    for (name, value) in [(KEY, &call.idempotency_key), (header::CONTENT_TYPE.as_str(), &call.content_type)] {
+        request = value.iter().fold(request, |request, value| request.header(name, value));
+    }
+    request.body(Full::new(call.body.clone()))
+}
+
+/// One call. Dropping it, on order or when its time is over, closes its connection or gives up connecting.
+async fn exchange(
+    client: HttpClient, mut request: Request<Full<Bytes>>, mut told: watch::Receiver<Order>, until: Instant,
+) -> Got {
+    let connection = capture_connection(&mut request);
+    let answered = async { read(client.request(request).await).await };
+    // In this order: what is over or called off is never written, even if the connection comes up this moment.
+    tokio::select! {
+        biased;
+        outcome = called_off(&mut told, &connection) => Got::of(outcome),
+        () = sleep_until(until) => match is_written(&connection) {
+            true => Got::of(Outcome::TimeOut),
+            false => Got::of(Outcome::ConnectFailed),
+        },
+        got = answered => got,
+    }
+}
+
+/// Whether the request may have been written: it has been given to a connection.
+fn is_written(connection: &CaptureConnection) -> bool {
+    connection.connection_metadata().is_some()
+}
+
+/// Ends once the call is abandoned, or its unit is listed as leaving before anything was written.
+async fn called_off(told: &mut watch::Receiver<Order>, connection: &CaptureConnection) -> Outcome {
+    loop {
+        match *told.borrow_and_update() {
+            Order::Abandon => return Outcome::Abandoned,
+            Order::Leave if !is_written(connection) => return Outcome::ConnectFailed,
+            Order::Leave | Order::Proceed => {}
+        }
+        if told.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+    }
+}
+
+async fn read(answer: Result<Response<Incoming>, hyper_util::client::legacy::Error>) -> Got {
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(error) => return Got { outcome: of_error(&error), reply: None, oddity: odd_error(&error) },
+    };
+    let (head, body) = answer.into_parts();
+    let outcome = of_status(head.status, &head.headers);
+    // Whatever came, the body is read to its end, so that the connection can be kept.
+    match Limited::new(body, BODY_MAX).collect().await {
+        Ok(body) if outcome == Outcome::Ok => {
+            let content_type = head.headers.get(header::CONTENT_TYPE).cloned();
+            Got { outcome, reply: Some(Reply { body: body.to_bytes(), content_type }), oddity: None }
+        }
+        Err(error) if outcome == Outcome::Ok => {
+            Got { outcome: Outcome::Reset, reply: None, oddity: Some(format!("body: {error}")) }
+        }
+        _ if matches!(head.status, StatusCode::INTERNAL_SERVER_ERROR) || outcome == Outcome::Full => {
+            Got::of(outcome)
+        }
+        _ => Got { outcome, reply: None, oddity: Some(format!("unexpected status {}", head.status)) },
+    }
+}
+
+/// The outcome that a status proves; any but the protocol's is an error, which may have run.
+pub fn of_status(status: StatusCode, headers: &HeaderMap) -> Outcome {
+    let turned_away = headers.get(TURNED_AWAY).is_some_and(|value| value == "1");
+    match status {
+        StatusCode::OK => Outcome::Ok,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => Outcome::Full,
+        _ => Outcome::Error,
+    }
+}
+
+fn cause<'a, T: std::error::Error + 'static>(error: &'a (dyn std::error::Error + 'static)) -> Option<&'a T> {
+    let mut next = Some(error);
+    while let Some(error) = next {
+        if let Some(found) = error.downcast_ref() {
+            return Some(found);
+        }
+        next = error.source();
+    }
+    None
+}
+
+/// What a failed call proves. hyper calls a request canceled only where it hands it back unwritten.
+fn of_error(error: &hyper_util::client::legacy::Error) -> Outcome {
+    if cause::<NoRoom>(error).is_some() {
+        return Outcome::Moot;
+    }
+    let handed_back = cause::<hyper::Error>(error).is_some_and(hyper::Error::is_canceled);
+    if error.is_connect() || handed_back {
+        Outcome::ConnectFailed
+    } else {
+        Outcome::Reset
+    }
+}
+
+/// What is worth a log line: not what the network does, but what cannot be read, and our own shortage.
+fn odd_error(error: &hyper_util::client::legacy::Error) -> Option<String> {
+    let unreadable = cause::<hyper::Error>(error).filter(|error| error.is_parse());
+    unreadable.map(ToString::to_string).or_else(|| cause::<NoRoom>(error).map(ToString::to_string))
+}
--- a/crates/beechcroft-adapter/src/settings.rs
+++ b/crates/beechcroft-settings/src/lib.rs
@@ -1,23 +1,41 @@
-//! Reads the wire's settings (WIRE section 13) into the module's; unknown keys are ignored.
+//! Reads a deployment's settings into those of the module; unknown keys are ignored. The adapter gets them on
+//! the simulator's wire, the relay in its configuration file; both read them here.
 
 use beechcroft::{Effect, GateMode, Group, PeerId, Settings, Track, ZoneId};
 use serde_json::Value;
 use std::time::Duration;
 
+/// Where a deployment states none of its own: what is usual for a server's kept connections and for connects
+/// between machines of one site.
+const IDLE_CLOSE: Duration = Duration::from_secs(10);
+const DIAL_TIME_OUT: Duration = Duration::from_millis(250);
+
 /// The settings, with the names that the wire uses for positions in them.
 pub struct Named {
     pub settings: Settings,
+    pub transport: Transport,
     pub tracks: Vec<String>,
     pub tenants: Vec<String>,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
 }
 
+/// What only a relay on sockets needs: no decision follows from it.
+pub struct Transport {
+    /// A connection may be closed by its unit once it has been idle this long.
+    pub idle_close: Duration,
+    pub dial_time_out: Duration,
+    /// The longest that a client waits for a task.
+    pub longest_wait: Duration,
+    /// For an answer to a vote.
+    pub answer_wait: Duration,
+}
+
 struct Node<'a>(&'a Value, &'static str);
 
 impl<'a> Node<'a> {
     fn lacks(&self, key: &str) -> String {
-        format!("params.{}{key}: missing or malformed", self.1)
+        format!(".{}{key}: missing or malformed", self.1)
     }
     fn at(&self, key: &str, path: &'static str) -> Result<Node<'a>, String> {
         match self.0.get(key) {
@@ -96,10 +114,14 @@
     })
 }
 
-/// Reads the text of `params`.
+/// Reads them as text; an error begins with the path of the faulty key below them.
 pub fn read(text: &str) -> Result<Named, String> {
-    let value: Value = serde_json::from_str(text).map_err(|error| format!("params: {error}"))?;
-    let all = Node(&value, "");
+    read_value(&serde_json::from_str(text).map_err(|error| format!(": {error}"))?)
+}
+
+/// Reads them as a JSON value.
+pub fn read_value(value: &Value) -> Result<Named, String> {
+    let all = Node(value, "");
     let limits = all.at("limits", "limits.")?;
     let rules = all.at("invariants", "invariants.")?;
     let rollout = all.at("family_info", "family_info.")?;
@@ -107,10 +129,12 @@
     all.at("stats", "stats.")?; // load reports are not used, but a deployment states them
     let mut tracks = Vec::new();
     let mut names = Vec::new();
+    let mut longest_wait = Duration::ZERO;
     for class in all.list("classes")? {
         let node = Node(class, "classes[].");
         names.push(node.word("name")?.to_owned());
         tracks.push(track(&node)?);
+        longest_wait = longest_wait.max(node.span_or("give_up_s", Duration::ZERO)?);
     }
     let (mut tenants, mut tenant_quotas) = (Vec::new(), Vec::new());
     for tenant in all.list_or_empty("tenants")? {
@@ -163,5 +187,11 @@
         complaint_share: rollout.number_or("complaint_share", 0.0)?,
     };
     let kinds = all.words("kinds").unwrap_or_default();
-    Ok(Named { settings, tracks: names, tenants, zones, kinds })
+    let transport = Transport {
+        idle_close: limits.span_or("idle_close_s", IDLE_CLOSE)?,
+        dial_time_out: limits.span_or("dial_timeout_s", DIAL_TIME_OUT)?,
+        longest_wait,
+        answer_wait: settings.answer_wait,
+    };
+    Ok(Named { settings, transport, tracks: names, tenants, zones, kinds })
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -191,13 +191,10 @@
     fn nack(&mut self, task: &TaskId, hold_off: Duration);
     fn terminate(&mut self, task: &TaskId);
     fn abandon(&mut self, task: &TaskId, dispatch: DispatchNo);
-    fn probe(&mut self, unit: &UnitId);
-    fn close_idle(&mut self, unit: &UnitId);
     /// To one relay of the tier, or to all.
     fn tell(&mut self, peer: Option<PeerId>, payload: &[u8]);
     fn vote(&mut self, build: BuildId, stage: Stage, vote: Vote);
     fn wake(&mut self, after: Duration, token: Token);
     fn follow_list(&mut self);
-    fn fetch_list(&mut self);
     fn log(&mut self, line: &str);
 }
