--- a/crates/beechcroft-relay/src/memory/list.rs
+++ b/crates/beechcroft-relay/src/memory/list.rs
@@ -1,7 +1,7 @@
 //! The list's actor: watches discovery without a gap and tells the module each change in order.
 
 use crate::memory::module::{Event, Mailbox};
-use crate::wire::budget::WATCH_PAUSE;
+use crate::wire::budget::{WATCH_FLOOR, WATCH_PAUSE};
 use crate::wire::discovery::{Discovery, List};
 use crate::wire::sparse::Sparse;
 use tokio::sync::{mpsc, oneshot};
@@ -34,6 +34,8 @@
         loop {
             let began = Instant::now();
             if self.follow().await {
+                // A watch that is answered at once, over and over, is no watch; it must not spin.
+                tokio::time::sleep(WATCH_FLOOR.saturating_sub(began.elapsed())).await;
                 continue;
             }
             if self.module.send(Event::ListFailed).is_err() {
--- a/crates/beechcroft-relay/src/memory/tasks.rs
+++ b/crates/beechcroft-relay/src/memory/tasks.rs
@@ -85,10 +85,6 @@
         out.filter(|(out, _)| *out == no).and_then(|(_, unit)| unit.as_ref())
     }
 
-    pub fn len(&self) -> usize {
-        self.0.len()
-    }
-
     fn forget_if_done(&mut self, id: &TaskId) {
         if self.0.get(id).is_some_and(|open| open.answer.is_none() && open.out.is_none()) {
             self.0.remove(id);
--- a/crates/beechcroft-relay/src/wire/budget.rs
+++ b/crates/beechcroft-relay/src/wire/budget.rs
@@ -39,6 +39,8 @@
 pub const WATCH_WAIT: Duration = Duration::from_secs(3);
 /// Beyond that wait, discovery is silent, and is asked anew.
 pub const WATCH_SLACK: Duration = Duration::from_millis(700);
+/// From one watch to the next at least; far below the 200 ms after which a watch has a gap.
+pub const WATCH_FLOOR: Duration = Duration::from_millis(20);
 /// Between watches where one failed; the next is to follow within 200 ms.
 pub const WATCH_PAUSE: Duration = Duration::from_millis(100);
 
