--- a/crates/beechcroft-relay/src/life/config.rs
+++ b/crates/beechcroft-relay/src/life/config.rs
@@ -117,9 +117,6 @@
 /// Where relays are spoken to, if they may be.
 fn peers(all: &Value, names: &Named) -> Result<Option<Addresses>, String> {
     let settings = &names.settings;
-    if settings.me.0 >= settings.relays {
-        return Err(format!("settings.me: {} is out of range", settings.me.0));
-    }
     let listen = address_at(all, "/peer_listen")?.filter(|_| settings.may_tell_peers && settings.relays > 1);
     let Some(listen) = listen else { return Ok(None) };
     let list = all.get("peers").and_then(Value::as_array).ok_or_else(|| malformed("peers"))?;
--- a/crates/beechcroft-relay/src/life/run.rs
+++ b/crates/beechcroft-relay/src/life/run.rs
@@ -5,7 +5,7 @@
 use crate::life::signals;
 use crate::memory::list::ListActor;
 use crate::memory::module::{Clock, Event, Hands, ModuleActor};
-use crate::wire::budget::{Budget, LEAVE_WITHIN, LINGER};
+use crate::wire::budget::{Budget, LEAVE_LONGEST, LEAVE_MARGIN, LINGER};
 use crate::wire::clients::{Clients, Front};
 use crate::wire::discovery::{Discovery, Places};
 use crate::wire::peers::Peers;
@@ -22,9 +22,10 @@
     let life = Life::begin();
     let stop = signals::stop().map_err(|error| format!("signals: {error}"))?;
     let Config { name, listen, discovery, seed, sockets, peers, rollouts, news, known, names } = config;
-    info!("{name} of {} relays, listens on {listen}, {sockets} descriptors", names.settings.relays);
     let budget = Budget::of(sockets);
-    let listener = TcpListener::bind(listen).await.map_err(|error| format!("listen: {listen}: {error}"))?;
+    let bound = TcpListener::bind(listen).await.and_then(|listener| Ok((listener.local_addr()?, listener)));
+    let (listen, listener) = bound.map_err(|error| format!("listen: {listen}: {error}"))?;
+    info!("{name} of {} relays, listens on {listen}, {sockets} descriptors", names.settings.relays);
 
     // The module hears of the list and of the builds before it hears of any task.
     let (module, events) = mpsc::unbounded_channel();
@@ -53,7 +54,7 @@
 
     let clients = Clients::new(budget.clients);
     let front = Front::new(&names, module, life.clone());
-    let longest = names.transport.longest_wait;
+    let longest = names.transport.longest_wait.min(LEAVE_LONGEST);
     let leave = async {
         let all_serve = async {
             let _ = tokio::join!(first_list, first_news); // a part that cannot be had says so by its end
@@ -71,7 +72,7 @@
                 sleep(Duration::from_millis(5)).await;
             }
         };
-        if timeout((longest + LEAVE_WITHIN).saturating_sub(LINGER), closed).await.is_err() {
+        if timeout((longest + LEAVE_MARGIN).saturating_sub(LINGER), closed).await.is_err() {
             warn!("{} connections are still open", clients.open() - 1);
         }
         life.enter(Phase::Ended);
--- a/crates/beechcroft-relay/src/wire/budget.rs
+++ b/crates/beechcroft-relay/src/wire/budget.rs
@@ -18,14 +18,17 @@
 
 /// A client that takes longer to send a head, or stays idle for longer, loses its connection.
 pub const HEAD_WAIT: Duration = Duration::from_secs(30);
+/// The same once connections are to close: one that has not yet asked for anything may be about to.
+pub const SILENT_WAIT: Duration = Duration::from_secs(1);
 /// After an `accept` that failed, for want of descriptors above all: some are free soon, and no loop spins.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// After a datagram that could not be received, so that no loop spins.
 pub const NOTE_PAUSE: Duration = Duration::from_millis(5);
 /// New connections arrive for up to 0.4 s after SIGTERM; a relay that left sooner would reset them.
 pub const LINGER: Duration = Duration::from_millis(700);
-/// SIGKILL comes the longest wait plus 0.7 s after SIGTERM; we are gone a little sooner.
-pub const LEAVE_WITHIN: Duration = Duration::from_millis(600);
+/// SIGKILL comes 0.7 s after the longest wait of clients, taken as 3 s where it is longer; we are gone sooner.
+pub const LEAVE_MARGIN: Duration = Duration::from_millis(600);
+pub const LEAVE_LONGEST: Duration = Duration::from_secs(3);
 
 /// Connections to a unit are kept for this part of the time after which it may close them, as a request written
 /// while it closes one is lost.
@@ -46,7 +49,7 @@
 
 /// Pings come each second; after this many without a line another connection listens.
 pub const PING_LAPSE: Duration = Duration::from_millis(2500);
-/// For a connection of the platform's, or of discovery's, to come up.
+/// For a connection of the platform's, or of discovery's, to come up, and for the platform to take a call.
 pub const CONTROL_CONNECT: Duration = Duration::from_secs(1);
 /// Between connections to the platform where one failed.
 pub const PLATFORM_PAUSE: Duration = Duration::from_millis(200);
--- a/crates/beechcroft-relay/src/wire/clients.rs
+++ b/crates/beechcroft-relay/src/wire/clients.rs
@@ -4,7 +4,7 @@
 use crate::life::phases::{Life, Phase};
 use crate::memory::module::{Event, Mailbox};
 use crate::memory::tasks::{Hints, Taken};
-use crate::wire::budget::{ACCEPT_PAUSE, BODY_MAX, HEAD_MAX, HEAD_WAIT, TXN_MAX};
+use crate::wire::budget::{ACCEPT_PAUSE, BODY_MAX, HEAD_MAX, HEAD_WAIT, SILENT_WAIT, TXN_MAX};
 use crate::wire::sparse::Sparse;
 use crate::wire::units::{KEY, REMAINING, TXN};
 use crate::wire::{Answer, Call};
@@ -18,14 +18,16 @@
 use http::request::Parts;
 use http::{header, HeaderMap, HeaderValue, Method, StatusCode};
 use hyper::server::conn::http1;
+use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::service::TowerToHyperService;
 use smol_str::SmolStr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch, OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
+use tower_service::Service;
 
 const LANE: &str = "x-lane";
 const LABELS: &str = "x-labels";
@@ -248,7 +250,7 @@
                 Ok((stream, _)) => {
                     let close = self.close.subscribe();
                     let once = self.is_leaving(&front);
-                    tokio::spawn(connection(stream, router.clone(), close, once, permit));
+                    tokio::spawn(serve(stream, router.clone(), close, once, permit));
                 }
                 Err(error) => {
                     odd.warn(format!("accept: {error}"));
@@ -267,21 +269,35 @@
     }
 }
 
-async fn connection(
+/// Serves one connection until it ends, or is told to close: at once if it is idle, else after its answer.
+async fn serve(
     stream: TcpStream, router: Router, mut close: watch::Receiver<u64>, once: bool,
     _permit: OwnedSemaphorePermit,
 ) {
     let _ = stream.set_nodelay(true);
+    let asked = Arc::new(AtomicBool::new(false));
+    let mark = asked.clone();
+    let service = service_fn(move |request| {
+        mark.store(true, Ordering::Relaxed);
+        router.clone().call(request)
+    });
     let connection = http1::Builder::new()
         .keep_alive(!once)
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_WAIT)
+        .header_read_timeout(if once { SILENT_WAIT } else { HEAD_WAIT })
         .max_buf_size(HEAD_MAX)
-        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(router));
+        .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
-        _ = close.changed() => connection.as_mut().graceful_shutdown(),
+        _ = close.changed() => {}
+    }
+    if !asked.load(Ordering::Relaxed) {
+        // hyper would close it now, though its first request may be on the way.
+        if tokio::time::timeout(SILENT_WAIT, connection.as_mut()).await.is_ok() {
+            return;
+        }
     }
+    connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
--- a/crates/beechcroft-relay/src/wire/link.rs
+++ b/crates/beechcroft-relay/src/wire/link.rs
@@ -1,6 +1,6 @@
 //! Outgoing HTTP connections: hyper-util's client over connections that are bounded, timed and without delay.
 
-use crate::wire::budget::KEEP_IDLE;
+use crate::wire::budget::{HEAD_MAX, KEEP_IDLE};
 use bytes::Bytes;
 use http::Uri;
 use http_body_util::Full;
@@ -55,6 +55,7 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(keep)
             .pool_max_idle_per_host(KEEP_IDLE)
+            .http1_max_buf_size(HEAD_MAX)
             .build(self)
     }
 }
--- a/crates/beechcroft-relay/src/wire/platform.rs
+++ b/crates/beechcroft-relay/src/wire/platform.rs
@@ -217,12 +217,11 @@
     /// Opens a connection where none is left, and a second one where the last shows no life.
     fn keep_listening(&mut self) {
         let now = Instant::now();
-        let silent = self.lines.last().is_none_or(|line| now >= line.heard_at + PING_LAPSE);
-        if !silent || now < self.pause_until {
+        if now < self.silent_at() || now < self.pause_until {
             return;
         }
-        if self.lines.len() > 1 {
-            self.end(self.lines[1].number); // the successor that stayed silent too
+        if let Some(successor) = self.lines.get(1).map(|line| line.number) {
+            self.end(successor); // it stayed silent too
         }
         let (number, listen) = (self.id(), self.id());
         let (to_write, texts) = mpsc::unbounded_channel();
@@ -234,9 +233,14 @@
 
     /// When something is to be done although nothing happens.
     fn due(&self) -> Instant {
-        let lapse = self.lines.last().map_or(self.pause_until, |line| line.heard_at + PING_LAPSE);
         let vote = self.waiting.values().map(|waiting| waiting.until).min();
-        vote.into_iter().fold(lapse.max(self.pause_until), Instant::min)
+        vote.into_iter().fold(self.silent_at().max(self.pause_until), Instant::min)
+    }
+
+    /// When too long nothing will have been heard on any connection.
+    fn silent_at(&self) -> Instant {
+        let heard = self.lines.iter().map(|line| line.heard_at).max();
+        heard.map_or(self.pause_until, |heard| heard + PING_LAPSE)
     }
 
     fn report(&mut self, number: u64, report: Report) {
@@ -253,9 +257,10 @@
             }
             Report::Line(told) => {
                 self.lines[at].heard_at = Instant::now();
-                // The one that lives replaces those before it.
-                let stale: Vec<u64> = self.lines[..at].iter().map(|line| line.number).collect();
-                stale.into_iter().for_each(|number| self.end(number));
+                // The one that lives is enough.
+                let others: Vec<u64> =
+                    self.lines.iter().map(|line| line.number).filter(|&other| other != number).collect();
+                others.into_iter().for_each(|number| self.end(number));
                 match told {
                     Ok(told) => self.told(told),
                     Err(error) => self.odd.warn(format!("line not understood: {error}")),
@@ -345,8 +350,10 @@
         let mut rest = (&mut read).take((LINE_MAX - line.len()) as u64);
         tokio::select! {
             text = texts.recv() => match text {
-                Some(text) => if let Err(error) = write.write_all(text.as_bytes()).await {
-                    return error.to_string();
+                Some(text) => match timeout(CONTROL_CONNECT, write.write_all(text.as_bytes())).await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(error)) => return error.to_string(),
+                    Err(_) => return "takes no more".to_owned(),
                 },
                 None => return "no longer needed".to_owned(),
             },
--- /dev/null
+++ b/crates/beechcroft-relay/tests/sockets.rs
@@ -0,0 +1,867 @@
+//! The relay on loopback sockets, against stand-ins for units, discovery, the platform and fellow relays.
+
+use beechcroft::{BuildId, DispatchNo, Outcome, PeerId, Stage, TaskId, Vote};
+use beechcroft_relay::life::config;
+use beechcroft_relay::memory::list::ListActor;
+use beechcroft_relay::memory::module::{Ended, Event};
+use beechcroft_relay::wire::discovery::{Discovery, Places};
+use beechcroft_relay::wire::peers::{Addresses, Peers};
+use beechcroft_relay::wire::platform::{self, Ballot};
+use beechcroft_relay::wire::units::{Dispatch, Listing, Shared, ToUnit};
+use beechcroft_relay::wire::Call;
+use expect_test::expect;
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{mpsc, Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
+
+/// Longer than anything takes; a test that meets it fails.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < PATIENCE, "in vain: {what}");
+        std::thread::sleep(ms(5));
+    }
+}
+
+/// Reads one HTTP message: its head and its body by `Content-Length`; none at the end.
+fn message(from: &mut impl BufRead) -> Option<(String, Vec<u8>)> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if from.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    let length = field(&head, "content-length").map_or(0, |text| text.parse().unwrap());
+    let mut body = vec![0; length];
+    from.read_exact(&mut body).ok()?;
+    Some((head, body))
+}
+
+fn field(head: &str, name: &str) -> Option<String> {
+    let lines = head.lines().filter_map(|line| line.split_once(": "));
+    lines.filter(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.to_owned()).next()
+}
+
+/// A unit that does what the second part of the path asks, and keeps what it saw.
+struct Unit {
+    address: SocketAddr,
+    seen: Arc<Mutex<Vec<String>>>,
+    opened: Arc<AtomicUsize>,
+    closed: Arc<AtomicUsize>,
+}
+
+impl Unit {
+    fn start() -> Unit {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let unit = Unit {
+            address: listener.local_addr().unwrap(),
+            seen: Arc::default(),
+            opened: Arc::default(),
+            closed: Arc::default(),
+        };
+        let (seen, opened, closed) = (unit.seen.clone(), unit.opened.clone(), unit.closed.clone());
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                opened.fetch_add(1, Ordering::SeqCst);
+                let (seen, closed) = (seen.clone(), closed.clone());
+                std::thread::spawn(move || {
+                    Unit::serve(stream, &seen);
+                    closed.fetch_add(1, Ordering::SeqCst);
+                });
+            }
+        });
+        unit
+    }
+
+    fn serve(mut stream: TcpStream, seen: &Mutex<Vec<String>>) {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while let Some((head, body)) = message(&mut reader) {
+            let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
+            let wish = path.split(['/', '?']).nth(2).unwrap_or_default().to_owned();
+            seen.lock().unwrap().push(format!("{head}{}", String::from_utf8_lossy(&body)));
+            let mut answer = |text: &str| stream.write_all(text.as_bytes()).is_ok();
+            let sent = match wish.as_str() {
+                "ok" => answer("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nmade by unit"),
+                "slow" => {
+                    std::thread::sleep(ms(400));
+                    answer("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nslow")
+                }
+                "error" => answer("HTTP/1.1 500 E\r\nContent-Length: 3\r\n\r\nbad"),
+                "full" => answer("HTTP/1.1 503 F\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"),
+                "over" => answer("HTTP/1.1 504 O\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"),
+                "bare503" => answer("HTTP/1.1 503 F\r\nContent-Length: 0\r\n\r\n"),
+                "missing" => answer("HTTP/1.1 404 N\r\nContent-Length: 0\r\n\r\n"),
+                "short" => answer("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nnot all"),
+                "long" => {
+                    let body = "x".repeat(70_000);
+                    answer(&format!("HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n{body}"))
+                }
+                "endless" => answer(&format!("HTTP/1.1 200 OK\r\nX-A: {}\r\n", "a".repeat(1 << 20))),
+                "garbage" => answer("what is this\r\n\r\n"),
+                "last" => answer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"),
+                "hang" => reader.read(&mut [0]).is_ok_and(|read| read > 0),
+                _ => false, // "reset": closes without a word
+            };
+            if !sent || ["short", "endless", "garbage", "last"].contains(&&*wish) {
+                return;
+            }
+        }
+    }
+
+    fn heads(&self) -> Vec<String> {
+        self.seen.lock().unwrap().clone()
+    }
+}
+
+fn call(wish: &str) -> Arc<Call> {
+    Arc::new(Call {
+        method: http::Method::GET,
+        target: format!("/read/{wish}?q=1").parse().unwrap(),
+        txn: http::HeaderValue::from_static("t-1"),
+        idempotency_key: None,
+        content_type: None,
+        body: bytes::Bytes::new(),
+    })
+}
+
+/// Units' actors, and what the module is told of them.
+struct Calls {
+    shared: Shared,
+    events: UnboundedReceiver<Event>,
+    next: u32,
+}
+
+impl Calls {
+    fn new(connections: usize) -> Calls {
+        let (module, events) = unbounded_channel();
+        let names = beechcroft_settings::read(&settings(1).to_string()).unwrap();
+        Calls { shared: Shared::new(module, connections, &names.transport), events, next: 0 }
+    }
+
+    fn dispatch(&mut self, wish: &str, time_out: Duration) -> ToUnit {
+        self.next += 1;
+        let task = TaskId(format!("t-{}", self.next).into());
+        let at = tokio::time::Instant::now();
+        ToUnit::Dispatch(Dispatch { task, no: DispatchNo(0), call: call(wish), at, time_out })
+    }
+
+    async fn ended(&mut self) -> Ended {
+        match tokio::time::timeout(PATIENCE, self.events.recv()).await {
+            Ok(Some(Event::Ended(ended))) => ended,
+            _ => panic!("no outcome"),
+        }
+    }
+}
+
+fn listing(address: SocketAddr) -> Listing {
+    Listing { address, started: None, leaving: false }
+}
+
+/// An address at which connections neither come up nor are refused: its queue is full.
+fn nowhere() -> (tokio::net::TcpListener, TcpStream, SocketAddr) {
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(0).unwrap();
+    let address = listener.local_addr().unwrap();
+    let filler = TcpStream::connect(address).unwrap();
+    (listener, filler, address)
+}
+
+#[tokio::test]
+async fn each_end_of_a_dispatch_is_the_outcome_that_it_proves() {
+    let unit = Unit::start();
+    let mut calls = Calls::new(64);
+    let mut told = String::new();
+    let wishes = "ok error full over bare503 missing reset short long endless garbage hang";
+    let mailbox = calls.shared.spawn(listing(unit.address));
+    for wish in wishes.split(' ') {
+        mailbox.send(calls.dispatch(wish, if wish == "hang" { ms(100) } else { PATIENCE })).ok().unwrap();
+        let Ended { outcome, reply, .. } = calls.ended().await;
+        let body = reply.map_or(String::new(), |reply| format!(" {:?}", reply.body));
+        told += &format!("{wish}: {outcome:?}{body}\n");
+    }
+    let mute = tokio::net::TcpSocket::new_v4().unwrap(); // bound, but it does not listen
+    mute.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let refused = mute.local_addr().unwrap();
+    let (_listener, _filler, never_up) = nowhere();
+    for (what, address) in [("refused", refused), ("never up", never_up)] {
+        calls.shared.spawn(listing(address)).send(calls.dispatch("ok", PATIENCE)).ok().unwrap();
+        told += &format!("{what}: {:?}\n", calls.ended().await.outcome);
+    }
+    let mut spent = Calls::new(0);
+    spent.shared.spawn(listing(unit.address)).send(spent.dispatch("ok", PATIENCE)).ok().unwrap();
+    told += &format!("no descriptor left: {:?}\n", spent.ended().await.outcome);
+    expect![[r#"
+        ok: Ok b"made by unit"
+        error: Error
+        full: Full
+        over: Full
+        bare503: Error
+        missing: Error
+        reset: Reset
+        short: Reset
+        long: Reset
+        endless: Reset
+        garbage: Reset
+        hang: TimeOut
+        refused: ConnectFailed
+        never up: ConnectFailed
+        no descriptor left: Moot
+    "#]]
+    .assert_eq(&told);
+}
+
+#[tokio::test]
+async fn connections_are_kept_and_one_that_its_unit_closed_is_replaced() {
+    let unit = Unit::start();
+    let mut calls = Calls::new(64);
+    let mailbox = calls.shared.spawn(listing(unit.address));
+    let mut told = Vec::new();
+    for wish in ["ok", "error", "full", "last", "ok"] {
+        mailbox.send(calls.dispatch(wish, PATIENCE)).ok().unwrap();
+        let outcome = calls.ended().await.outcome;
+        if wish == "last" {
+            let closed = unit.closed.clone();
+            let wait = move || until("closed", || closed.load(Ordering::SeqCst) == 1);
+            tokio::task::spawn_blocking(wait).await.unwrap();
+            tokio::time::sleep(ms(20)).await; // for the client's side to see it
+        }
+        told.push(format!("{wish} {outcome:?} {}", unit.opened.load(Ordering::SeqCst)));
+    }
+    assert_eq!(told, ["ok Ok 1", "error Error 1", "full Full 1", "last Ok 1", "ok Ok 2"]);
+}
+
+#[tokio::test]
+async fn what_is_called_off_or_over_closes_its_connection_or_is_never_written() {
+    let unit = Unit::start();
+    let mut calls = Calls::new(64);
+    let mailbox = calls.shared.spawn(listing(unit.address));
+    mailbox.send(calls.dispatch("hang", PATIENCE)).ok().unwrap();
+    let (opened, seen) = (unit.opened.clone(), unit.seen.clone());
+    let wait =
+        move || until("written", || opened.load(Ordering::SeqCst) == 1 && seen.lock().unwrap().len() == 1);
+    tokio::task::spawn_blocking(wait).await.unwrap();
+    // Leaving ends nothing that has been written; abandoning does.
+    mailbox.send(ToUnit::Listed(Listing { leaving: true, ..listing(unit.address) })).ok().unwrap();
+    mailbox.send(ToUnit::Abandon(TaskId("t-1".into()), DispatchNo(0))).ok().unwrap();
+    assert_eq!(calls.ended().await.outcome, Outcome::Abandoned);
+    mailbox.send(ToUnit::Listed(listing(unit.address))).ok().unwrap();
+    mailbox.send(calls.dispatch("hang", ms(50))).ok().unwrap();
+    assert_eq!(calls.ended().await.outcome, Outcome::TimeOut);
+    let closed = unit.closed.clone();
+    let wait = move || until("both closed", || closed.load(Ordering::SeqCst) == 2);
+    tokio::task::spawn_blocking(wait).await.unwrap();
+
+    // A connection that comes up only after its dispatch was called off, or over, carries nothing.
+    let (listener, filler, address) = nowhere();
+    let mailbox = calls.shared.spawn(listing(address));
+    mailbox.send(calls.dispatch("ok", PATIENCE)).ok().unwrap();
+    mailbox.send(calls.dispatch("ok", ms(1))).ok().unwrap();
+    assert_eq!(calls.ended().await.outcome, Outcome::ConnectFailed); // its time is over
+    mailbox.send(ToUnit::Gone).ok().unwrap();
+    assert_eq!(calls.ended().await.outcome, Outcome::ConnectFailed); // its unit is leaving
+    drop(filler);
+    let mut read = Vec::new();
+    while let Ok(Ok((mut stream, _))) = tokio::time::timeout(ms(300), listener.accept()).await {
+        let rest = tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut read);
+        let _ = tokio::time::timeout(ms(300), rest).await;
+    }
+    assert_eq!(read, b"");
+}
+
+#[tokio::test]
+async fn a_listed_address_or_start_that_changed_gets_new_connections() {
+    let (one, two) = (Unit::start(), Unit::start());
+    let mut calls = Calls::new(64);
+    let mailbox = calls.shared.spawn(listing(one.address));
+    let mut told = Vec::new();
+    for (address, started) in [(one.address, None), (one.address, Some(ms(5))), (two.address, Some(ms(9)))] {
+        mailbox.send(ToUnit::Listed(Listing { address, started, leaving: false })).ok().unwrap();
+        mailbox.send(calls.dispatch("ok", PATIENCE)).ok().unwrap();
+        assert_eq!(calls.ended().await.outcome, Outcome::Ok);
+        told.push((one.opened.load(Ordering::SeqCst), two.opened.load(Ordering::SeqCst)));
+    }
+    assert_eq!(told, [(1, 0), (2, 0), (2, 1)]);
+}
+
+/// Serves one connection after the other with what `speak` does on it.
+fn stand_in(mut speak: impl FnMut(usize, TcpStream) + Send + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        (0..).zip(listener.incoming().flatten()).for_each(|(nth, stream)| speak(nth, stream))
+    });
+    address
+}
+
+fn show(event: Event) -> String {
+    match event {
+        Event::News(news) => format!("news {} {} {:?} {}", news.build.0, news.stage.0, news.phase, news.cap),
+        Event::VoteAnswered(outcome, news) => {
+            format!("answer {outcome:?} {:?}", news.map(|news| (news.build.0, news.stage.0)))
+        }
+        Event::Complaint(unit, track) => format!("complaint of {} track {}", unit.0, track.0),
+        Event::List(list) => {
+            let entry = |entry: &beechcroft_relay::wire::discovery::Entry| {
+                format!(" {} {:?} build {}", entry.unit.0, entry.health, entry.build.0)
+            };
+            let entries: String = list.entries.iter().map(entry).collect();
+            format!("list {} whole {}:{entries}", list.index, list.whole)
+        }
+        Event::ListFailed => "list failed".to_owned(),
+        Event::Note(from, note) => format!("note from {} {note:?}", from.0),
+        _ => "other".to_owned(),
+    }
+}
+
+async fn events(from: &mut UnboundedReceiver<Event>, count: usize) -> String {
+    let mut shown = String::new();
+    for _ in 0..count {
+        let event = tokio::time::timeout(PATIENCE, from.recv()).await;
+        shown += &show(event.expect("in time").expect("open"));
+        shown.push('\n');
+    }
+    shown
+}
+
+const NEWS: &str = r#"{"version":7,"step":1,"status":"canary","maxWeight":0.25,"observedAgoMs":3}"#;
+
+#[tokio::test]
+async fn the_platform_is_heard_answers_votes_and_is_listened_to_again() {
+    let rollout = |version: u32| {
+        let news = NEWS.replace(":7", &format!(":{version}"));
+        format!("{{\"jsonrpc\":\"2.0\",\"method\":\"ROLLOUT\",\"params\":{news}}}\n")
+    };
+    let address = stand_in(move |nth, mut stream| {
+        let mut lines = BufReader::new(stream.try_clone().unwrap()).lines().map_while(Result::ok);
+        let Some(listen) = lines.next() else { return };
+        let listen: Value = serde_json::from_str(&listen).unwrap();
+        let mut say = |text: String| stream.write_all(text.as_bytes()).unwrap();
+        let answer = |to: &Value, rest: &str| format!("{{\"jsonrpc\":\"2.0\",\"id\":{},{rest}}}\n", to["id"]);
+        assert_eq!(listen["method"], "listen");
+        say(answer(&listen, "\"result\":true"));
+        say(rollout(40 + nth as u32));
+        if nth > 0 {
+            // The second connection lives; it ends in the middle of a vote.
+            let _vote = lines.next().unwrap();
+            return;
+        }
+        say("{\"method\":\"ping\"}\nno json\n{\"method\":\"SAMPLE\"}\n{\"id\":1}\n".to_owned());
+        say("{\"method\":\"DISPUTE\",\"params\":{\"pod\":\"u-1\",\"kind\":\"submit\"}}\n".to_owned());
+        say("{\"method\":\"DISPUTE\",\"params\":{\"pod\":\"u-1\",\"kind\":\"what\"}}\n".to_owned());
+        for rest in ["BUSY", "STALE", "FAILED", "SYNTAX", ""] {
+            let vote: Value = serde_json::from_str(&lines.next().unwrap()).unwrap();
+            assert_eq!(vote["params"], json!({"version": 7, "step": 1, "vote": "abort"}));
+            let error = format!("\"error\":{{\"code\":-32602,\"message\":\"{rest}\"}}");
+            say(answer(&vote, if rest.is_empty() { "\"result\":NEWS" } else { &error }).replace("NEWS", NEWS));
+        }
+        // Silent from here on, but open: after some pings' time another connection listens.
+        std::thread::spawn(move || lines.for_each(drop));
+        std::mem::forget(stream);
+    });
+    let (module, mut from) = unbounded_channel();
+    let (first, reached) = tokio::sync::oneshot::channel();
+    let tracks = ["read", "submit"].map(str::to_owned).to_vec();
+    let mailbox = platform::spawn(address, ms(300), tracks, module, first);
+    reached.await.unwrap();
+    let vote = Ballot { build: BuildId(7), stage: Stage(1), vote: Vote::Back };
+    let mut told = events(&mut from, 2).await;
+    for _ in 0..5 {
+        mailbox.send(vote).unwrap();
+        told += &events(&mut from, 1).await;
+    }
+    mailbox.send(vote).unwrap();
+    told += &events(&mut from, 2).await; // the vote's time-out, the second connection's news
+    mailbox.send(vote).unwrap();
+    told += &events(&mut from, 2).await; // the vote's loss, the third connection's news
+    expect![[r#"
+        news 40 1 OnTrial 0.25
+        complaint of u-1 track 1
+        answer Full None
+        answer Moot None
+        answer Error None
+        answer Moot None
+        answer Ok Some((7, 1))
+        answer TimeOut None
+        news 41 1 OnTrial 0.25
+        answer TimeOut None
+        news 42 1 OnTrial 0.25
+    "#]]
+    .assert_eq(&told);
+}
+
+fn entry(name: &str, address: SocketAddr, status: &str, build: u32) -> Value {
+    json!({"name": name, "address": address, "zone": "z", "type": "t", "group": 1, "status": status,
+        "weight": 1.0, "since_ms": 0, "revision_no": build})
+}
+
+fn list_text(index: u32, whole: bool, entries: &[Value]) -> String {
+    let body = json!({"index": index, "snapshot": whole, "endpoints": entries}).to_string();
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+#[tokio::test]
+async fn the_list_is_watched_from_the_last_version_and_garbage_is_told_as_a_failure() {
+    let any: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    let (seen, asked) = mpsc::channel();
+    let answers = vec![
+        list_text(4, true, &[entry("u-1", any, "active", 1), entry("u-2", any, "active", 1)]),
+        list_text(6, false, &[entry("u-1", any, "leaving", 1), entry("u-2", any, "left", 1)]),
+        list_text(7, false, &[]),
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"index\":".to_owned(),
+        list_text(8, false, &[entry("u-3", any, "asleep", 1)]),
+        "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n".to_owned(),
+        list_text(9, false, &[entry("u-1", any, "active", 2)]),
+    ];
+    let mut answers = answers.into_iter();
+    let address = stand_in(move |_, mut stream| {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while let Some((head, _)) = message(&mut reader) {
+            seen.send(head.lines().next().unwrap().to_owned()).unwrap();
+            let Some(answer) = answers.next() else { break }; // then silent
+            stream.write_all(answer.as_bytes()).unwrap();
+        }
+        if answers.len() == 0 {
+            std::thread::sleep(PATIENCE);
+        }
+    });
+    let (module, mut from) = unbounded_channel();
+    let (follow, followed) = unbounded_channel();
+    let names = beechcroft_settings::read(&settings(1).to_string()).unwrap();
+    let list = ListActor::new(Discovery::new(address, Places::new(&names)), None, module);
+    let (first, _listed) = tokio::sync::oneshot::channel();
+    tokio::spawn(list.run(followed, first));
+    let mut told = events(&mut from, 7).await;
+    told += &asked.try_iter().map(|line| line + "\n").collect::<String>();
+    drop(follow);
+    expect![[r#"
+        list 4 whole true: u-1 Ready build 1 u-2 Ready build 1
+        list 6 whole false: u-1 Draining build 1 u-2 Gone build 1
+        list failed
+        list failed
+        list failed
+        list 9 whole false: u-1 Ready build 2
+        list failed
+        GET /v1/servers HTTP/1.1
+        GET /v1/servers?index=4&wait=3000 HTTP/1.1
+        GET /v1/servers?index=6&wait=3000 HTTP/1.1
+        GET /v1/servers?index=7&wait=3000 HTTP/1.1
+        GET /v1/servers?index=7&wait=3000 HTTP/1.1
+        GET /v1/servers?index=7&wait=3000 HTTP/1.1
+        GET /v1/servers?index=7&wait=3000 HTTP/1.1
+        GET /v1/servers?index=9&wait=3000 HTTP/1.1
+    "#]]
+    .assert_eq(&told);
+}
+
+#[tokio::test]
+async fn notes_come_from_known_relays_only_and_go_to_one_or_all() {
+    let bind = || UdpSocket::bind("127.0.0.1:0").unwrap();
+    let (other, stranger, all) = (bind(), bind(), bind());
+    let me = UdpSocket::bind("127.83.12.7:0").unwrap(); // an address where nobody else takes its port
+    let listen = me.local_addr().unwrap();
+    let peers = vec![listen, other.local_addr().unwrap()];
+    let addresses = Addresses { listen, peers, all: all.local_addr().ok() };
+    drop(me);
+    let (module, mut from) = unbounded_channel();
+    let sender = Peers::start(addresses, PeerId(0), module).await.unwrap();
+    sender.tell(Some(PeerId(1)), b"to one");
+    sender.tell(None, b"to all");
+    sender.tell(None, &[0; 257]);
+    sender.tell(Some(PeerId(0)), b"own echo");
+    sender.tell(Some(PeerId(9)), b"to nobody");
+    sender.tell(None, b"last");
+    let read = |socket: UdpSocket, count: usize| {
+        tokio::task::spawn_blocking(move || {
+            socket.set_read_timeout(Some(PATIENCE)).unwrap();
+            let mut note = [0; 300];
+            let mut one = || socket.recv(&mut note).map(|length| note[..length].to_vec()).unwrap();
+            (0..count).map(|_| String::from_utf8(one()).unwrap()).collect::<Vec<_>>()
+        })
+    };
+    assert_eq!(read(all, 2).await.unwrap(), ["to all", "last"]);
+    assert_eq!(read(other.try_clone().unwrap(), 1).await.unwrap(), ["to one"]);
+    stranger.send_to(b"strange", listen).unwrap();
+    other.send_to(&[0; 257], listen).unwrap();
+    other.send_to(b"", listen).unwrap();
+    other.send_to(b"hello", listen).unwrap();
+    assert_eq!(events(&mut from, 2).await, "note from 1 []\nnote from 1 [104, 101, 108, 108, 111]\n");
+}
+
+fn settings(relays: u32) -> Value {
+    let track = |name: &str, effect: &str| {
+        json!({"name": name, "effect": effect, "aim_s": 5, "give_up_s": 8, "points": 1,
+            "window_s": 5, "group": "all"})
+    };
+    json!({"classes": [track("read", "retryable"), track("submit", "dedup"), track("pay", "fragile")],
+        "charges": {}, "failure_domains": ["z"], "zone": "z", "kinds": ["t"], "instances": relays, "me": 0,
+        "family_info": {"answer_wait_s": 1, "calls_per_s": 10, "counted_over_s": 4, "free": 2,
+            "gate_mode": "by_count", "per": "all", "stage_cap": [0.1, 1], "vote_life_s": 5},
+        "invariants": {"cold_from": 0.4, "drain_grace_s": 0.25, "fall_multiple": 2, "overload_for_s": 3,
+            "warm_up_s": 3},
+        "limits": {"max_attempts": 1, "cancel": true, "peers": true, "idle_close_s": 10,
+            "dial_timeout_s": 0.25, "retry_after": true, "max_retry_after_s": 1.5},
+        "stats": {"how": "none", "names": []}})
+}
+
+fn configuration(discovery: SocketAddr, entries: &[Value]) -> Value {
+    json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+        "known": {"index": 3, "snapshot": true, "endpoints": entries}, "settings": settings(1)})
+}
+
+/// The program itself, with its log.
+struct Relay {
+    child: Child,
+    address: SocketAddr,
+    log: Arc<Mutex<String>>,
+    file: std::path::PathBuf,
+}
+
+impl Relay {
+    /// Starts one and waits until it can serve. The ephemeral port is read off its log.
+    fn start(configuration: &Value) -> Relay {
+        static STARTED: AtomicUsize = AtomicUsize::new(0);
+        let nth = STARTED.fetch_add(1, Ordering::SeqCst);
+        let file = std::env::temp_dir().join(format!("beechcroft-{}-{nth}.json", std::process::id()));
+        std::fs::write(&file, configuration.to_string()).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_beechcroft"))
+            .env("PROXY_CONFIG", &file)
+            .env_remove("RUST_LOG")
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let log: Arc<Mutex<String>> = Arc::default();
+        let (lines, kept) = (BufReader::new(child.stderr.take().unwrap()).lines(), log.clone());
+        std::thread::spawn(move || {
+            lines.map_while(Result::ok).for_each(|line| *kept.lock().unwrap() += &(line + "\n"))
+        });
+        let mut address = None;
+        until("listens", || {
+            let log = log.lock().unwrap();
+            address = log.split("listens on ").nth(1).and_then(|rest| rest.split(',').next()?.parse().ok());
+            address.is_some()
+        });
+        let relay = Relay { child, address: address.unwrap(), log, file };
+        until("serves", || relay.get("/healthz", "").0.starts_with("HTTP/1.1 200"));
+        relay
+    }
+
+    fn connect(&self) -> BufReader<TcpStream> {
+        let stream = TcpStream::connect(self.address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        BufReader::new(stream)
+    }
+
+    fn ask(&self, request: &str) -> (String, Vec<u8>) {
+        let mut connection = self.connect();
+        connection.get_mut().write_all(request.as_bytes()).unwrap();
+        message(&mut connection).unwrap_or_default()
+    }
+
+    fn get(&self, path: &str, headers: &str) -> (String, Vec<u8>) {
+        self.ask(&format!("GET {path} HTTP/1.1\r\nHost: service.internal\r\n{headers}\r\n"))
+    }
+
+    /// A read task; its answer in short.
+    fn read(&self, txn: &str, wish: &str) -> String {
+        let head = format!("X-Txn: {txn}\r\nX-Lane: read\r\nX-Remaining-Ms: 6000\r\n");
+        let (head, body) = self.get(&format!("/read/{wish}"), &head);
+        let retry = field(&head, "retry-after").map(|after| format!(" after {after}")).unwrap_or_default();
+        format!("{}{retry} {}", status(&head), String::from_utf8_lossy(&body).trim_end())
+    }
+
+    fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        assert!(sent.unwrap().success());
+    }
+
+    fn log(&self) -> String {
+        self.log.lock().unwrap().clone()
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+fn status(head: &str) -> &str {
+    head.split(' ').nth(1).unwrap_or("closed")
+}
+
+/// Discovery that answers each watch with the next text that it is handed, and else lets it wait.
+fn discovery() -> (SocketAddr, mpsc::Sender<String>) {
+    let (sender, texts) = mpsc::channel::<String>();
+    let address = stand_in(move |_, mut stream| {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while message(&mut reader).is_some() {
+            let Ok(text) = texts.recv() else { return std::mem::forget(stream) };
+            if stream.write_all(text.as_bytes()).is_err() {
+                return;
+            }
+        }
+    });
+    (address, sender)
+}
+
+#[test]
+fn tasks_go_out_unaltered_and_answers_come_back_so() {
+    let unit = Unit::start();
+    let relay = Relay::start(&configuration(discovery().0, &[entry("u-1", unit.address, "active", 1)]));
+    let mut told = String::new();
+    for wish in ["ok", "error", "full"] {
+        told += &format!("{wish}: {}\n", relay.read("9b1f03aa5c7e2d41", wish));
+    }
+    // What may have run is terminated where it must not run twice, what surely did not is nacked.
+    for wish in ["error", "full", "reset"] {
+        let head = "X-Txn: p-1\r\nX-Lane: pay\r\nX-Remaining-Ms: 6000\r\nContent-Length: 2\r\n\r\n{}";
+        let (head, _) = relay.ask(&format!("POST /pay/{wish} HTTP/1.1\r\nHost: h\r\n{head}"));
+        told += &format!("pay {wish}: {}\n", status(&head));
+    }
+    let head = "X-Txn: s-1\r\nX-Lane: submit\r\nX-Remaining-Ms: 6000\r\nIdempotency-Key: 5c0f\r\n";
+    let (head, body) = relay.ask(&format!(
+        "POST /submit/ok?a=1%20b&c HTTP/1.1\r\nHost: h\r\n{head}X-Other: no\r\nContent-Length: 5\r\n\r\nabcde"
+    ));
+    told += &format!("submit: {} {}\n", status(&head), String::from_utf8(body).unwrap());
+    let seen = unit.heads().pop().unwrap();
+    let kept = |line: &&str| !line.starts_with("host") && !line.starts_with("x-remaining-ms");
+    told += &seen.lines().filter(kept).collect::<Vec<_>>().join("\n");
+    let remaining: u64 = field(&seen, "x-remaining-ms").unwrap().parse().unwrap();
+    assert!((1..=5000).contains(&remaining), "{remaining}"); // the quoted time, not the client's
+    expect![[r#"
+        ok: 200 made by unit
+        error: 503 nacked
+        full: 503 nacked
+        pay error: 502
+        pay full: 503
+        pay reset: 502
+        submit: 200 made by unit
+        POST /submit/ok?a=1%20b&c HTTP/1.1
+        x-txn: s-1
+        idempotency-key: 5c0f
+        content-length: 5
+
+        abcde"#]]
+    .assert_eq(&told);
+}
+
+#[test]
+fn a_malformed_request_is_answered_at_once_and_nothing_is_dispatched() {
+    let unit = Unit::start();
+    let relay = Relay::start(&configuration(discovery().0, &[entry("u-1", unit.address, "active", 1)]));
+    let (txn, lane, remaining) = ("X-Txn: t-1\r\n", "X-Lane: read\r\n", "X-Remaining-Ms: 600\r\n");
+    let submit = "X-Lane: submit\r\nX-Txn: t-1\r\nX-Remaining-Ms: 600\r\n";
+    let cases = [
+        ("GET /read/ok", format!("{lane}{remaining}\r\n")),
+        ("GET /read/ok", format!("{txn}{remaining}\r\n")),
+        ("GET /read/ok", format!("{txn}{lane}\r\n")),
+        ("GET /read/ok", format!("{txn}{lane}X-Remaining-Ms: -5\r\n\r\n")),
+        ("GET /read/ok", format!("{txn}{lane}X-Remaining-Ms: 99999999999\r\n\r\n")),
+        ("GET /read/ok", format!("X-Txn: {}\r\n{lane}{remaining}\r\n", "t".repeat(200))),
+        ("GET /read/ok", format!("{txn}{lane}{remaining}X-Labels: route_key\r\n\r\n")),
+        ("GET /read/ok", format!("{txn}X-Lane: write\r\n{remaining}\r\n")),
+        ("GET /submit/ok", format!("{txn}{lane}{remaining}\r\n")),
+        ("POST /read/ok", format!("{txn}{lane}{remaining}Content-Length: 0\r\n\r\n")),
+        ("GET /submit/ok", format!("{submit}Idempotency-Key: k\r\n\r\n")),
+        ("POST /submit/ok", format!("{submit}Content-Length: 0\r\n\r\n")),
+        ("POST /submit/ok", format!("{submit}Idempotency-Key: k\r\nContent-Length: 70000\r\n\r\n")),
+        ("GET /read/ok", format!("X-Long: {}\r\n\r\n", "a".repeat(40_000))),
+        ("nonsense", "\r\n".to_owned()),
+    ];
+    let mut told = String::new();
+    for (line, rest) in cases {
+        let long = if rest.contains("70000") { "x".repeat(70_000) } else { String::new() };
+        let mut connection = relay.connect();
+        let request = format!("{line} HTTP/1.1\r\nHost: h\r\n{rest}{long}");
+        let _ = connection.get_mut().write_all(request.as_bytes()); // it may be answered before all is read
+        let (head, body) = message(&mut connection).unwrap_or_default();
+        told += &format!("{line}: {} {}\n", status(&head), String::from_utf8(body).unwrap());
+    }
+    expect![[r#"
+        GET /read/ok: 400 X-Txn: missing or malformed
+        GET /read/ok: 400 X-Lane: missing or malformed
+        GET /read/ok: 400 X-Remaining-Ms: missing or malformed
+        GET /read/ok: 400 X-Remaining-Ms: missing or malformed
+        GET /read/ok: 400 X-Remaining-Ms: missing or malformed
+        GET /read/ok: 400 X-Txn: missing or malformed
+        GET /read/ok: 400 X-Labels: malformed
+        GET /read/ok: 404 X-Lane: unknown
+        GET /submit/ok: 404 path: its first part is not X-Lane
+        POST /read/ok: 405 method: not that of the track
+        GET /submit/ok: 405 method: not that of the track
+        POST /submit/ok: 400 Idempotency-Key: missing
+        POST /submit/ok: 413 body: too long or broken
+        GET /read/ok: 431 
+        nonsense: 400 
+    "#]]
+    .assert_eq(&told);
+    assert_eq!(unit.heads(), [""; 0]);
+    assert_eq!(relay.read("t-1", "ok"), "200 made by unit"); // none of them left its id open
+}
+
+#[test]
+fn a_client_that_closes_its_connection_has_left_and_an_open_id_is_not_taken_twice() {
+    let unit = Unit::start();
+    let relay = Relay::start(&configuration(discovery().0, &[entry("u-1", unit.address, "active", 1)]));
+    let mut client = relay.connect();
+    let head = "X-Txn: t-1\r\nX-Lane: read\r\nX-Remaining-Ms: 6000\r\n";
+    client
+        .get_mut()
+        .write_all(format!("GET /read/hang HTTP/1.1\r\nHost: h\r\n{head}\r\n").as_bytes())
+        .unwrap();
+    until("dispatched", || unit.heads().len() == 1);
+    assert!(relay.read("t-1", "ok").starts_with("409"));
+    drop(client);
+    until("abandoned", || unit.closed.load(Ordering::SeqCst) == 1);
+    until("its id is free", || relay.read("t-1", "ok") == "200 made by unit");
+}
+
+#[test]
+fn after_sigterm_what_arrives_is_answered_kept_connections_close_and_it_exits_with_0() {
+    let unit = Unit::start();
+    let mut relay = Relay::start(&configuration(discovery().0, &[entry("u-1", unit.address, "active", 1)]));
+    let request = |txn: &str, wish: &str| {
+        let head = format!("X-Txn: {txn}\r\nX-Lane: read\r\nX-Remaining-Ms: 6000\r\n");
+        format!("GET /read/{wish} HTTP/1.1\r\nHost: h\r\n{head}\r\n").into_bytes()
+    };
+    let mut kept = relay.connect();
+    kept.get_mut().write_all(&request("t-1", "ok")).unwrap();
+    assert_eq!(status(&message(&mut kept).unwrap().0), "200");
+    let mut busy = relay.connect();
+    busy.get_mut().write_all(&request("t-2", "slow")).unwrap();
+    until("dispatched", || unit.heads().len() == 2);
+    relay.signal("-TERM");
+    until("leaving", || relay.log().contains("phase Leaving"));
+    assert_eq!(kept.read(&mut [0]).unwrap(), 0); // closed while idle
+    assert_eq!(status(&relay.get("/healthz", "").0), "503");
+    assert_eq!(relay.read("t-3", "ok"), "200 made by unit");
+    let (head, body) = message(&mut busy).unwrap();
+    assert_eq!((status(&head), &body[..]), ("200", &b"slow"[..]));
+    assert_eq!(busy.read(&mut [0]).unwrap(), 0);
+    assert_eq!(relay.child.wait().unwrap().code(), Some(0));
+    until("ended", || relay.log().contains("phase Ended"));
+}
+
+#[test]
+fn tasks_follow_the_list() {
+    let (one, two) = (Unit::start(), Unit::start());
+    let (address, list) = discovery();
+    let relay = Relay::start(&configuration(address, &[entry("u-1", one.address, "active", 1)]));
+    assert_eq!(relay.read("t-1", "ok"), "200 made by unit");
+    list.send(list_text(4, false, &[entry("u-1", one.address, "leaving", 1)])).unwrap();
+    until("nobody is left", || relay.read("t-2", "ok").starts_with("503"));
+    list.send(list_text(5, true, &[entry("u-1", two.address, "active", 1)])).unwrap();
+    let before = one.heads().len();
+    until("the unit is back elsewhere", || relay.read("t-3", "ok") == "200 made by unit");
+    assert_eq!((one.heads().len(), two.heads().len()), (before, 1));
+}
+
+#[test]
+fn idle_connections_make_room_for_new_ones() {
+    let unit = Unit::start();
+    let mut configuration = configuration(discovery().0, &[entry("u-1", unit.address, "active", 1)]);
+    configuration["limits"]["sockets"] = json!(64); // 19 of them for clients
+    let relay = Relay::start(&configuration);
+    let kept: Vec<_> = (0..100)
+        .map(|nth| {
+            let mut client = relay.connect();
+            let head = format!("X-Txn: t-{nth}\r\nX-Lane: read\r\nX-Remaining-Ms: 6000\r\n");
+            let request = format!("GET /read/ok HTTP/1.1\r\nHost: h\r\n{head}\r\n");
+            client.get_mut().write_all(request.as_bytes()).unwrap();
+            assert_eq!(status(&message(&mut client).unwrap().0), "200");
+            client
+        })
+        .collect();
+    let silent: Vec<_> = (0..40).map(|_| relay.connect()).collect(); // these never ask for anything
+    assert_eq!(relay.read("last", "ok"), "200 made by unit");
+    drop((kept, silent));
+}
+
+#[test]
+fn faulty_configuration_ends_the_start_with_one_line_that_names_the_key() {
+    let good = configuration("127.0.0.1:9".parse().unwrap(), &[]);
+    let none = |_: &str| None;
+    assert!(config::decode(&good.to_string(), none).is_ok());
+    let cases = [
+        ("/listen", json!(null)),
+        ("/listen", json!("localhost")),
+        ("/discovery", json!(8500)),
+        ("/seed", json!("xyz")),
+        ("/limits/sockets", json!("many")),
+        ("/limits/sockets", json!(10)),
+        ("/known/endpoints", json!([{"name": "u"}])),
+        ("/settings", json!([])),
+        ("/settings/limits", json!(null)),
+        ("/settings/me", json!(1)),
+        ("/settings/instances", json!(-1)),
+        ("/settings/classes", json!([])),
+        ("/settings/classes/0/aim_s", json!("soon")),
+        ("/settings/classes/1/effect", json!("often")),
+        ("/settings/invariants/cold_from", json!(7)),
+        ("/settings/family_info/stage_cap", json!([0.1, 2])),
+        ("/settings/family_info/answer_wait_s", json!(-1)),
+        ("/settings/limits/dial_timeout_s", json!(0)),
+        ("/settings/limits/idle_close_s", json!(1e300)),
+    ];
+    let mut told = String::new();
+    for (key, value) in cases {
+        let mut all = good.clone();
+        *all.pointer_mut(key).unwrap_or_else(|| panic!("{key}")) = value;
+        told += &config::decode(&all.to_string(), none).err().unwrap_or(format!("{key}: taken"));
+        told.push('\n');
+    }
+    for (key, value) in [("rollouts", json!({"address": 1})), ("peer_listen", json!("127.0.0.1:0"))] {
+        let mut all = good.clone();
+        (all[key], all["settings"]["instances"]) = (value, json!(2));
+        told += &config::decode(&all.to_string(), none).err().unwrap_or(format!("{key}: taken"));
+        told.push('\n');
+    }
+    told += &config::decode("{\"name\":", none).err().unwrap();
+    expect![[r#"
+        listen: missing or malformed
+        listen: 'localhost' is no address
+        discovery: missing or malformed
+        seed: missing or malformed
+        limits.sockets: missing or malformed
+        limits.sockets: 10 is out of range, 64 are needed
+        known: missing field `address` at line 1 column 26
+        settings: missing or malformed
+        settings.limits: missing or malformed
+        settings.me: out of range
+        settings.instances: missing or malformed
+        settings.classes: out of range
+        settings.classes[].aim_s: missing or malformed
+        settings.classes[].effect: missing or malformed
+        settings.invariants.cold_from: out of range
+        settings.family_info.stage_cap: out of range
+        settings.family_info.answer_wait_s: missing or malformed
+        settings.limits.dial_timeout_s: out of range
+        settings.limits.idle_close_s: missing or malformed
+        rollouts.address: missing or malformed
+        peers: missing or malformed
+        PROXY_CONFIG: no JSON: EOF while parsing a value at line 1 column 8"#]]
+    .assert_eq(&told);
+    // A variable holds against the file; of the program itself, the exit code and the one line.
+    let listen = |name: &str| (name == "PROXY_LISTEN").then(|| "127.0.0.1:81".to_owned());
+    assert_eq!(config::decode(&good.to_string(), listen).ok().unwrap().listen.port(), 81);
+    let run =
+        Command::new(env!("CARGO_BIN_EXE_beechcroft")).env("PROXY_CONFIG", "/nowhere").output().unwrap();
+    assert_eq!(run.status.code(), Some(1));
+    let line = String::from_utf8(run.stderr).unwrap();
+    assert_eq!((line.lines().count(), line.starts_with("beechcroft: PROXY_CONFIG: /nowhere: ")), (1, true));
+}
--- a/crates/beechcroft-settings/src/lib.rs
+++ b/crates/beechcroft-settings/src/lib.rs
@@ -50,6 +50,13 @@
             Some(value) => as_type(value).ok_or_else(|| self.lacks(key)),
         }
     }
+    fn out_of_range(&self, key: &str) -> String {
+        format!(".{}{key}: out of range", self.1)
+    }
+    /// A part of a whole.
+    fn share(&self, key: &str, value: f64) -> Result<f64, String> {
+        (0.0..=1.0).contains(&value).then_some(value).ok_or_else(|| self.out_of_range(key))
+    }
     fn number(&self, key: &str) -> Result<f64, String> {
         self.read(key, None, Value::as_f64)
     }
@@ -130,7 +137,11 @@
     let mut tracks = Vec::new();
     let mut names = Vec::new();
     let mut longest_wait = Duration::ZERO;
-    for class in all.list("classes")? {
+    let classes = all.list("classes")?;
+    if classes.is_empty() {
+        return Err(all.out_of_range("classes"));
+    }
+    for class in classes {
         let node = Node(class, "classes[].");
         names.push(node.word("name")?.to_owned());
         tracks.push(track(&node)?);
@@ -146,6 +157,12 @@
     let zone = all.word_or("zone", "")?;
     let caps = rollout.list("stage_cap")?.iter();
     let stage_caps: Option<Vec<f64>> = caps.map(Value::as_f64).collect();
+    let stage_caps = stage_caps.ok_or_else(|| rollout.lacks("stage_cap"))?;
+    stage_caps.iter().try_for_each(|&cap| rollout.share("stage_cap", cap).map(drop))?;
+    let (me, relays) = (all.count("me")?, all.count("instances")?.max(1));
+    if me >= relays {
+        return Err(all.out_of_range("me"));
+    }
     let gate = match rollout.word("gate_mode")? {
         "first_voice" => GateMode::FirstVoice,
         "by_count" => GateMode::ByCount,
@@ -153,8 +170,8 @@
         _ => return Err(rollout.lacks("gate_mode")),
     };
     let settings = Settings {
-        me: PeerId(all.count("me")?),
-        relays: all.count("instances")?.max(1),
+        me: PeerId(me),
+        relays,
         zone: zones.iter().position(|name| name == zone).map(ZoneId),
         tracks,
         tenant_quotas,
@@ -168,13 +185,13 @@
         max_dispatches: limits.count("max_attempts")?,
         max_hold_off: limits.span_or("max_retry_after_s", Duration::ZERO)?,
         drain_grace: rules.span("drain_grace_s")?,
-        cold_from: rules.number("cold_from")?,
+        cold_from: rules.share("cold_from", rules.number("cold_from")?)?,
         warm_up: rules.span("warm_up_s")?,
         fall_multiple: rules.number("fall_multiple")?,
         overload_for: rules.span("overload_for_s")?,
         gate,
         replace: rollout.word_or("layout", "parallel")? == "replace",
-        stage_caps: stage_caps.ok_or_else(|| rollout.lacks("stage_cap"))?,
+        stage_caps,
         closed_stages: rollout.number_or("closed_stages", 0.0)? as usize,
         exposure_free: rollout.number("free")?,
         exposure_window: rollout.span("counted_over_s")?,
@@ -184,7 +201,7 @@
         vote_life: rollout.span("vote_life_s")?,
         votes_per_s: rollout.number("calls_per_s")?,
         delay_price: rollout.number_or("delay_price", 0.0)?,
-        complaint_share: rollout.number_or("complaint_share", 0.0)?,
+        complaint_share: rollout.share("complaint_share", rollout.number_or("complaint_share", 0.0)?)?,
     };
     let kinds = all.words("kinds").unwrap_or_default();
     let transport = Transport {
@@ -193,5 +210,8 @@
         longest_wait,
         answer_wait: settings.answer_wait,
     };
+    if transport.dial_time_out.is_zero() {
+        return Err(limits.out_of_range("dial_timeout_s"));
+    }
     Ok(Named { settings, transport, tracks: names, tenants, zones, kinds })
 }
