A client that asks for an open id cannot end the task of another; log lines name their part

Found on reading: the handler of a request that is refused with 409 would, dropped early, have told the module that the first client left, and its dispatch would have been abandoned (memory/tasks.rs, left). Now only the client whose answer nobody waits for any more has left; a test holds it.

--- a/crates/beechcroft-relay/src/memory/module.rs
+++ b/crates/beechcroft-relay/src/memory/module.rs
@@ -197,8 +197,9 @@
                 }
             }
             Event::Left(task) => {
-                hands.tasks.left(&task);
-                relay.client_left(&task, hands);
+                if hands.tasks.left(&task) {
+                    relay.client_left(&task, hands);
+                }
             }
             Event::Ended(Ended { task, no, outcome, reply, spent }) => {
                 if let Some(reply) = reply {
--- a/crates/beechcroft-relay/src/memory/tasks.rs
+++ b/crates/beechcroft-relay/src/memory/tasks.rs
@@ -64,10 +64,13 @@
         owed
     }
 
-    /// The client left: no answer is owed.
-    pub fn left(&mut self, id: &TaskId) {
-        self.0.get_mut(id).into_iter().for_each(|open| open.answer = None);
+    /// A client that waited for this id left; whether it was the task's own, and not one that asked for an open
+    /// id. No answer is owed any more.
+    pub fn left(&mut self, id: &TaskId) -> bool {
+        let Some(open) = self.0.get_mut(id) else { return false };
+        let own = open.answer.take_if(|answer| answer.is_closed()).is_some();
         self.forget_if_done(id);
+        own
     }
 
     /// A dispatch ended; whether the task is settled.
--- a/crates/beechcroft-relay/src/wire/discovery.rs
+++ b/crates/beechcroft-relay/src/wire/discovery.rs
@@ -2,6 +2,7 @@
 
 use crate::wire::budget::{CONTROL_CONNECT, LIST_MAX, WATCH_SLACK, WATCH_WAIT};
 use crate::wire::link::{Connector, HttpClient};
+use crate::wire::sparse::whole;
 use crate::wire::units::Listing;
 use beechcroft::{BuildId, CellId, Health, KindId, UnitId, ZoneId};
 use beechcroft_settings::Named;
@@ -134,11 +135,11 @@
         let watch = after.map(|index| format!("?index={index}&wait={}", WATCH_WAIT.as_millis()));
         let uri = format!("http://{}/v1/servers{}", self.address, watch.unwrap_or_default());
         let request = Request::get(uri).body(Full::default()).map_err(|error| error.to_string())?;
-        let answer = self.client.request(request).await.map_err(|error| error.to_string())?;
+        let answer = self.client.request(request).await.map_err(|error| whole(&error))?;
         if answer.status() != StatusCode::OK {
             return Err(format!("status {}", answer.status()));
         }
         let body = Limited::new(answer.into_body(), LIST_MAX).collect().await;
-        body.map(|body| body.to_bytes()).map_err(|error| error.to_string())
+        body.map(|body| body.to_bytes()).map_err(|error| whole(&*error))
     }
 }
--- a/crates/beechcroft-relay/src/wire/sparse.rs
+++ b/crates/beechcroft-relay/src/wire/sparse.rs
@@ -2,11 +2,18 @@
 
 use log::warn;
 use std::cell::Cell;
+use std::error::Error;
 use std::fmt::Display;
 use std::time::{Duration, Instant};
 
 const GAP: Duration = Duration::from_secs(1);
 
+/// An error with its causes, on one line.
+pub fn whole(error: &dyn Error) -> String {
+    let causes = std::iter::successors(error.source(), |&cause| cause.source());
+    causes.fold(error.to_string(), |line, cause| format!("{line}: {cause}"))
+}
+
 pub struct Sparse {
     what: &'static str,
     last: Cell<Option<Instant>>,
--- a/crates/beechcroft-relay/src/wire/units.rs
+++ b/crates/beechcroft-relay/src/wire/units.rs
@@ -4,7 +4,7 @@
 use crate::memory::module::{Ended, Event, Mailbox};
 use crate::wire::budget::{BODY_MAX, KEEP_PART, UNIT_CALLS};
 use crate::wire::link::{Connector, HttpClient, NoRoom};
-use crate::wire::sparse::Sparse;
+use crate::wire::sparse::{whole, Sparse};
 use crate::wire::{Call, Reply};
 use beechcroft::{DispatchNo, Outcome, TaskId};
 use beechcroft_settings::Transport;
@@ -241,7 +241,7 @@
             Got { outcome, reply: Some(Reply { body: body.to_bytes(), content_type }), oddity: None }
         }
         Err(error) if outcome == Outcome::Ok => {
-            Got { outcome: Outcome::Reset, reply: None, oddity: Some(format!("body: {error}")) }
+            Got { outcome: Outcome::Reset, reply: None, oddity: Some(format!("body: {}", whole(&*error))) }
         }
         _ if matches!(head.status, StatusCode::INTERNAL_SERVER_ERROR) || outcome == Outcome::Full => {
             Got::of(outcome)
@@ -287,5 +287,5 @@
 /// What is worth a log line: not what the network does, but what cannot be read, and our own shortage.
 fn odd_error(error: &hyper_util::client::legacy::Error) -> Option<String> {
     let unreadable = cause::<hyper::Error>(error).filter(|error| error.is_parse());
-    unreadable.map(ToString::to_string).or_else(|| cause::<NoRoom>(error).map(ToString::to_string))
+    unreadable.map(|error| whole(error)).or_else(|| cause::<NoRoom>(error).map(ToString::to_string))
 }
--- a/crates/beechcroft-relay/tests/sockets.rs
+++ b/crates/beechcroft-relay/tests/sockets.rs
@@ -1,9 +1,10 @@
 //! The relay on loopback sockets, against stand-ins for units, discovery, the platform and fellow relays.
 
-use beechcroft::{BuildId, DispatchNo, Outcome, PeerId, Stage, TaskId, Vote};
+use beechcroft::{BuildId, DispatchNo, Outcome, PeerId, Stage, TaskId, TrackId, Vote};
 use beechcroft_relay::life::config;
 use beechcroft_relay::memory::list::ListActor;
 use beechcroft_relay::memory::module::{Ended, Event};
+use beechcroft_relay::memory::tasks::{Hints, Taken, Tasks};
 use beechcroft_relay::wire::discovery::{Discovery, Places};
 use beechcroft_relay::wire::peers::{Addresses, Peers};
 use beechcroft_relay::wire::platform::{self, Ballot};
@@ -714,6 +715,25 @@
     assert_eq!(relay.read("t-1", "ok"), "200 made by unit"); // none of them left its id open
 }
 
+#[test]
+fn only_its_own_client_can_leave_a_task_and_it_is_kept_until_nothing_is_out() {
+    let (mut tasks, id) = (Tasks::default(), TaskId("t-1".into()));
+    let take = |tasks: &mut Tasks| {
+        let (answer, answered) = tokio::sync::oneshot::channel();
+        let (track, hints, abandon_at) = (TrackId(0), Hints::default(), tokio::time::Instant::now());
+        let taken = Taken { id: id.clone(), track, hints, abandon_at, call: call("ok"), answer };
+        tasks.take(taken).is_ok().then_some(answered)
+    };
+    let own = take(&mut tasks).unwrap();
+    assert!(take(&mut tasks).is_none()); // another client's, with the same id
+    assert!(!tasks.left(&id)); // and it left
+    let (no, _) = tasks.sent(&id, None).unwrap();
+    drop(own);
+    assert!(tasks.left(&id) && tasks.sent(&id, None).is_none());
+    assert!(take(&mut tasks).is_none()); // its dispatch is still out
+    assert!(tasks.ended(&id, no) && take(&mut tasks).is_some());
+}
+
 #[test]
 fn a_client_that_closes_its_connection_has_left_and_an_open_id_is_not_taken_twice() {
     let unit = Unit::start();
@@ -728,6 +748,7 @@
     assert!(relay.read("t-1", "ok").starts_with("409"));
     drop(client);
     until("abandoned", || unit.closed.load(Ordering::SeqCst) == 1);
+    assert!(relay.log().contains("task t-1 is open already"));
     until("its id is free", || relay.read("t-1", "ok") == "200 made by unit");
 }
 
@@ -771,6 +792,19 @@
     assert_eq!((one.heads().len(), two.heads().len()), (before, 1));
 }
 
+#[test]
+fn the_news_of_the_configuration_holds_before_the_first_task() {
+    let unit = Unit::start();
+    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let told = ["canary", "stable"].map(|status| {
+        let mut all = configuration(discovery().0, &[entry("u-1", unit.address, "active", 2)]);
+        let news = json!({"version": 2, "step": 0, "status": status, "maxWeight": 0.0, "observedAgoMs": 1});
+        all["rollouts"] = json!({"address": closed, "news": news});
+        Relay::start(&all).read("t-1", "ok")
+    });
+    assert_eq!(told, ["503 nacked", "200 made by unit"]);
+}
+
 #[test]
 fn idle_connections_make_room_for_new_ones() {
     let unit = Unit::start();
