--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -144,7 +144,7 @@
         } else {
             state()
         };
-        if write!(stream, "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"result\":{told}}}\n").is_err() {
+        if writeln!(stream, "{{\"jsonrpc\":\"2.0\",\"id\":{id},\"result\":{told}}}").is_err() {
             return;
         }
         line.clear();
