Where descriptors are short, idle connections to other units make room

Excluded: CPU (0.07 s in the worst second), memory (3 MB), clients (no request not taken). A unit's actor also ends once nobody knows its unit, which the added branch would have prevented; both have tests.

--- a/crates/beechcroft-relay/src/wire/budget.rs
+++ b/crates/beechcroft-relay/src/wire/budget.rs
@@ -35,6 +35,8 @@
 pub const KEEP_PART: f64 = 0.5;
 /// Idle connections kept to one unit.
 pub const KEEP_IDLE: usize = 16;
+/// For idle connections of other units to close where no descriptor is left: a local matter, over at once.
+pub const ROOM_WAIT: Duration = Duration::from_millis(50);
 /// Dispatches that one unit may hold from here at once; a unit keeps a limited number of connections.
 pub const UNIT_CALLS: usize = 96;
 
--- a/crates/beechcroft-relay/src/wire/discovery.rs
+++ b/crates/beechcroft-relay/src/wire/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery: its list as it comes and goes, and the client that asks for it. The list's actor decides when.
 
 use crate::wire::budget::{CONTROL_CONNECT, LIST_MAX, WATCH_SLACK, WATCH_WAIT};
-use crate::wire::link::{Connector, HttpClient};
+use crate::wire::link::{Connector, HttpClient, Room};
 use crate::wire::sparse::whole;
 use crate::wire::units::Listing;
 use beechcroft::{BuildId, CellId, Health, KindId, UnitId, ZoneId};
@@ -12,9 +12,7 @@
 use serde::Deserialize;
 use smol_str::SmolStr;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::Semaphore;
 
 /// The whole list, or what changed.
 #[derive(Debug)]
@@ -117,7 +115,7 @@
 impl Discovery {
     pub fn new(address: SocketAddr, places: Places) -> Discovery {
         // Two: the watch's own, and its successor where it fell silent.
-        let room = Arc::new(Semaphore::new(2));
+        let room = Room::new(2);
         let client =
             Connector { to: address, time_out: CONTROL_CONNECT, room }.client(WATCH_WAIT + WATCH_SLACK);
         Discovery { address, places, client }
--- a/crates/beechcroft-relay/src/wire/link.rs
+++ b/crates/beechcroft-relay/src/wire/link.rs
@@ -1,6 +1,6 @@
 //! Outgoing HTTP connections: hyper-util's client over connections that are bounded, timed and without delay.
 
-use crate::wire::budget::{HEAD_MAX, KEEP_IDLE};
+use crate::wire::budget::{HEAD_MAX, KEEP_IDLE, ROOM_WAIT};
 use bytes::Bytes;
 use http::Uri;
 use http_body_util::Full;
@@ -16,7 +16,8 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout;
 
 pub type HttpClient = Client<Connector, Full<Bytes>>;
 
@@ -32,18 +33,45 @@
 
 impl std::error::Error for NoRoom {}
 
+/// A part of the descriptors, shared by many connectors.
+#[derive(Clone)]
+pub struct Room {
+    free: Arc<Semaphore>,
+    short: watch::Sender<()>,
+}
+
+impl Room {
+    pub fn new(connections: usize) -> Room {
+        Room { free: Arc::new(Semaphore::new(connections)), short: watch::Sender::new(()) }
+    }
+
+    /// Changes whenever a connect found no room: those who hold idle connections are to drop them.
+    pub fn shortage(&self) -> watch::Receiver<()> {
+        self.short.subscribe()
+    }
+
+    async fn take(self) -> Result<OwnedSemaphorePermit, NoRoom> {
+        if let Ok(permit) = self.free.clone().try_acquire_owned() {
+            return Ok(permit);
+        }
+        self.short.send_replace(());
+        let freed = timeout(ROOM_WAIT, self.free.acquire_owned()).await;
+        freed.map_err(|_| NoRoom)?.map_err(|_| NoRoom)
+    }
+}
+
 /// Connects to one address, whatever the request's own says.
 #[derive(Clone)]
 pub struct Connector {
     pub to: SocketAddr,
     pub time_out: Duration,
-    pub room: Arc<Semaphore>,
+    pub room: Room,
 }
 
 impl Connector {
     async fn connect(self) -> Result<Link, Box<dyn std::error::Error + Send + Sync>> {
-        let permit = self.room.try_acquire_owned().map_err(|_| NoRoom)?;
-        let stream = tokio::time::timeout(self.time_out, TcpStream::connect(self.to)).await??;
+        let permit = self.room.take().await?;
+        let stream = timeout(self.time_out, TcpStream::connect(self.to)).await??;
         stream.set_nodelay(true)?;
         Ok(Link { stream: TokioIo::new(stream), _permit: permit })
     }
--- a/crates/beechcroft-relay/src/wire/units.rs
+++ b/crates/beechcroft-relay/src/wire/units.rs
@@ -3,7 +3,7 @@
 
 use crate::memory::module::{Ended, Event, Mailbox};
 use crate::wire::budget::{BODY_MAX, KEEP_PART, UNIT_CALLS};
-use crate::wire::link::{Connector, HttpClient, NoRoom};
+use crate::wire::link::{Connector, HttpClient, NoRoom, Room};
 use crate::wire::sparse::{whole, Sparse};
 use crate::wire::{Call, Reply};
 use beechcroft::{DispatchNo, Outcome, TaskId};
@@ -18,7 +18,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, watch, Semaphore};
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, Instant};
 
 pub const TXN: &str = "x-txn";
@@ -56,7 +56,7 @@
 #[derive(Clone)]
 pub struct Shared {
     pub module: Mailbox,
-    pub room: Arc<Semaphore>,
+    pub room: Room,
     pub dial_time_out: Duration,
     pub keep: Duration,
 }
@@ -65,7 +65,7 @@
     pub fn new(module: Mailbox, connections: usize, transport: &Transport) -> Shared {
         Shared {
             module,
-            room: Arc::new(Semaphore::new(connections)),
+            room: Room::new(connections),
             dial_time_out: transport.dial_time_out,
             keep: transport.idle_close.mul_f64(KEEP_PART),
         }
@@ -105,8 +105,9 @@
     async fn run(mut self, mut mailbox: mpsc::UnboundedReceiver<ToUnit>) {
         let odd = Sparse::new("unit's answer");
         let mut calls = FuturesUnordered::new();
+        let mut shortage = self.shared.room.shortage();
         let mut open = true;
-        loop {
+        while open || !calls.is_empty() {
             tokio::select! {
                 biased;
                 message = mailbox.recv(), if open => match message {
@@ -120,12 +121,13 @@
                     Some(ToUnit::Dispatch(dispatch)) => calls.push(self.call(dispatch)),
                     None => open = false,
                 },
+                // A pool that is dropped closes its idle connections; the calls under way keep theirs.
+                Ok(()) = shortage.changed() => self.client = self.shared.client(self.listing),
                 Some((ended, oddity)) = calls.next() => {
                     self.orders.remove(&(ended.task.clone(), ended.no.0));
                     oddity.into_iter().for_each(|oddity| odd.warn(format!("{} {oddity}", self.listing.address)));
                     let _ = self.shared.module.send(Event::Ended(ended));
                 }
-                else => return,
             }
         }
     }
--- a/crates/beechcroft-relay/tests/sockets.rs
+++ b/crates/beechcroft-relay/tests/sockets.rs
@@ -294,6 +294,28 @@
         told.push((one.opened.load(Ordering::SeqCst), two.opened.load(Ordering::SeqCst)));
     }
     assert_eq!(told, [(1, 0), (2, 0), (2, 1)]);
+    drop(mailbox); // nobody knows the unit any more: its actor ends, and with it what is idle
+    let closed = [one.closed.clone(), two.closed.clone()];
+    let wait = move || {
+        until("all closed", || closed.each_ref().map(|closed| closed.load(Ordering::SeqCst)) == [2, 1])
+    };
+    tokio::task::spawn_blocking(wait).await.unwrap();
+}
+
+#[tokio::test]
+async fn where_no_descriptor_is_left_idle_connections_make_room() {
+    let (one, two) = (Unit::start(), Unit::start());
+    let mut calls = Calls::new(1);
+    let mailboxes = [&one, &two].map(|unit| calls.shared.spawn(listing(unit.address)));
+    for mailbox in [&mailboxes[0], &mailboxes[1], &mailboxes[0]] {
+        mailbox.send(calls.dispatch("ok", PATIENCE)).ok().unwrap();
+        assert_eq!(calls.ended().await.outcome, Outcome::Ok);
+    }
+    // One that is at work makes none.
+    mailboxes[0].send(calls.dispatch("hang", ms(500))).ok().unwrap();
+    mailboxes[1].send(calls.dispatch("ok", PATIENCE)).ok().unwrap();
+    let ended = [calls.ended().await, calls.ended().await].map(|ended| ended.outcome);
+    assert_eq!(ended, [Outcome::Moot, Outcome::TimeOut]);
 }
 
 /// Serves one connection after the other with what `speak` does on it.
