Hints of work are bounded; one loop accepts connections

Found on reading: a client's work_hint_s goes into sums of durations, which panic where they overflow; a hint over an hour is now malformed (wire/clients.rs, hints), with a test. The accepting loop waited for the phase at two places; now at one.

--- a/crates/beechcroft-relay/src/wire/budget.rs
+++ b/crates/beechcroft-relay/src/wire/budget.rs
@@ -7,6 +7,8 @@
 pub const BODY_MAX: usize = 64 * 1024;
 /// The longest `X-Txn` that is taken; the protocol's have 16 characters.
 pub const TXN_MAX: usize = 128;
+/// The longest hint of a task's work; no task takes as long, and times are added up.
+pub const HINT_MAX: Duration = Duration::from_secs(3600);
 /// Room for a message's head; ours are a few hundred bytes, and hyper asks for 8 KiB at least.
 pub const HEAD_MAX: usize = 16 * 1024;
 /// The whole list of a large fleet is about 200 bytes a unit.
@@ -56,7 +58,7 @@
 /// Between connections to the platform where one failed.
 pub const PLATFORM_PAUSE: Duration = Duration::from_millis(200);
 
-/// The parts of the descriptors: one is left for each thing that is neither (list, platform, peers, logs, timers).
+/// The parts of the descriptors.
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
     pub clients: usize,
--- a/crates/beechcroft-relay/src/wire/clients.rs
+++ b/crates/beechcroft-relay/src/wire/clients.rs
@@ -4,7 +4,7 @@
 use crate::life::phases::{Life, Phase};
 use crate::memory::module::{Event, Mailbox};
 use crate::memory::tasks::{Hints, Taken};
-use crate::wire::budget::{ACCEPT_PAUSE, BODY_MAX, HEAD_MAX, HEAD_WAIT, SILENT_WAIT, TXN_MAX};
+use crate::wire::budget::{ACCEPT_PAUSE, BODY_MAX, HEAD_MAX, HEAD_WAIT, HINT_MAX, SILENT_WAIT, TXN_MAX};
 use crate::wire::sparse::Sparse;
 use crate::wire::units::{KEY, REMAINING, TXN};
 use crate::wire::{Answer, Call};
@@ -109,7 +109,9 @@
                 }
                 ("route_key", key) => hints.key = Some(Key(key.parse().ok()?)),
                 ("work_hint_s", work) => {
-                    hints.work = Some(Duration::try_from_secs_f64(work.parse().ok()?).ok()?);
+                    let work = Duration::try_from_secs_f64(work.parse().ok()?).ok()?;
+                    hints.work = Some(work).filter(|&work| work <= HINT_MAX);
+                    hints.work?;
                 }
                 _ => {}
             }
@@ -217,53 +219,45 @@
         self.most - self.room.available_permits()
     }
 
-    /// Accepts until dropped.
+    /// Accepts until dropped; once the relay leaves, kept connections close and new ones serve one request each.
     pub async fn accept(&self, listener: TcpListener, front: Front) {
         let front = Arc::new(front);
         let mut phases = front.life.watch();
+        let mut leaving = std::pin::pin!(phases.wait_for(|phase| *phase >= Phase::Leaving));
         let router = Router::new().route("/healthz", get(healthz)).fallback(task).with_state(front.clone());
         let odd = Sparse::new("clients");
+        let mut once = false;
         loop {
-            let permit = tokio::select! {
-                biased;
-                // Kept connections close as soon as the relay leaves; new ones serve one request each.
-                _ = phases.wait_for(|phase| *phase >= Phase::Leaving), if !self.is_leaving(&front) => {
+            let next = async {
+                let permit = self.room.clone().acquire_owned().await;
+                if self.room.available_permits() < self.most / 8 {
+                    odd.warn(format!("{} connections are open, idle ones are closed", self.open()));
                     self.close_kept();
-                    continue;
                 }
-                permit = self.room.clone().acquire_owned() => permit,
+                (permit, listener.accept().await)
             };
-            let Ok(permit) = permit else { return };
-            if self.room.available_permits() < self.most / 8 {
-                odd.warn(format!("{} connections are open, idle ones are closed", self.open()));
-                self.close_kept();
-            }
-            let accepted = tokio::select! {
+            let (permit, accepted) = tokio::select! {
                 biased;
-                _ = phases.wait_for(|phase| *phase >= Phase::Leaving), if !self.is_leaving(&front) => {
+                _ = &mut leaving, if !once => {
+                    once = true;
                     self.close_kept();
                     continue;
                 }
-                accepted = listener.accept() => accepted,
+                next = next => next,
             };
-            match accepted {
-                Ok((stream, _)) => {
-                    let close = self.close.subscribe();
-                    let once = self.is_leaving(&front);
-                    tokio::spawn(serve(stream, router.clone(), close, once, permit));
+            match (permit, accepted) {
+                (Ok(permit), Ok((stream, _))) => {
+                    tokio::spawn(serve(stream, router.clone(), self.close.subscribe(), once, permit));
                 }
-                Err(error) => {
+                (_, Err(error)) => {
                     odd.warn(format!("accept: {error}"));
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
+                (Err(_), _) => return, // the room is never closed
             }
         }
     }
 
-    fn is_leaving(&self, front: &Front) -> bool {
-        *self.close.borrow() > 0 && front.life.now() >= Phase::Leaving
-    }
-
     fn close_kept(&self) {
         self.close.send_modify(|times| *times += 1);
     }
--- a/crates/beechcroft-relay/src/wire/units.rs
+++ b/crates/beechcroft-relay/src/wire/units.rs
@@ -245,9 +245,7 @@
         Err(error) if outcome == Outcome::Ok => {
             Got { outcome: Outcome::Reset, reply: None, oddity: Some(format!("body: {}", whole(&*error))) }
         }
-        _ if matches!(head.status, StatusCode::INTERNAL_SERVER_ERROR) || outcome == Outcome::Full => {
-            Got::of(outcome)
-        }
+        _ if head.status == StatusCode::INTERNAL_SERVER_ERROR || outcome == Outcome::Full => Got::of(outcome),
         _ => Got { outcome, reply: None, oddity: Some(format!("unexpected status {}", head.status)) },
     }
 }
--- a/crates/beechcroft-relay/tests/sockets.rs
+++ b/crates/beechcroft-relay/tests/sockets.rs
@@ -697,6 +697,7 @@
         ("GET /read/ok", format!("{txn}{lane}X-Remaining-Ms: 99999999999\r\n\r\n")),
         ("GET /read/ok", format!("X-Txn: {}\r\n{lane}{remaining}\r\n", "t".repeat(200))),
         ("GET /read/ok", format!("{txn}{lane}{remaining}X-Labels: route_key\r\n\r\n")),
+        ("GET /read/ok", format!("{txn}{lane}{remaining}X-Labels: work_hint_s=1e18\r\n\r\n")),
         ("GET /read/ok", format!("{txn}X-Lane: write\r\n{remaining}\r\n")),
         ("GET /submit/ok", format!("{txn}{lane}{remaining}\r\n")),
         ("POST /read/ok", format!("{txn}{lane}{remaining}Content-Length: 0\r\n\r\n")),
@@ -723,6 +724,7 @@
         GET /read/ok: 400 X-Remaining-Ms: missing or malformed
         GET /read/ok: 400 X-Txn: missing or malformed
         GET /read/ok: 400 X-Labels: malformed
+        GET /read/ok: 400 X-Labels: malformed
         GET /read/ok: 404 X-Lane: unknown
         GET /submit/ok: 404 path: its first part is not X-Lane
         POST /read/ok: 405 method: not that of the track
