--- a/crates/beechcroft-relay/src/wire/clients.rs
+++ b/crates/beechcroft-relay/src/wire/clients.rs
@@ -16,7 +16,7 @@
 use beechcroft::{Effect, Key, TaskId, TenantId, TrackId};
 use beechcroft_settings::Named;
 use http::request::Parts;
-use http::{header, HeaderMap, HeaderValue, Method, StatusCode};
+use http::{header, HeaderMap, HeaderValue, StatusCode};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -60,22 +60,42 @@
 }
 
 /// Why a request is no task: 4xx at once.
-type Fault = (StatusCode, &'static str);
+#[derive(Debug)]
+pub struct Fault {
+    status: StatusCode,
+    what: &'static str,
+    /// The method that would do, where another was used.
+    allow: Option<&'static str>,
+}
+
+impl Fault {
+    fn new(status: StatusCode, what: &'static str) -> Fault {
+        Fault { status, what, allow: None }
+    }
+
+    fn encode(self) -> Response {
+        let mut response = plain(self.status, self.what);
+        let allow = self.allow.map(HeaderValue::from_static);
+        allow.into_iter().for_each(|allow| drop(response.headers_mut().insert(header::ALLOW, allow)));
+        response
+    }
+}
 
 impl Front {
     pub fn decode(&self, head: &Parts) -> Result<Asked, Fault> {
-        let bad = |what| (StatusCode::BAD_REQUEST, what);
+        let bad = |what| Fault::new(StatusCode::BAD_REQUEST, what);
         let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
         let lane = text(LANE).ok_or(bad("X-Lane: missing or malformed"))?;
         let track = self.tracks.iter().position(|(name, _)| name == lane);
-        let track = track.ok_or((StatusCode::NOT_FOUND, "X-Lane: unknown"))?;
+        let track = track.ok_or(Fault::new(StatusCode::NOT_FOUND, "X-Lane: unknown"))?;
         if head.uri.path().split('/').nth(1) != Some(lane) {
-            return Err((StatusCode::NOT_FOUND, "path: its first part is not X-Lane"));
+            return Err(Fault::new(StatusCode::NOT_FOUND, "path: its first part is not X-Lane"));
         }
         let effect = self.tracks[track].1;
-        let method = if effect == Effect::Idempotent { Method::GET } else { Method::POST };
+        let method = if effect == Effect::Idempotent { "GET" } else { "POST" };
         if head.method != method {
-            return Err((StatusCode::METHOD_NOT_ALLOWED, "method: not that of the track"));
+            let fault = Fault::new(StatusCode::METHOD_NOT_ALLOWED, "method: not that of the track");
+            return Err(Fault { allow: Some(method), ..fault });
         }
         let txn = text(TXN).filter(|txn| (1..=TXN_MAX).contains(&txn.len()));
         let txn = txn.ok_or(bad("X-Txn: missing or malformed"))?;
@@ -166,7 +186,7 @@
     let (head, body) = request.into_parts();
     let asked = match front.decode(&head) {
         Ok(asked) => asked,
-        Err((status, what)) => return plain(status, what),
+        Err(fault) => return fault.encode(),
     };
     let abandon_at = arrived + asked.remaining;
     let body = match tokio::time::timeout_at(abandon_at, axum::body::to_bytes(body, BODY_MAX)).await {
--- a/crates/beechcroft-relay/tests/sockets.rs
+++ b/crates/beechcroft-relay/tests/sockets.rs
@@ -714,7 +714,8 @@
         let request = format!("{line} HTTP/1.1\r\nHost: h\r\n{rest}{long}");
         let _ = connection.get_mut().write_all(request.as_bytes()); // it may be answered before all is read
         let (head, body) = message(&mut connection).unwrap_or_default();
-        told += &format!("{line}: {} {}\n", status(&head), String::from_utf8(body).unwrap());
+        let allow = field(&head, "allow").map(|allow| format!(", {allow} is")).unwrap_or_default();
+        told += &format!("{line}: {} {}{allow}\n", status(&head), String::from_utf8(body).unwrap());
     }
     expect![[r#"
         GET /read/ok: 400 X-Txn: missing or malformed
@@ -727,8 +728,8 @@
         GET /read/ok: 400 X-Labels: malformed
         GET /read/ok: 404 X-Lane: unknown
         GET /submit/ok: 404 path: its first part is not X-Lane
-        POST /read/ok: 405 method: not that of the track
-        GET /submit/ok: 405 method: not that of the track
+        POST /read/ok: 405 method: not that of the track, GET is
+        GET /submit/ok: 405 method: not that of the track, POST is
         POST /submit/ok: 400 Idempotency-Key: missing
         POST /submit/ok: 413 body: too long or broken
         GET /read/ok: 431 
