--- a/crates/beechcroft-relay/tests/sockets.rs
+++ b/crates/beechcroft-relay/tests/sockets.rs
@@ -268,7 +268,7 @@
     let (listener, filler, address) = nowhere();
     calls.shared.dial_time_out = PATIENCE * 3; // so that nothing else ends them
     let mailbox = calls.shared.spawn(listing(address));
-    mailbox.send(calls.dispatch("ok", PATIENCE)).ok().unwrap();
+    mailbox.send(calls.dispatch("ok", PATIENCE * 3)).ok().unwrap();
     mailbox.send(calls.dispatch("ok", ms(1))).ok().unwrap();
     assert_eq!(calls.ended().await.outcome, Outcome::ConnectFailed); // its time is over
     mailbox.send(ToUnit::Gone).ok().unwrap();
@@ -368,6 +368,7 @@
         let news = NEWS.replace(":7", &format!(":{version}"));
         format!("{{\"jsonrpc\":\"2.0\",\"method\":\"ROLLOUT\",\"params\":{news}}}\n")
     };
+    let (first_ended, first_closed) = mpsc::channel();
     let address = stand_in(move |nth, mut stream| {
         let mut lines = BufReader::new(stream.try_clone().unwrap()).lines().map_while(Result::ok);
         let Some(listen) = lines.next() else { return };
@@ -392,7 +393,11 @@
             say(answer(&vote, if rest.is_empty() { "\"result\":NEWS" } else { &error }).replace("NEWS", NEWS));
         }
         // Silent from here on, but open: after some pings' time another connection listens.
-        std::thread::spawn(move || lines.for_each(drop));
+        let first_ended = first_ended.clone();
+        std::thread::spawn(move || {
+            lines.for_each(drop);
+            let _ = first_ended.send(());
+        });
         std::mem::forget(stream);
     });
     let (module, mut from) = unbounded_channel();
@@ -408,6 +413,8 @@
     }
     mailbox.send(vote).unwrap();
     told += &events(&mut from, 2).await; // the vote's time-out, the second connection's news
+    let closed = tokio::task::spawn_blocking(move || first_closed.recv_timeout(PATIENCE));
+    assert!(closed.await.unwrap().is_ok()); // so that nothing is heard twice
     mailbox.send(vote).unwrap();
     told += &events(&mut from, 2).await; // the vote's loss, the third connection's news
     expect![[r#"
