Read once more: one piece for headers, news, lost votes and test requests

No behaviour changes; the tests keep their assertions and traces. The wait for a vote's answer was kept beside the settings that hold it, a counter stood where a bare signal does (as in Room), two return values had no reader, and fields were public that nobody else reads.

--- a/crates/beechcroft-relay/src/life/run.rs
+++ b/crates/beechcroft-relay/src/life/run.rs
@@ -44,7 +44,7 @@
     };
     let (listed, first_list) = oneshot::channel();
     let (reached, first_news) = oneshot::channel();
-    let (tracks, wait) = (names.tracks.clone(), names.transport.answer_wait);
+    let (tracks, wait) = (names.tracks.clone(), names.settings.answer_wait);
     let platform = rollouts.map(|at| platform::spawn(at, wait, tracks, module.clone(), reached));
     let units = Shared::new(module.clone(), budget.units, &names.transport);
     let hands = Hands::new(units, follow, platform, peers);
@@ -68,6 +68,7 @@
         life.enter(Phase::Leaving);
         sleep(LINGER).await;
         let closed = async {
+            // One place is the accepting loop's own.
             while clients.open() > 1 {
                 sleep(Duration::from_millis(5)).await;
             }
--- a/crates/beechcroft-relay/src/memory/module.rs
+++ b/crates/beechcroft-relay/src/memory/module.rs
@@ -70,10 +70,10 @@
 
 /// What carries the module's actions out.
 pub struct Hands {
-    pub units: Shared,
-    pub list: ListMailbox,
-    pub platform: Option<PlatformMailbox>,
-    pub peers: Peers,
+    units: Shared,
+    list: ListMailbox,
+    platform: Option<PlatformMailbox>,
+    peers: Peers,
     known: HashMap<UnitId, UnitMailbox>,
     tasks: Tasks,
     timers: Timers,
@@ -189,7 +189,7 @@
         let ModuleActor { relay, hands, .. } = self;
         match event {
             Event::Task(taken) => {
-                let (id, track, hints) = (taken.id.clone(), taken.track, taken.hints.clone());
+                let (id, track, hints) = (taken.id.clone(), taken.track, taken.hints);
                 let left = taken.abandon_at.saturating_duration_since(hands.now);
                 match hands.tasks.take(taken) {
                     Ok(()) => relay.task_taken(id, track, hints.tenant, hints.key, left, hints.work, hands),
@@ -210,17 +210,20 @@
             }
             Event::List(list) => self.list(list),
             Event::ListFailed => relay.list_failed(hands),
-            Event::News(news) => relay.build_news(news.build, news.stage, news.phase, news.cap, hands),
+            Event::News(news) => self.news(news),
             Event::VoteAnswered(outcome, news) => {
-                let news = news.into_iter();
-                news.for_each(|news| relay.build_news(news.build, news.stage, news.phase, news.cap, hands));
-                relay.vote_answered(outcome);
+                news.into_iter().for_each(|news| self.news(news));
+                self.relay.vote_answered(outcome);
             }
             Event::Complaint(unit, track) => relay.complaint(&unit, track),
             Event::Note(from, note) => relay.note_from(from, &note),
         }
     }
 
+    fn news(&mut self, News { build, stage, phase, cap }: News) {
+        self.relay.build_news(build, stage, phase, cap, &mut self.hands);
+    }
+
     /// Tells the module of the list, and each unit's actor of its own entry.
     fn list(&mut self, list: List) {
         let fleet = self.relay.list();
--- a/crates/beechcroft-relay/src/memory/tasks.rs
+++ b/crates/beechcroft-relay/src/memory/tasks.rs
@@ -19,15 +19,15 @@
 }
 
 /// Further figures that a task may carry.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Hints {
     pub tenant: Option<beechcroft::TenantId>,
     pub key: Option<beechcroft::Key>,
     pub work: Option<std::time::Duration>,
 }
 
-pub struct Open {
-    pub call: Arc<Call>,
+struct Open {
+    call: Arc<Call>,
     answer: Option<oneshot::Sender<Answer>>,
     tries: u32,
     out: Option<(DispatchNo, Option<UnitMailbox>)>,
@@ -56,12 +56,12 @@
         Some((no, open.call.clone()))
     }
 
-    /// Gives the final answer; a second one finds nobody. Whether somebody was still owed it.
-    pub fn answer(&mut self, id: &TaskId, answer: Answer) -> bool {
-        let waiting = self.0.get_mut(id).and_then(|open| open.answer.take());
-        let owed = waiting.is_some_and(|waiting| waiting.send(answer).is_ok());
+    /// Gives the final answer; a second one finds nobody.
+    pub fn answer(&mut self, id: &TaskId, answer: Answer) {
+        if let Some(waiting) = self.0.get_mut(id).and_then(|open| open.answer.take()) {
+            let _ = waiting.send(answer); // a client that left this moment is told of by itself
+        }
         self.forget_if_done(id);
-        owed
     }
 
     /// A client that waited for this id left; whether it was the task's own, and not one that asked for an open
--- a/crates/beechcroft-relay/src/wire/clients.rs
+++ b/crates/beechcroft-relay/src/wire/clients.rs
@@ -16,7 +16,7 @@
 use beechcroft::{Effect, Key, TaskId, TenantId, TrackId};
 use beechcroft_settings::Named;
 use http::request::Parts;
-use http::{header, HeaderMap, HeaderValue, StatusCode};
+use http::{header, HeaderMap, HeaderName, HeaderValue, StatusCode};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -74,10 +74,7 @@
     }
 
     fn encode(self) -> Response {
-        let mut response = plain(self.status, self.what);
-        let allow = self.allow.map(HeaderValue::from_static);
-        allow.into_iter().for_each(|allow| drop(response.headers_mut().insert(header::ALLOW, allow)));
-        response
+        with(plain(self.status, self.what), header::ALLOW, self.allow.map(HeaderValue::from_static))
     }
 }
 
@@ -159,22 +156,21 @@
     response
 }
 
+/// The response with a header, if there is one.
+fn with(mut response: Response, name: HeaderName, value: Option<HeaderValue>) -> Response {
+    response.headers_mut().extend(value.map(|value| (name, value)));
+    response
+}
+
 fn encode(answer: Answer) -> Response {
     match answer {
         Answer::Handled(reply) => {
-            let mut response = Response::new(Body::from(reply.body));
-            let headers = response.headers_mut();
-            reply.content_type.into_iter().for_each(|kind| drop(headers.insert(header::CONTENT_TYPE, kind)));
-            response
+            with(Response::new(Body::from(reply.body)), header::CONTENT_TYPE, reply.content_type)
         }
         Answer::Nacked(hold_off) => {
-            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "nacked\n");
-            if !hold_off.is_zero() {
-                let after = HeaderValue::try_from(format!("{:.3}", hold_off.as_secs_f64()));
-                let headers = response.headers_mut();
-                after.into_iter().for_each(|after| drop(headers.insert(header::RETRY_AFTER, after)));
-            }
-            response
+            let after = HeaderValue::try_from(format!("{:.3}", hold_off.as_secs_f64())).ok();
+            let after = after.filter(|_| !hold_off.is_zero());
+            with(plain(StatusCode::SERVICE_UNAVAILABLE, "nacked\n"), header::RETRY_AFTER, after)
         }
         Answer::Terminated => plain(StatusCode::BAD_GATEWAY, "terminated\n"),
     }
@@ -226,13 +222,13 @@
 pub struct Clients {
     room: Arc<Semaphore>,
     most: usize,
-    /// Raised to make every connection close after its answer, or at once if it is idle.
-    close: watch::Sender<u64>,
+    /// Changed to make every connection close after its answer, or at once if it is idle.
+    close: watch::Sender<()>,
 }
 
 impl Clients {
     pub fn new(most: usize) -> Clients {
-        Clients { room: Arc::new(Semaphore::new(most)), most, close: watch::Sender::new(0) }
+        Clients { room: Arc::new(Semaphore::new(most)), most, close: watch::Sender::new(()) }
     }
 
     pub fn open(&self) -> usize {
@@ -279,13 +275,13 @@
     }
 
     fn close_kept(&self) {
-        self.close.send_modify(|times| *times += 1);
+        self.close.send_replace(());
     }
 }
 
 /// Serves one connection until it ends, or is told to close: at once if it is idle, else after its answer.
 async fn serve(
-    stream: TcpStream, router: Router, mut close: watch::Receiver<u64>, once: bool,
+    stream: TcpStream, router: Router, mut close: watch::Receiver<()>, once: bool,
     _permit: OwnedSemaphorePermit,
 ) {
     let _ = stream.set_nodelay(true);
--- a/crates/beechcroft-relay/src/wire/platform.rs
+++ b/crates/beechcroft-relay/src/wire/platform.rs
@@ -204,7 +204,10 @@
                     Some(ballot) => self.cast(ballot),
                     None => return,
                 },
-                () = sleep_until(due) => self.give_up_late_votes(),
+                () = sleep_until(due) => {
+                    let now = Instant::now();
+                    self.give_up(|vote| vote.until <= now);
+                }
             }
         }
     }
@@ -292,20 +295,19 @@
     /// Drops a connection; its votes may have been counted, or may yet be.
     fn end(&mut self, number: u64) {
         self.lines.retain(|line| line.number != number);
-        let lost: Vec<u64> =
-            self.waiting.iter().filter(|(_, vote)| vote.line == number).map(|(&id, _)| id).collect();
-        lost.into_iter().for_each(|id| self.unanswered(id));
-    }
-
-    fn unanswered(&mut self, id: u64) {
-        self.waiting.remove(&id);
-        let _ = self.module.send(Event::VoteAnswered(Outcome::TimeOut, None));
+        self.give_up(|vote| vote.line == number);
     }
 
-    fn give_up_late_votes(&mut self) {
-        let now = Instant::now();
-        let late = self.waiting.iter().filter(|(_, vote)| vote.until <= now).map(|(&id, _)| id);
-        late.collect::<Vec<u64>>().into_iter().for_each(|id| self.unanswered(id));
+    /// Waits no longer for the answers to such votes.
+    fn give_up(&mut self, such: impl Fn(&Waiting) -> bool) {
+        let module = &self.module;
+        self.waiting.retain(|_, vote| {
+            let waits = !such(vote);
+            if !waits {
+                let _ = module.send(Event::VoteAnswered(Outcome::TimeOut, None));
+            }
+            waits
+        });
     }
 
     /// On the connection last heard of. Without one the vote was surely not carried out.
@@ -329,7 +331,7 @@
     reports: mpsc::UnboundedSender<(u64, Report)>,
 ) {
     let why = match timeout(CONTROL_CONNECT, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => speak(stream, &mut texts, |told| reports.send((number, told)).is_ok()).await,
+        Ok(Ok(stream)) => speak(stream, &mut texts, |told| drop(reports.send((number, told)))).await,
         Ok(Err(error)) => format!("connect: {error}"),
         Err(_) => "connect: no answer".to_owned(),
     };
@@ -338,7 +340,7 @@
 
 /// Why it ended.
 async fn speak(
-    stream: TcpStream, texts: &mut mpsc::UnboundedReceiver<String>, report: impl Fn(Report) -> bool,
+    stream: TcpStream, texts: &mut mpsc::UnboundedReceiver<String>, report: impl Fn(Report),
 ) -> String {
     let _ = stream.set_nodelay(true);
     report(Report::Up);
--- a/crates/beechcroft-relay/tests/sockets.rs
+++ b/crates/beechcroft-relay/tests/sockets.rs
@@ -35,6 +35,17 @@
     }
 }
 
+/// The same beside a runtime, which goes on meanwhile.
+async fn until_then(what: &'static str, holds: impl FnMut() -> bool + Send + 'static) {
+    tokio::task::spawn_blocking(move || until(what, holds)).await.unwrap();
+}
+
+/// A task of the track `read`, as a client sends it.
+fn read_request(txn: &str, wish: &str) -> String {
+    let head = format!("X-Txn: {txn}\r\nX-Lane: read\r\nX-Remaining-Ms: 6000\r\n");
+    format!("GET /read/{wish} HTTP/1.1\r\nHost: service.internal\r\n{head}\r\n")
+}
+
 /// Reads one HTTP message: its head and its body by `Content-Length`; none at the end.
 fn message(from: &mut impl BufRead) -> Option<(String, Vec<u8>)> {
     let mut head = String::new();
@@ -234,8 +245,7 @@
         let outcome = calls.ended().await.outcome;
         if wish == "last" {
             let closed = unit.closed.clone();
-            let wait = move || until("closed", || closed.load(Ordering::SeqCst) == 1);
-            tokio::task::spawn_blocking(wait).await.unwrap();
+            until_then("closed", move || closed.load(Ordering::SeqCst) == 1).await;
             tokio::time::sleep(ms(20)).await; // for the client's side to see it
         }
         told.push(format!("{wish} {outcome:?} {}", unit.opened.load(Ordering::SeqCst)));
@@ -250,9 +260,8 @@
     let mailbox = calls.shared.spawn(listing(unit.address));
     mailbox.send(calls.dispatch("hang", PATIENCE)).ok().unwrap();
     let (opened, seen) = (unit.opened.clone(), unit.seen.clone());
-    let wait =
-        move || until("written", || opened.load(Ordering::SeqCst) == 1 && seen.lock().unwrap().len() == 1);
-    tokio::task::spawn_blocking(wait).await.unwrap();
+    let written = move || opened.load(Ordering::SeqCst) == 1 && seen.lock().unwrap().len() == 1;
+    until_then("written", written).await;
     // Leaving ends nothing that has been written; abandoning does.
     mailbox.send(ToUnit::Listed(Listing { leaving: true, ..listing(unit.address) })).ok().unwrap();
     mailbox.send(ToUnit::Abandon(TaskId("t-1".into()), DispatchNo(0))).ok().unwrap();
@@ -261,8 +270,7 @@
     mailbox.send(calls.dispatch("hang", ms(500))).ok().unwrap();
     assert_eq!(calls.ended().await.outcome, Outcome::TimeOut);
     let closed = unit.closed.clone();
-    let wait = move || until("both closed", || closed.load(Ordering::SeqCst) == 2);
-    tokio::task::spawn_blocking(wait).await.unwrap();
+    until_then("both closed", move || closed.load(Ordering::SeqCst) == 2).await;
 
     // A connection that comes up only after its dispatch was called off, or over, carries nothing.
     let (listener, filler, address) = nowhere();
@@ -298,10 +306,8 @@
     assert_eq!(told, [(1, 0), (2, 0), (2, 1)]);
     drop(mailbox); // nobody knows the unit any more: its actor ends, and with it what is idle
     let closed = [one.closed.clone(), two.closed.clone()];
-    let wait = move || {
-        until("all closed", || closed.each_ref().map(|closed| closed.load(Ordering::SeqCst)) == [2, 1])
-    };
-    tokio::task::spawn_blocking(wait).await.unwrap();
+    let all = move || closed.each_ref().map(|closed| closed.load(Ordering::SeqCst)) == [2, 1];
+    until_then("all closed", all).await;
 }
 
 #[tokio::test]
@@ -586,7 +592,7 @@
             address.is_some()
         });
         let relay = Relay { child, address: address.unwrap(), log, file };
-        until("serves", || relay.get("/healthz", "").0.starts_with("HTTP/1.1 200"));
+        until("serves", || relay.health() == "200");
         relay
     }
 
@@ -602,14 +608,14 @@
         message(&mut connection).unwrap_or_default()
     }
 
-    fn get(&self, path: &str, headers: &str) -> (String, Vec<u8>) {
-        self.ask(&format!("GET {path} HTTP/1.1\r\nHost: service.internal\r\n{headers}\r\n"))
+    /// The status of its own health.
+    fn health(&self) -> String {
+        status(&self.ask("GET /healthz HTTP/1.1\r\nHost: service.internal\r\n\r\n").0).to_owned()
     }
 
     /// A read task; its answer in short.
     fn read(&self, txn: &str, wish: &str) -> String {
-        let head = format!("X-Txn: {txn}\r\nX-Lane: read\r\nX-Remaining-Ms: 6000\r\n");
-        let (head, body) = self.get(&format!("/read/{wish}"), &head);
+        let (head, body) = self.ask(&read_request(txn, wish));
         let retry = field(&head, "retry-after").map(|after| format!(" after {after}")).unwrap_or_default();
         format!("{}{retry} {}", status(&head), String::from_utf8_lossy(&body).trim_end())
     }
@@ -773,11 +779,7 @@
     let unit = Unit::start();
     let relay = Relay::start(&configuration(discovery().0, &[entry("u-1", unit.address, "active", 1)]));
     let mut client = relay.connect();
-    let head = "X-Txn: t-1\r\nX-Lane: read\r\nX-Remaining-Ms: 6000\r\n";
-    client
-        .get_mut()
-        .write_all(format!("GET /read/hang HTTP/1.1\r\nHost: h\r\n{head}\r\n").as_bytes())
-        .unwrap();
+    client.get_mut().write_all(read_request("t-1", "hang").as_bytes()).unwrap();
     until("dispatched", || unit.heads().len() == 1);
     assert!(relay.read("t-1", "ok").starts_with("409"));
     drop(client);
@@ -790,20 +792,16 @@
 fn after_sigterm_what_arrives_is_answered_kept_connections_close_and_it_exits_with_0() {
     let unit = Unit::start();
     let mut relay = Relay::start(&configuration(discovery().0, &[entry("u-1", unit.address, "active", 1)]));
-    let request = |txn: &str, wish: &str| {
-        let head = format!("X-Txn: {txn}\r\nX-Lane: read\r\nX-Remaining-Ms: 6000\r\n");
-        format!("GET /read/{wish} HTTP/1.1\r\nHost: h\r\n{head}\r\n").into_bytes()
-    };
     let mut kept = relay.connect();
-    kept.get_mut().write_all(&request("t-1", "ok")).unwrap();
+    kept.get_mut().write_all(read_request("t-1", "ok").as_bytes()).unwrap();
     assert_eq!(status(&message(&mut kept).unwrap().0), "200");
     let mut busy = relay.connect();
-    busy.get_mut().write_all(&request("t-2", "slow")).unwrap();
+    busy.get_mut().write_all(read_request("t-2", "slow").as_bytes()).unwrap();
     until("dispatched", || unit.heads().len() == 2);
     relay.signal("-TERM");
     until("leaving", || relay.log().contains("phase Leaving"));
     assert_eq!(kept.read(&mut [0]).unwrap(), 0); // closed while idle
-    assert_eq!(status(&relay.get("/healthz", "").0), "503");
+    assert_eq!(relay.health(), "503");
     assert_eq!(relay.read("t-3", "ok"), "200 made by unit");
     let (head, body) = message(&mut busy).unwrap();
     assert_eq!((status(&head), &body[..]), ("200", &b"slow"[..]));
@@ -848,8 +846,7 @@
     let kept: Vec<_> = (0..100)
         .map(|nth| {
             let mut client = relay.connect();
-            let head = format!("X-Txn: t-{nth}\r\nX-Lane: read\r\nX-Remaining-Ms: 6000\r\n");
-            let request = format!("GET /read/ok HTTP/1.1\r\nHost: h\r\n{head}\r\n");
+            let request = read_request(&format!("t-{nth}"), "ok");
             client.get_mut().write_all(request.as_bytes()).unwrap();
             assert_eq!(status(&message(&mut client).unwrap().0), "200");
             client
--- a/crates/beechcroft-settings/src/lib.rs
+++ b/crates/beechcroft-settings/src/lib.rs
@@ -27,8 +27,6 @@
     pub dial_time_out: Duration,
     /// The longest that a client waits for a task.
     pub longest_wait: Duration,
-    /// For an answer to a vote.
-    pub answer_wait: Duration,
 }
 
 struct Node<'a>(&'a Value, &'static str);
@@ -208,7 +206,6 @@
         idle_close: limits.span_or("idle_close_s", IDLE_CLOSE)?,
         dial_time_out: limits.span_or("dial_timeout_s", DIAL_TIME_OUT)?,
         longest_wait,
-        answer_wait: settings.answer_wait,
     };
     if transport.dial_time_out.is_zero() {
         return Err(limits.out_of_range("dial_timeout_s"));
