SIGHUP reads the file again; list and platform are followed at new addresses

Cause: life/signals.rs took SIGTERM and SIGINT only, and only once the runtime ran (run.rs, first lines), so SIGHUP met the default action. On the way: a line or list that cannot be read makes its connection useless (platform.rs, told; discovery.rs, kept pool), so it is dropped and opened anew.

--- a/crates/beechcroft-relay/src/life/config.rs
+++ b/crates/beechcroft-relay/src/life/config.rs
@@ -26,18 +26,29 @@
     pub names: Named,
 }
 
-/// Reads the file that `PROXY_CONFIG` names. Variables of the environment win over the file, as they are what the
-/// operators see at the start; a disagreement is logged.
-pub fn read(variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+/// Which of the two holds where the environment and the file disagree.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Holds {
+    /// At the start: it is what the operators see then. A disagreement is logged.
+    Environment,
+    /// Once the file was replaced: the environment of a program that runs cannot follow.
+    File,
+}
+
+/// Reads the file that `PROXY_CONFIG` names.
+pub fn read(variable: impl Fn(&str) -> Option<String>, holds: Holds) -> Result<Config, String> {
     let path = variable("PROXY_CONFIG").ok_or("PROXY_CONFIG: not set")?;
     let text = std::fs::read_to_string(&path).map_err(|error| format!("PROXY_CONFIG: {path}: {error}"))?;
-    decode(&text, variable)
+    decode(&text, variable, holds)
 }
 
-pub fn decode(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+pub fn decode(text: &str, variable: impl Fn(&str) -> Option<String>, holds: Holds) -> Result<Config, String> {
     let all: Value = serde_json::from_str(text).map_err(|error| format!("PROXY_CONFIG: no JSON: {error}"))?;
     let stated = |key: &str, name: &str| {
         let (file, variable) = (text_at(&all, key)?, variable(name));
+        if holds == Holds::File {
+            return Ok(file.or(variable));
+        }
         if let (Some(file), Some(variable)) = (&file, &variable) {
             if file != variable {
                 warn!("{name} is '{variable}', '{key}' of the file is '{file}': the variable holds");
--- a/crates/beechcroft-relay/src/life/run.rs
+++ b/crates/beechcroft-relay/src/life/run.rs
@@ -2,14 +2,14 @@
 
 use crate::life::config::Config;
 use crate::life::phases::{Life, Phase};
-use crate::life::signals;
-use crate::memory::list::ListActor;
+use crate::life::signals::{Asked, Signals};
+use crate::memory::list::{ListActor, ListMailbox, ToList};
 use crate::memory::module::{Clock, Event, Hands, ModuleActor};
 use crate::wire::budget::{Budget, LEAVE_LONGEST, LEAVE_MARGIN, LINGER};
 use crate::wire::clients::{Clients, Front};
 use crate::wire::discovery::{Discovery, Places};
 use crate::wire::peers::Peers;
-use crate::wire::platform;
+use crate::wire::platform::{self, PlatformMailbox, ToPlatform};
 use crate::wire::units::Shared;
 use log::{error, info, warn};
 use std::time::Duration;
@@ -17,10 +17,34 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
 
-/// From start to exit; an error is one line.
-pub async fn run(config: Config) -> Result<(), String> {
+/// The actors that a new configuration concerns.
+struct Followers {
+    list: ListMailbox,
+    platform: Option<PlatformMailbox>,
+}
+
+impl Followers {
+    /// Hands on where discovery and the platform are from now on; all else holds until the next start.
+    fn reload(&self, read: Result<Config, String>) {
+        let config = match read {
+            Ok(config) => config,
+            Err(fault) => return error!("reload: {fault}; the former configuration holds"),
+        };
+        info!("reload: discovery {}, rollouts.address {:?}", config.discovery, config.rollouts);
+        let _ = self.list.send(ToList::Moved(config.discovery));
+        match (&self.platform, config.rollouts) {
+            (Some(platform), Some(address)) => drop(platform.send(ToPlatform::Moved(address))),
+            (None, None) => {}
+            _ => warn!("reload: rollouts.address came or went; the former holds until the next start"),
+        }
+    }
+}
+
+/// From start to exit; an error is one line. `reread` gives the configuration as it is by then.
+pub async fn run(
+    config: Config, mut signals: Signals, reread: impl Fn() -> Result<Config, String>,
+) -> Result<(), String> {
     let life = Life::begin();
-    let stop = signals::stop().map_err(|error| format!("signals: {error}"))?;
     let Config { name, listen, discovery, seed, sockets, peers, rollouts, news, known, names } = config;
     let budget = Budget::of(sockets);
     let bound = TcpListener::bind(listen).await.and_then(|listener| Ok((listener.local_addr()?, listener)));
@@ -46,6 +70,7 @@
     let (reached, first_news) = oneshot::channel();
     let (tracks, wait) = (names.tracks.clone(), names.settings.answer_wait);
     let platform = rollouts.map(|at| platform::spawn(at, wait, tracks, module.clone(), reached));
+    let followers = Followers { list: follow.clone(), platform: platform.clone() };
     let units = Shared::new(module.clone(), budget.units, &names.transport);
     let hands = Hands::new(units, follow, platform, peers);
     let actor = ModuleActor::start(&names.settings, seed, Clock::start(), hands);
@@ -54,6 +79,14 @@
 
     let clients = Clients::new(budget.clients);
     let front = Front::new(&names, module, life.clone());
+    let heed = async {
+        loop {
+            match signals.next().await {
+                Asked::Stop => drop(life.enter(Phase::Leaving)),
+                Asked::Reload => followers.reload(reread()),
+            }
+        }
+    };
     let longest = names.transport.longest_wait.min(LEAVE_LONGEST);
     let leave = async {
         let all_serve = async {
@@ -61,11 +94,11 @@
             life.enter(Phase::Serving);
             std::future::pending().await
         };
+        let mut phases = life.watch();
         tokio::select! {
-            () = stop => {}
+            _ = phases.wait_for(|phase| *phase >= Phase::Leaving) => {}
             () = all_serve => {}
         }
-        life.enter(Phase::Leaving);
         sleep(LINGER).await;
         let closed = async {
             // One place is the accepting loop's own.
@@ -80,6 +113,7 @@
     };
     tokio::select! {
         () = leave => Ok(()),
+        () = heed => Err("signals: no longer heeded".to_owned()),
         () = clients.accept(listener, front) => Err("clients: no longer accepted".to_owned()),
         ended = &mut module_ends => {
             error!("the module's actor ended: {ended:?}");
--- a/crates/beechcroft-relay/src/life/signals.rs
+++ b/crates/beechcroft-relay/src/life/signals.rs
@@ -1,16 +1,40 @@
-//! The signals that end a relay.
+//! The signals that a relay heeds.
 
 use std::io;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 
-/// Ends at the first SIGTERM or SIGINT. The handlers stand from this call on, not from the first wait.
-pub fn stop() -> io::Result<impl std::future::Future<Output = ()>> {
-    let mut term = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    Ok(async move {
+/// Their handlers stand from the making of this on, not from the first wait.
+pub struct Signals {
+    term: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+/// What a signal asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Asked {
+    /// SIGTERM or SIGINT.
+    Stop,
+    /// SIGHUP; several that came together may be told as one.
+    Reload,
+}
+
+impl Signals {
+    /// Needs a runtime to be entered.
+    pub fn take() -> io::Result<Signals> {
+        Ok(Signals {
+            term: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+
+    pub async fn next(&mut self) -> Asked {
         tokio::select! {
-            _ = term.recv() => {}
-            _ = interrupt.recv() => {}
+            biased;
+            _ = self.term.recv() => Asked::Stop,
+            _ = self.interrupt.recv() => Asked::Stop,
+            _ = self.hangup.recv() => Asked::Reload,
         }
-    })
+    }
 }
--- a/crates/beechcroft-relay/src/memory/list.rs
+++ b/crates/beechcroft-relay/src/memory/list.rs
@@ -4,11 +4,29 @@
 use crate::wire::budget::{WATCH_FLOOR, WATCH_PAUSE};
 use crate::wire::discovery::{Discovery, List};
 use crate::wire::sparse::Sparse;
+use std::net::SocketAddr;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{timeout, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
-/// Asks the actor to follow the list, where it is not doing so.
-pub type ListMailbox = mpsc::UnboundedSender<()>;
+pub type ListMailbox = mpsc::UnboundedSender<ToList>;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ToList {
+    /// To follow the list, where it is not doing so.
+    Follow,
+    /// Discovery is there from now on.
+    Moved(SocketAddr),
+}
+
+/// What came of one watch.
+enum Watched {
+    Told,
+    Failed,
+    /// Given up for another address.
+    Moved,
+    /// Nobody asks any more.
+    Over,
+}
 
 pub struct ListActor {
     discovery: Discovery,
@@ -26,42 +44,66 @@
     }
 
     /// `first` is told once discovery has answered, or failed to, for the first time.
-    pub async fn run(mut self, mut asked: mpsc::UnboundedReceiver<()>, first: oneshot::Sender<()>) {
-        if self.index.is_none() {
-            self.follow().await; // else what is known serves
+    pub async fn run(mut self, mut asked: mpsc::UnboundedReceiver<ToList>, first: oneshot::Sender<()>) {
+        let mut first = Some(first);
+        if self.index.is_some() {
+            first.take().map(|first| first.send(())); // what is known serves
         }
-        let _ = first.send(());
         loop {
             let began = Instant::now();
-            if self.follow().await {
+            let watched = self.follow(&mut asked).await;
+            first.take().map(|first| first.send(()));
+            match watched {
                 // A watch that is answered at once, over and over, is no watch; it must not spin.
-                tokio::time::sleep(WATCH_FLOOR.saturating_sub(began.elapsed())).await;
-                continue;
-            }
-            if self.module.send(Event::ListFailed).is_err() {
-                return;
+                Watched::Told => sleep(WATCH_FLOOR.saturating_sub(began.elapsed())).await,
+                Watched::Moved => {}
+                Watched::Failed => {
+                    if self.module.send(Event::ListFailed).is_err() {
+                        return;
+                    }
+                    sleep(WATCH_PAUSE.saturating_sub(began.elapsed())).await;
+                    // The module asks to follow again; in any case the gap stays short.
+                    if let Ok(Some(ToList::Moved(to))) = timeout(WATCH_PAUSE, asked.recv()).await {
+                        self.discovery.moved(to);
+                    }
+                }
+                Watched::Over => return,
             }
-            // The module asks to follow again; in any case the gap stays short.
-            while asked.try_recv().is_ok() {}
-            let pause = WATCH_PAUSE.saturating_sub(began.elapsed());
-            tokio::time::sleep(pause).await;
-            let _ = timeout(WATCH_PAUSE, asked.recv()).await;
         }
     }
 
-    /// One watch; whether it was answered.
-    async fn follow(&mut self) -> bool {
-        match self.discovery.ask(self.index).await {
-            Ok(list) => {
+    /// One watch, from the last version that was understood, wherever that came from.
+    async fn follow(&mut self, asked: &mut mpsc::UnboundedReceiver<ToList>) -> Watched {
+        let answer = {
+            let mut answer = std::pin::pin!(self.discovery.ask(self.index));
+            loop {
+                tokio::select! {
+                    biased;
+                    order = asked.recv() => match order {
+                        Some(ToList::Follow) => {}
+                        Some(ToList::Moved(to)) => break Err(to),
+                        None => return Watched::Over,
+                    },
+                    answer = &mut answer => break Ok(answer),
+                }
+            }
+        };
+        match answer {
+            Err(to) => {
+                self.discovery.moved(to);
+                Watched::Moved
+            }
+            Ok(Ok(list)) => {
                 self.index = Some(list.index);
                 if list.whole || !list.entries.is_empty() {
                     let _ = self.module.send(Event::List(list));
                 }
-                true
+                Watched::Told
             }
-            Err(error) => {
+            Ok(Err(error)) => {
                 self.odd.warn(error);
-                false
+                self.discovery.reconnect();
+                Watched::Failed
             }
         }
     }
--- a/crates/beechcroft-relay/src/memory/module.rs
+++ b/crates/beechcroft-relay/src/memory/module.rs
@@ -1,12 +1,12 @@
 //! The module's actor, the only owner of [`Relay`]: events come in by one mailbox in the order of their arrival,
 //! actions go out to the mailboxes of those whom they concern. It decides nothing.
 
-use crate::memory::list::ListMailbox;
+use crate::memory::list::{ListMailbox, ToList};
 use crate::memory::tasks::{Taken, Tasks};
 use crate::memory::timers::Timers;
 use crate::wire::discovery::List;
 use crate::wire::peers::Peers;
-use crate::wire::platform::{Ballot, PlatformMailbox};
+use crate::wire::platform::{Ballot, PlatformMailbox, ToPlatform};
 use crate::wire::units::{Dispatch, Shared, ToUnit, UnitMailbox};
 use crate::wire::{Answer, Reply};
 use beechcroft::decide::Relay;
@@ -128,14 +128,14 @@
     }
     fn vote(&mut self, build: BuildId, stage: Stage, vote: Vote) {
         if let Some(platform) = &self.platform {
-            let _ = platform.send(Ballot { build, stage, vote });
+            let _ = platform.send(ToPlatform::Cast(Ballot { build, stage, vote }));
         }
     }
     fn wake(&mut self, after: Duration, token: Token) {
         self.timers.add(self.now + after, token);
     }
     fn follow_list(&mut self) {
-        let _ = self.list.send(());
+        let _ = self.list.send(ToList::Follow);
     }
     fn log(&mut self, line: &str) {
         info!("{line}");
--- a/crates/beechcroft-relay/src/wire/discovery.rs
+++ b/crates/beechcroft-relay/src/wire/discovery.rs
@@ -114,11 +114,23 @@
 
 impl Discovery {
     pub fn new(address: SocketAddr, places: Places) -> Discovery {
+        Discovery { address, places, client: Discovery::client(address) }
+    }
+
+    fn client(address: SocketAddr) -> HttpClient {
         // Two: the watch's own, and its successor where it fell silent.
         let room = Room::new(2);
-        let client =
-            Connector { to: address, time_out: CONTROL_CONNECT, room }.client(WATCH_WAIT + WATCH_SLACK);
-        Discovery { address, places, client }
+        Connector { to: address, time_out: CONTROL_CONNECT, room }.client(WATCH_WAIT + WATCH_SLACK)
+    }
+
+    /// Gives up the connection that is kept: what it carries can't be relied on.
+    pub fn reconnect(&mut self) {
+        self.client = Discovery::client(self.address);
+    }
+
+    pub fn moved(&mut self, to: SocketAddr) {
+        self.address = to;
+        self.reconnect();
     }
 
     /// What is newer than a version, as soon as there is anything; the whole list where none is held.
--- a/crates/beechcroft-relay/src/wire/platform.rs
+++ b/crates/beechcroft-relay/src/wire/platform.rs
@@ -16,7 +16,14 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep_until, timeout, Instant};
 
-pub type PlatformMailbox = mpsc::UnboundedSender<Ballot>;
+pub type PlatformMailbox = mpsc::UnboundedSender<ToPlatform>;
+
+#[derive(Debug)]
+pub enum ToPlatform {
+    Cast(Ballot),
+    /// The platform is there from now on.
+    Moved(SocketAddr),
+}
 
 /// A vote to be cast.
 #[derive(Clone, Copy, Debug)]
@@ -139,8 +146,12 @@
     number: u64,
     to_write: mpsc::UnboundedSender<String>,
     up: bool,
+    spoke: bool,
     heard_at: Instant,
     opened_at: Instant,
+    /// To an address of before: no vote goes there any more. What it told counts until its successor speaks; it is
+    /// kept for the answers to its votes.
+    former: bool,
 }
 
 /// A vote written and not yet answered.
@@ -156,7 +167,7 @@
     module: Mailbox,
     odd: Sparse,
     reports: mpsc::UnboundedSender<(u64, Report)>,
-    /// Oldest first; two at most: one that listens and its successor.
+    /// Oldest first; two at most that are not of a former address: one that listens and its successor.
     lines: Vec<Line>,
     waiting: BTreeMap<u64, Waiting>,
     next: u64,
@@ -191,7 +202,7 @@
 
 impl PlatformActor {
     async fn run(
-        mut self, mut mailbox: mpsc::UnboundedReceiver<Ballot>,
+        mut self, mut mailbox: mpsc::UnboundedReceiver<ToPlatform>,
         mut reported: mpsc::UnboundedReceiver<(u64, Report)>,
     ) {
         loop {
@@ -200,8 +211,9 @@
             tokio::select! {
                 biased;
                 Some((number, report)) = reported.recv() => self.report(number, report),
-                ballot = mailbox.recv() => match ballot {
-                    Some(ballot) => self.cast(ballot),
+                order = mailbox.recv() => match order {
+                    Some(ToPlatform::Cast(ballot)) => self.cast(ballot),
+                    Some(ToPlatform::Moved(to)) => self.moved(to),
                     None => return,
                 },
                 () = sleep_until(due) => {
@@ -217,20 +229,42 @@
         self.next
     }
 
+    /// The connections to where the platform is now.
+    fn present(&self) -> impl Iterator<Item = &Line> {
+        self.lines.iter().filter(|line| !line.former)
+    }
+
+    /// Listens there at once; what is open is kept until it is of no more use.
+    fn moved(&mut self, to: SocketAddr) {
+        if to == self.address {
+            return;
+        }
+        self.address = to;
+        self.lines.iter_mut().for_each(|line| line.former = true);
+        self.pause_until = Instant::now();
+    }
+
     /// Opens a connection where none is left, and a second one where the last shows no life.
     fn keep_listening(&mut self) {
         let now = Instant::now();
         if now < self.silent_at() || now < self.pause_until {
             return;
         }
-        if let Some(successor) = self.lines.get(1).map(|line| line.number) {
-            self.end(successor); // it stayed silent too
-        }
+        let successor = self.present().nth(1).map(|line| line.number);
+        successor.into_iter().for_each(|silent| self.end(silent)); // it stayed silent too
         let (number, listen) = (self.id(), self.id());
         let (to_write, texts) = mpsc::unbounded_channel();
         let _ = to_write.send(encode_listen(listen));
         tokio::spawn(carry(self.address, number, texts, self.reports.clone()));
-        self.lines.push(Line { number, to_write, up: false, heard_at: now, opened_at: now });
+        self.lines.push(Line {
+            number,
+            to_write,
+            up: false,
+            spoke: false,
+            heard_at: now,
+            opened_at: now,
+            former: false,
+        });
         self.pause_until = now + PLATFORM_PAUSE;
     }
 
@@ -242,7 +276,7 @@
 
     /// When too long nothing will have been heard on any connection.
     fn silent_at(&self) -> Instant {
-        let heard = self.lines.iter().map(|line| line.heard_at).max();
+        let heard = self.present().map(|line| line.heard_at).max();
         heard.map_or(self.pause_until, |heard| heard + PING_LAPSE)
     }
 
@@ -260,13 +294,15 @@
             }
             Report::Line(told) => {
                 self.lines[at].heard_at = Instant::now();
-                // The one that lives is enough.
-                let others: Vec<u64> =
-                    self.lines.iter().map(|line| line.number).filter(|&other| other != number).collect();
-                others.into_iter().for_each(|number| self.end(number));
                 match told {
-                    Ok(told) => self.told(told),
-                    Err(error) => self.odd.warn(format!("line not understood: {error}")),
+                    Ok(told) => {
+                        self.told(told, at);
+                        self.drop_useless(number);
+                    }
+                    Err(error) => {
+                        self.odd.warn(format!("line not understood, connection given up: {error}"));
+                        self.end(number);
+                    }
                 }
             }
         }
@@ -275,8 +311,28 @@
         }
     }
 
-    fn told(&mut self, told: Told) {
+    /// The one that lives is enough; one of a former address is kept for the answers to its votes.
+    fn drop_useless(&mut self, lives: u64) {
+        if !self.present().any(|line| line.number == lives) {
+            return;
+        }
+        let waits = |line: &Line| self.waiting.values().any(|vote| vote.line == line.number);
+        let others = self.lines.iter().filter(|line| line.number != lives && !(line.former && waits(line)));
+        let others: Vec<u64> = others.map(|line| line.number).collect();
+        others.into_iter().for_each(|number| self.end(number));
+    }
+
+    /// A line of the connection at a place. One of a former address whose successor has spoken only answers, as
+    /// the successor tells the rest, and nothing is to be heard twice.
+    fn told(&mut self, told: Told, at: usize) {
+        let late = self.lines[at].former && self.present().any(|line| line.spoke);
+        self.lines[at].spoke = true;
         let event = match told {
+            _ if late && !matches!(told, Told::Answer { .. }) => return,
+            Told::Answer { id, outcome, .. } if late => match self.waiting.remove(&id) {
+                Some(_) => Event::VoteAnswered(outcome, None),
+                None => return,
+            },
             Told::Ping | Told::Listens => return,
             Told::News(news) => Event::News(news),
             Told::Dispute { unit, kind } => match self.tracks.iter().position(|track| *track == kind) {
@@ -314,7 +370,7 @@
     fn cast(&mut self, ballot: Ballot) {
         let id = self.id();
         let text = encode_vote(id, &ballot);
-        let line = self.lines.iter().filter(|line| line.up).max_by_key(|line| line.heard_at);
+        let line = self.present().filter(|line| line.up).max_by_key(|line| line.heard_at);
         match line.filter(|line| line.to_write.send(text).is_ok()) {
             Some(line) => {
                 let until = Instant::now() + self.answer_wait;
