Kept connections are proven quiet, long answers passed on, clients bounded in time

A probe of the heads shows good answers of 270 to 384 KB, each asked for three times and given up (units.rs, read: BODY_MAX for answers). Idle clients were held for 30 s (budget.rs, HEAD_WAIT).

--- a/crates/beechcroft-relay/src/wire/budget.rs
+++ b/crates/beechcroft-relay/src/wire/budget.rs
@@ -3,8 +3,10 @@
 
 use std::time::Duration;
 
-/// The protocol's longest body, of requests and of answers.
+/// The protocol's longest body; what clients send beyond it is refused.
 pub const BODY_MAX: usize = 64 * 1024;
+/// Units answer with more than the protocol says, 384 KB were seen; beyond this it is no answer.
+pub const ANSWER_MAX: usize = 1024 * 1024;
 /// The longest `X-Txn` that is taken; the protocol's have 16 characters.
 pub const TXN_MAX: usize = 128;
 /// The longest hint of a task's work; no task takes as long, and times are added up.
@@ -18,10 +20,16 @@
 /// The longest datagram between relays.
 pub const NOTE_MAX: usize = 256;
 
-/// A client that takes longer to send a head, or stays idle for longer, loses its connection.
-pub const HEAD_WAIT: Duration = Duration::from_secs(30);
-/// The same once connections are to close: one that has not yet asked for anything may be about to.
+/// A client that takes longer to send a head, or stays idle for longer, loses its connection. It may keep one without
+/// an open request for 2 s, and is owed an end within 3 s of connecting.
+pub const HEAD_WAIT: Duration = Duration::from_millis(2100);
+/// For a body behind its head; both waits together stay below those 3 s.
+pub const BODY_WAIT: Duration = Duration::from_millis(700);
+/// Once connections are to close, how long one that has not yet asked for anything may take: a client asks as soon as
+/// it has connected.
 pub const SILENT_WAIT: Duration = Duration::from_secs(1);
+/// The same where places run short, from its acceptance on: those who ask need them.
+pub const SILENT_SHORT: Duration = Duration::from_millis(150);
 /// After an `accept` that failed, for want of descriptors above all: some are free soon, and no loop spins.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// After a datagram that could not be received, so that no loop spins.
@@ -35,6 +43,11 @@
 /// Connections to a unit are kept for this part of the time after which it may close them, as a request written
 /// while it closes one is lost.
 pub const KEEP_PART: f64 = 0.5;
+/// A connection comes up within milliseconds or not at all. One that has taken this part of a dispatch's time is given
+/// up, so that the task can go elsewhere in time.
+pub const DIAL_PART: f64 = 0.25;
+/// Kept connections that turn out unfit, one after the other, before a dispatch is given up.
+pub const REPLACED: usize = 3;
 /// Idle connections kept to one unit.
 pub const KEEP_IDLE: usize = 16;
 /// For idle connections of other units to close where no descriptor is left: a local matter, over at once.
--- a/crates/beechcroft-relay/src/wire/clients.rs
+++ b/crates/beechcroft-relay/src/wire/clients.rs
@@ -4,11 +4,13 @@
 use crate::life::phases::{Life, Phase};
 use crate::memory::module::{Event, Mailbox};
 use crate::memory::tasks::{Hints, Taken};
-use crate::wire::budget::{ACCEPT_PAUSE, BODY_MAX, HEAD_MAX, HEAD_WAIT, HINT_MAX, SILENT_WAIT, TXN_MAX};
+use crate::wire::budget::{
+    ACCEPT_PAUSE, BODY_MAX, BODY_WAIT, HEAD_MAX, HEAD_WAIT, HINT_MAX, SILENT_SHORT, SILENT_WAIT, TXN_MAX,
+};
 use crate::wire::sparse::Sparse;
 use crate::wire::units::{KEY, REMAINING, TXN};
 use crate::wire::{Answer, Call};
-use axum::body::Body;
+use axum::body::{Body, HttpBody};
 use axum::extract::{Request, State};
 use axum::response::Response;
 use axum::routing::get;
@@ -36,6 +38,8 @@
 pub struct Front {
     tracks: Vec<(String, Effect)>,
     tenants: Vec<String>,
+    /// No client of this deployment waits longer.
+    longest_wait: Duration,
     module: Mailbox,
     life: Life,
 }
@@ -44,7 +48,8 @@
     pub fn new(names: &Named, module: Mailbox, life: Life) -> Front {
         let effects = names.settings.tracks.iter().map(|track| track.effect);
         let tracks = names.tracks.iter().cloned().zip(effects).collect();
-        Front { tracks, tenants: names.tenants.clone(), module, life }
+        let longest_wait = names.transport.longest_wait;
+        Front { tracks, tenants: names.tenants.clone(), longest_wait, module, life }
     }
 }
 
@@ -74,7 +79,10 @@
     }
 
     fn encode(self) -> Response {
-        with(plain(self.status, self.what), header::ALLOW, self.allow.map(HeaderValue::from_static))
+        let response =
+            with(plain(self.status, self.what), header::ALLOW, self.allow.map(HeaderValue::from_static));
+        // What follows on this connection, a body that was not read above all, is not to be believed.
+        with(response, header::CONNECTION, Some(HeaderValue::from_static("close")))
     }
 }
 
@@ -82,6 +90,10 @@
     pub fn decode(&self, head: &Parts) -> Result<Asked, Fault> {
         let bad = |what| Fault::new(StatusCode::BAD_REQUEST, what);
         let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+        // Beside one, hyper takes a Content-Length away: whoever is behind may see another end of the body.
+        if head.headers.contains_key(header::TRANSFER_ENCODING) {
+            return Err(Fault::new(StatusCode::LENGTH_REQUIRED, "Transfer-Encoding: not taken"));
+        }
         let lane = text(LANE).ok_or(bad("X-Lane: missing or malformed"))?;
         let track = self.tracks.iter().position(|(name, _)| name == lane);
         let track = track.ok_or(Fault::new(StatusCode::NOT_FOUND, "X-Lane: unknown"))?;
@@ -99,6 +111,10 @@
         let remaining = text(REMAINING).filter(|text| text.bytes().all(|byte| byte.is_ascii_digit()));
         let remaining = remaining.and_then(|text| text.parse::<u32>().ok()); // some 49 days at most
         let remaining = remaining.ok_or(bad("X-Remaining-Ms: missing or malformed"))?;
+        let remaining = Duration::from_millis(remaining.into());
+        if remaining > self.longest_wait && !self.longest_wait.is_zero() {
+            return Err(bad("X-Remaining-Ms: longer than any client waits"));
+        }
         let idempotency_key = head.headers.get(KEY).filter(|key| !key.is_empty()).cloned();
         if matches!(effect, Effect::Deduplicated { .. }) && idempotency_key.is_none() {
             return Err(bad("Idempotency-Key: missing"));
@@ -107,7 +123,7 @@
             id: TaskId(SmolStr::new(txn)),
             track: TrackId(track),
             hints: self.hints(&head.headers).ok_or(bad("X-Labels: malformed"))?,
-            remaining: Duration::from_millis(remaining.into()),
+            remaining,
             txn: head.headers[TXN].clone(),
             idempotency_key,
         })
@@ -185,10 +201,15 @@
         Err(fault) => return fault.encode(),
     };
     let abandon_at = arrived + asked.remaining;
-    let body = match tokio::time::timeout_at(abandon_at, axum::body::to_bytes(body, BODY_MAX)).await {
+    let too_long = || Fault::new(StatusCode::PAYLOAD_TOO_LARGE, "body: too long or broken").encode();
+    if body.size_hint().lower() > BODY_MAX as u64 {
+        return too_long();
+    }
+    let until = abandon_at.min(arrived + BODY_WAIT);
+    let body = match tokio::time::timeout_at(until, axum::body::to_bytes(body, BODY_MAX)).await {
         Ok(Ok(body)) => body,
-        Ok(Err(_)) => return plain(StatusCode::PAYLOAD_TOO_LARGE, "body: too long or broken"),
-        Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "body: did not arrive in time"),
+        Ok(Err(_)) => return too_long(),
+        Err(_) => return Fault::new(StatusCode::REQUEST_TIMEOUT, "body: did not arrive in time").encode(),
     };
     let call = Arc::new(Call {
         method: head.method,
@@ -208,7 +229,7 @@
     let answer = answered.await;
     waiting.id = None;
     // No answer: the module did not take it, as a task with this id is open.
-    answer.map_or_else(|_| plain(StatusCode::CONFLICT, "X-Txn: such a task is open"), encode)
+    answer.map_or_else(|_| Fault::new(StatusCode::CONFLICT, "X-Txn: such a task is open").encode(), encode)
 }
 
 async fn healthz(State(front): State<Arc<Front>>) -> Response {
@@ -222,13 +243,14 @@
 pub struct Clients {
     room: Arc<Semaphore>,
     most: usize,
-    /// Changed to make every connection close after its answer, or at once if it is idle.
-    close: watch::Sender<()>,
+    /// Changed to make every connection close after its answer, or at once if it is idle; says how long one that
+    /// has not asked yet may take.
+    close: watch::Sender<Duration>,
 }
 
 impl Clients {
     pub fn new(most: usize) -> Clients {
-        Clients { room: Arc::new(Semaphore::new(most)), most, close: watch::Sender::new(()) }
+        Clients { room: Arc::new(Semaphore::new(most)), most, close: watch::Sender::new(SILENT_WAIT) }
     }
 
     pub fn open(&self) -> usize {
@@ -248,7 +270,7 @@
                 let permit = self.room.clone().acquire_owned().await;
                 if self.room.available_permits() < self.most / 8 {
                     odd.warn(format!("{} connections are open, idle ones are closed", self.open()));
-                    self.close_kept();
+                    self.close_kept(SILENT_SHORT);
                 }
                 (permit, listener.accept().await)
             };
@@ -256,7 +278,7 @@
                 biased;
                 _ = &mut leaving, if !once => {
                     once = true;
-                    self.close_kept();
+                    self.close_kept(SILENT_WAIT);
                     continue;
                 }
                 next = next => next,
@@ -274,17 +296,18 @@
         }
     }
 
-    fn close_kept(&self) {
-        self.close.send_replace(());
+    fn close_kept(&self, silent: Duration) {
+        self.close.send_replace(silent);
     }
 }
 
 /// Serves one connection until it ends, or is told to close: at once if it is idle, else after its answer.
 async fn serve(
-    stream: TcpStream, router: Router, mut close: watch::Receiver<()>, once: bool,
+    stream: TcpStream, router: Router, mut close: watch::Receiver<Duration>, once: bool,
     _permit: OwnedSemaphorePermit,
 ) {
     let _ = stream.set_nodelay(true);
+    let accepted = Instant::now();
     let asked = Arc::new(AtomicBool::new(false));
     let mark = asked.clone();
     let service = service_fn(move |request| {
@@ -304,7 +327,8 @@
     }
     if !asked.load(Ordering::Relaxed) {
         // hyper would close it now, though its first request may be on the way.
-        if tokio::time::timeout(SILENT_WAIT, connection.as_mut()).await.is_ok() {
+        let silent = *close.borrow_and_update();
+        if tokio::time::timeout_at(accepted + silent, connection.as_mut()).await.is_ok() {
             return;
         }
     }
--- a/crates/beechcroft-relay/src/wire/link.rs
+++ b/crates/beechcroft-relay/src/wire/link.rs
@@ -1,4 +1,5 @@
-//! Outgoing HTTP connections: hyper-util's client over connections that are bounded, timed and without delay.
+//! Outgoing HTTP connections: hyper-util's client over connections that are bounded, timed and without delay, and
+//! that carry another request only where nothing is left of the answer before.
 
 use crate::wire::budget::{HEAD_MAX, KEEP_IDLE, ROOM_WAIT};
 use bytes::Bytes;
@@ -33,6 +34,19 @@
 
 impl std::error::Error for NoRoom {}
 
+/// Why a kept connection took no further request: it had ended, or more lay on it than belonged to the answer before.
+/// Nothing of the request was written.
+#[derive(Debug)]
+pub struct NotQuiet;
+
+impl std::fmt::Display for NotQuiet {
+    fn fmt(&self, to: &mut std::fmt::Formatter) -> std::fmt::Result {
+        to.write_str("a kept connection was not quiet")
+    }
+}
+
+impl std::error::Error for NotQuiet {}
+
 /// A part of the descriptors, shared by many connectors.
 #[derive(Clone)]
 pub struct Room {
@@ -73,7 +87,7 @@
         let permit = self.room.take().await?;
         let stream = timeout(self.time_out, TcpStream::connect(self.to)).await??;
         stream.set_nodelay(true)?;
-        Ok(Link { stream: TokioIo::new(stream), _permit: permit })
+        Ok(Link { stream: TokioIo::new(stream), heard: false, _permit: permit })
     }
 
     /// A client of its own pool. It resends nothing by itself; a kept connection is dropped after `keep`.
@@ -104,9 +118,21 @@
 /// A connection that holds its part of the descriptors for as long as it is open.
 pub struct Link {
     stream: TokioIo<TcpStream>,
+    /// Something was read since the last write: the next one begins another request.
+    heard: bool,
     _permit: OwnedSemaphorePermit,
 }
 
+impl Link {
+    /// Whether nothing is to be read, not even an end. The kernel is asked, as the runtime learns of what has
+    /// arrived only between its turns, and by then the request would be written.
+    fn is_quiet(&self) -> bool {
+        let socket = socket2::SockRef::from(self.stream.inner());
+        let found = socket.peek(&mut [std::mem::MaybeUninit::uninit()]);
+        found.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
 impl Connection for Link {
     fn connected(&self) -> Connected {
         Connected::new()
@@ -117,12 +143,18 @@
     fn poll_read(
         mut self: Pin<&mut Self>, context: &mut Context, into: ReadBufCursor,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, into)
+        let read = Pin::new(&mut self.stream).poll_read(context, into);
+        self.heard |= read.is_ready();
+        read
     }
 }
 
 impl Write for Link {
     fn poll_write(mut self: Pin<&mut Self>, context: &mut Context, from: &[u8]) -> Poll<io::Result<usize>> {
+        if self.heard && !self.is_quiet() {
+            return Poll::Ready(Err(io::Error::other(NotQuiet)));
+        }
+        self.heard = false;
         Pin::new(&mut self.stream).poll_write(context, from)
     }
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context) -> Poll<io::Result<()>> {
--- a/crates/beechcroft-relay/src/wire/units.rs
+++ b/crates/beechcroft-relay/src/wire/units.rs
@@ -2,8 +2,8 @@
 //! one outcome; `ConnectFailed`, `Full` and `Moot` only where it is proven that the task never ran.
 
 use crate::memory::module::{Ended, Event, Mailbox};
-use crate::wire::budget::{BODY_MAX, KEEP_PART, UNIT_CALLS};
-use crate::wire::link::{Connector, HttpClient, NoRoom, Room};
+use crate::wire::budget::{ANSWER_MAX, DIAL_PART, KEEP_PART, REPLACED, UNIT_CALLS};
+use crate::wire::link::{Connector, HttpClient, NoRoom, NotQuiet, Room};
 use crate::wire::sparse::{whole, Sparse};
 use crate::wire::{Call, Reply};
 use beechcroft::{DispatchNo, Outcome, TaskId};
@@ -156,10 +156,10 @@
             let Dispatch { task, no, call, at, time_out } = dispatch;
             let got = match encode(&call, address, time_out) {
                 _ if spent_room => Got::of(Outcome::Moot),
-                Ok(request) => exchange(client, request, told, at + time_out).await,
-                Err(error) => Got { oddity: Some(error.to_string()), ..Got::of(Outcome::Moot) },
+                Ok(request) => exchange(client, request, told, at, time_out).await,
+                Err(error) => Got::odd(Outcome::Moot, error.to_string()),
             };
-            let Got { outcome, reply, oddity } = got;
+            let Got { outcome, reply, oddity, .. } = got;
             (Ended { task, no, outcome, reply, spent: at.elapsed() }, oddity)
         }
     }
@@ -170,11 +170,17 @@
     outcome: Outcome,
     reply: Option<Reply>,
     oddity: Option<String>,
+    /// Nothing was written, as the connection was unfit to be used again.
+    unwritten: bool,
 }
 
 impl Got {
     fn of(outcome: Outcome) -> Got {
-        Got { outcome, reply: None, oddity: None }
+        Got { outcome, reply: None, oddity: None, unwritten: false }
+    }
+
+    fn odd(outcome: Outcome, oddity: String) -> Got {
+        Got { oddity: Some(oddity), ..Got::of(outcome) }
     }
 }
 
@@ -192,20 +198,44 @@
     request.body(Full::new(call.body.clone()))
 }
 
-/// One call. Dropping it, on order or when its time is over, closes its connection or gives up connecting.
+/// One call. Where a kept connection was found unfit before anything of the request was written, another one takes it.
 async fn exchange(
-    client: HttpClient, mut request: Request<Full<Bytes>>, mut told: watch::Receiver<Order>, until: Instant,
+    client: HttpClient, request: Request<Full<Bytes>>, mut told: watch::Receiver<Order>, at: Instant,
+    time_out: Duration,
+) -> Got {
+    for _ in 0..REPLACED {
+        match attempt(&client, request.clone(), &mut told, at, time_out).await {
+            // The others that ended with it are seen to have by the next turn.
+            Got { unwritten: true, .. } => tokio::task::yield_now().await,
+            got => return got,
+        }
+    }
+    attempt(&client, request, &mut told, at, time_out).await
+}
+
+/// One try of a call. Dropping it, on order or when its time is over, closes its connection or gives up connecting.
+async fn attempt(
+    client: &HttpClient, mut request: Request<Full<Bytes>>, told: &mut watch::Receiver<Order>, at: Instant,
+    time_out: Duration,
 ) -> Got {
     let connection = capture_connection(&mut request);
     let answered = async { read(client.request(request).await).await };
+    // A task that waits for no connection beyond a part of its time can still be sent elsewhere.
+    let undialled = async {
+        sleep_until(at + time_out.mul_f64(DIAL_PART)).await;
+        if is_written(&connection) {
+            std::future::pending().await
+        }
+    };
     // In this order: what is over or called off is never written, even if the connection comes up this moment.
     tokio::select! {
         biased;
-        outcome = called_off(&mut told, &connection) => Got::of(outcome),
-        () = sleep_until(until) => match is_written(&connection) {
+        outcome = called_off(told, &connection) => Got::of(outcome),
+        () = sleep_until(at + time_out) => match is_written(&connection) {
             true => Got::of(Outcome::TimeOut),
             false => Got::of(Outcome::ConnectFailed),
         },
+        () = undialled => Got::of(Outcome::ConnectFailed),
         got = answered => got,
     }
 }
@@ -232,21 +262,19 @@
 async fn read(answer: Result<Response<Incoming>, hyper_util::client::legacy::Error>) -> Got {
     let answer = match answer {
         Ok(answer) => answer,
-        Err(error) => return Got { outcome: of_error(&error), reply: None, oddity: odd_error(&error) },
+        Err(error) => return of_error(&error),
     };
     let (head, body) = answer.into_parts();
     let outcome = of_status(head.status, &head.headers);
     // Whatever came, the body is read to its end, so that the connection can be kept.
-    match Limited::new(body, BODY_MAX).collect().await {
+    match Limited::new(body, ANSWER_MAX).collect().await {
         Ok(body) if outcome == Outcome::Ok => {
             let content_type = head.headers.get(header::CONTENT_TYPE).cloned();
-            Got { outcome, reply: Some(Reply { body: body.to_bytes(), content_type }), oddity: None }
-        }
-        Err(error) if outcome == Outcome::Ok => {
-            Got { outcome: Outcome::Reset, reply: None, oddity: Some(format!("body: {}", whole(&*error))) }
+            Got { reply: Some(Reply { body: body.to_bytes(), content_type }), ..Got::of(outcome) }
         }
+        Err(error) if outcome == Outcome::Ok => Got::odd(Outcome::Reset, format!("body: {}", whole(&*error))),
         _ if head.status == StatusCode::INTERNAL_SERVER_ERROR || outcome == Outcome::Full => Got::of(outcome),
-        _ => Got { outcome, reply: None, oddity: Some(format!("unexpected status {}", head.status)) },
+        _ => Got::odd(outcome, format!("unexpected status {}", head.status)),
     }
 }
 
@@ -271,21 +299,25 @@
     None
 }
 
-/// What a failed call proves. hyper calls a request canceled only where it hands it back unwritten.
-fn of_error(error: &hyper_util::client::legacy::Error) -> Outcome {
-    if cause::<NoRoom>(error).is_some() {
-        return Outcome::Moot;
+/// Whether a kept connection refused the request unwritten.
+fn is_not_quiet(error: &hyper_util::client::legacy::Error) -> bool {
+    let inner = cause::<std::io::Error>(error).and_then(std::io::Error::get_ref);
+    inner.is_some_and(|inner| inner.is::<NotQuiet>())
+}
+
+/// What a failed call proves. hyper calls a request canceled only where it hands it back unwritten. A log line is worth
+/// what cannot be read and our own shortage, not what the network does.
+fn of_error(error: &hyper_util::client::legacy::Error) -> Got {
+    if let Some(short) = cause::<NoRoom>(error) {
+        return Got::odd(Outcome::Moot, short.to_string());
     }
     let handed_back = cause::<hyper::Error>(error).is_some_and(hyper::Error::is_canceled);
-    if error.is_connect() || handed_back {
-        Outcome::ConnectFailed
-    } else {
-        Outcome::Reset
+    if handed_back || is_not_quiet(error) {
+        return Got { unwritten: true, ..Got::of(Outcome::ConnectFailed) };
+    }
+    if error.is_connect() {
+        return Got::of(Outcome::ConnectFailed);
     }
-}
-
-/// What is worth a log line: not what the network does, but what cannot be read, and our own shortage.
-fn odd_error(error: &hyper_util::client::legacy::Error) -> Option<String> {
     let unreadable = cause::<hyper::Error>(error).filter(|error| error.is_parse());
-    unreadable.map(|error| whole(error)).or_else(|| cause::<NoRoom>(error).map(ToString::to_string))
+    Got { oddity: unreadable.map(|error| whole(error)), ..Got::of(Outcome::Reset) }
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -487,7 +487,7 @@
         if last.build != build {
             self.judge.starts(self.load(), self.meter.shed_within(BUSY_FOR, self.now));
             self.tracks.iter_mut().for_each(|track| track.trial_begins(SLOW_SHARE));
-            self.exposure.forward_keys.clear();
+            self.exposure.starts(build);
         } else if cap < last.cap {
             self.exposure.lower_cap_at = Some(self.now + self.fig.drain_grace);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -14,6 +14,8 @@
 /// Bytes of the longest note, and of those units that one may name.
 const LONGEST: usize = 250;
 const TAGS: usize = 60 * TAG;
+/// A unit gone for so long is named by no open task any more: its place may go to another.
+const FORGET: Duration = Duration::from_secs(60);
 
 /// What the settings come down to.
 pub struct Figures {
@@ -95,10 +97,12 @@
     pub nominal: f64,
     pub ready: bool,
     pub listed: bool,
+    pub gone_at: Option<Duration>, // since when it is not listed
     pub started: Option<Duration>,
     pub waiting: Vec<TaskId>,
     pub sent_cold: Window,
     pub quiet_since: Duration,
+    pub since: Duration, // when what runs there was first listed
     pub streak: u32,
     pub sums: Vec<Cusum>, // its own part of the judge's
     pub recent: Tally,
@@ -488,7 +492,7 @@
     }
 }
 
-/// The units that the list has named, in the order of their first naming.
+/// The units that the list names, or named of late. Places keep their numbers while anyone may refer to them.
 #[derive(Default)]
 pub struct Fleet {
     pub(crate) now: Duration,
@@ -506,23 +510,51 @@
         &mut self, id: UnitId, build: BuildId, zone: Option<ZoneId>, kind: KindId, cell: CellId,
         health: Health, nominal: f64, started: Option<Duration>,
     ) {
-        let at = *self.index.entry(id.clone()).or_insert_with(|| {
-            let hash = |sum: u32, &byte: &u8| (sum ^ u32::from(byte)).wrapping_mul(16_777_619);
-            let tag = id.0.as_bytes().iter().fold(2_166_136_261, hash) >> 8;
-            self.tags.insert(tag, self.units.len());
-            self.units.push(Unit { id, tag, ..Unit::default() });
-            self.units.len() - 1
-        });
+        let at = self.index.get(&id).copied().unwrap_or_else(|| self.place(id));
         let unit = &mut self.units[at];
         if started != unit.started || build != unit.build {
             // A new process, perhaps another machine under an old id: what was learned is void.
             let (id, tag, waiting) = (unit.id.clone(), unit.tag, std::mem::take(&mut unit.waiting));
             let sent_cold = std::mem::take(&mut unit.sent_cold);
-            *unit = Unit { id, tag, waiting, sent_cold, quiet_since: self.now, ..Unit::default() };
+            *unit = Unit {
+                id,
+                tag,
+                waiting,
+                sent_cold,
+                quiet_since: self.now,
+                since: self.now,
+                ..Unit::default()
+            };
         }
         (unit.build, unit.zone, unit.cell, unit.nominal) = (build, zone, cell, nominal.max(0.01));
         unit.kind = kind;
         (unit.started, unit.ready, unit.listed) = (started, health == Health::Ready, health != Health::Gone);
+        unit.gone_at = unit.gone_at.filter(|_| !unit.listed);
+    }
+
+    /// A place for a unit not known: that of one long gone, or a new one.
+    fn place(&mut self, id: UnitId) -> usize {
+        let hash = |sum: u32, &byte: &u8| (sum ^ u32::from(byte)).wrapping_mul(16_777_619);
+        let tag = id.0.as_bytes().iter().fold(2_166_136_261, hash) >> 8;
+        let now = self.now;
+        let gone = |unit: &Unit| unit.waiting.is_empty() && unit.gone_at.is_some_and(|at| now > at + FORGET);
+        let at = self.units.iter().position(gone).unwrap_or(self.units.len());
+        if at == self.units.len() {
+            self.units.push(Unit::default());
+        }
+        let before = std::mem::replace(&mut self.units[at], Unit { id: id.clone(), tag, ..Unit::default() });
+        self.index.remove(&before.id);
+        if self.tags.get(&before.tag) == Some(&at) {
+            self.tags.remove(&before.tag);
+        }
+        self.index.insert(id, at);
+        self.tags.insert(tag, at);
+        at
+    }
+
+    /// How many places are kept.
+    pub fn places(&self) -> usize {
+        self.units.len()
     }
 
     /// The units to which new work may go, as far as the list tells.
@@ -575,7 +607,18 @@
     }
 
     pub fn ends(&mut self) {
-        self.units.iter_mut().filter(|unit| !unit.listed).for_each(|unit| unit.ready = false);
+        for unit in self.units.iter_mut().filter(|unit| !unit.listed) {
+            unit.ready = false;
+            unit.gone_at.get_or_insert(self.now);
+        }
+    }
+}
+
+impl Exposure {
+    /// A build is offered: what was counted of those before it is asked for no more.
+    pub fn starts(&mut self, build: BuildId) {
+        self.forward_keys.clear();
+        self.sent.retain(|&(of, _), _| of >= build);
     }
 }
 
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -395,3 +395,16 @@
     });
     expect!["2"].assert_eq(&sent.count().to_string());
 }
+
+#[test]
+fn units_long_gone_are_forgotten() {
+    let mut stand = Stand::new(&settings(), 3, 0);
+    for build in 0..50 {
+        let names = [0, 1, 2, 3].map(|nth| format!("u{build}-{nth}"));
+        names.iter().for_each(|unit| stand.list(unit, 1, Health::Ready, None));
+        stand.traffic(50, 1, fine); // 5 s
+        names.iter().for_each(|unit| stand.list(unit, 1, Health::Gone, None));
+    }
+    // Those of the last minute or so keep their places.
+    expect!["59 places"].assert_eq(&format!("{} places", stand.relay.list().places()));
+}
