--- a/crates/beechcroft-relay/src/wire/budget.rs
+++ b/crates/beechcroft-relay/src/wire/budget.rs
@@ -43,6 +43,16 @@
 /// Connections to a unit are kept for this part of the time after which it may close them, as a request written
 /// while it closes one is lost.
 pub const KEEP_PART: f64 = 0.5;
+/// Idle for less, a connection is kept whatever was seen.
+pub const KEEP_LEAST: Duration = Duration::from_millis(25);
+/// So many resets of connections that lay idle for a like time, and this share of them, show that such are not worth
+/// keeping: a new one costs its unit less than a request that is lost.
+pub const KEEP_RESETS: f64 = 4.0;
+pub const KEEP_SHARE: f64 = 0.25;
+/// What was seen so long ago is tried again.
+pub const KEEP_FORGET: Duration = Duration::from_secs(15);
+/// A unit writes its answer in one go: where it pauses for longer in the middle, the rest does not come.
+pub const ANSWER_GAP: Duration = Duration::from_millis(150);
 /// A connection comes up within milliseconds or not at all. One that has taken this part of a dispatch's time is given
 /// up, so that the task can go elsewhere in time.
 pub const DIAL_PART: f64 = 0.25;
--- a/crates/beechcroft-relay/src/wire/discovery.rs
+++ b/crates/beechcroft-relay/src/wire/discovery.rs
@@ -1,6 +1,7 @@
 //! Discovery: its list as it comes and goes, and the client that asks for it. The list's actor decides when.
 
 use crate::wire::budget::{CONTROL_CONNECT, LIST_MAX, WATCH_SLACK, WATCH_WAIT};
+use crate::wire::keep::Keep;
 use crate::wire::link::{Connector, HttpClient, Room};
 use crate::wire::sparse::whole;
 use crate::wire::units::Listing;
@@ -120,7 +121,8 @@
     fn client(address: SocketAddr) -> HttpClient {
         // Two: the watch's own, and its successor where it fell silent.
         let room = Room::new(2);
-        Connector { to: address, time_out: CONTROL_CONNECT, room }.client(WATCH_WAIT + WATCH_SLACK)
+        let keep = WATCH_WAIT + WATCH_SLACK;
+        Connector { to: address, time_out: CONTROL_CONNECT, room, keep: Keep::new(keep) }.client(keep)
     }
 
     /// Gives up the connection that is kept: what it carries can't be relied on.
--- a/crates/beechcroft-relay/src/wire/link.rs
+++ b/crates/beechcroft-relay/src/wire/link.rs
@@ -2,6 +2,7 @@
 //! that carry another request only where nothing is left of the answer before.
 
 use crate::wire::budget::{HEAD_MAX, KEEP_IDLE, ROOM_WAIT};
+use crate::wire::keep::Keep;
 use bytes::Bytes;
 use http::Uri;
 use http_body_util::Full;
@@ -18,7 +19,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 pub type HttpClient = Client<Connector, Full<Bytes>>;
 
@@ -80,6 +81,7 @@
     pub to: SocketAddr,
     pub time_out: Duration,
     pub room: Room,
+    pub keep: Keep,
 }
 
 impl Connector {
@@ -87,7 +89,8 @@
         let permit = self.room.take().await?;
         let stream = timeout(self.time_out, TcpStream::connect(self.to)).await??;
         stream.set_nodelay(true)?;
-        Ok(Link { stream: TokioIo::new(stream), heard: false, _permit: permit })
+        let (stream, keep) = (TokioIo::new(stream), self.keep);
+        Ok(Link { stream, heard: None, lay: None, keep, _permit: permit })
     }
 
     /// A client of its own pool. It resends nothing by itself; a kept connection is dropped after `keep`.
@@ -118,18 +121,25 @@
 /// A connection that holds its part of the descriptors for as long as it is open.
 pub struct Link {
     stream: TokioIo<TcpStream>,
-    /// Something was read since the last write: the next one begins another request.
-    heard: bool,
+    /// When something was last read, if that was since the last write: the next one begins another request.
+    heard: Option<Instant>,
+    /// How long it lay idle before a request of which no answer was read yet.
+    lay: Option<Duration>,
+    keep: Keep,
     _permit: OwnedSemaphorePermit,
 }
 
 impl Link {
-    /// Whether nothing is to be read, not even an end. The kernel is asked, as the runtime learns of what has
-    /// arrived only between its turns, and by then the request would be written.
-    fn is_quiet(&self) -> bool {
+    /// How much is to be read, 0 at the end; asked of the kernel, as the runtime learns of what has arrived only
+    /// between its turns.
+    fn peek(&self) -> io::Result<usize> {
         let socket = socket2::SockRef::from(self.stream.inner());
-        let found = socket.peek(&mut [std::mem::MaybeUninit::uninit()]);
-        found.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+        socket.peek(&mut [std::mem::MaybeUninit::uninit()])
+    }
+
+    /// Whether nothing is to be read, not even an end.
+    fn is_quiet(&self) -> bool {
+        self.peek().is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 }
 
@@ -143,18 +153,23 @@
     fn poll_read(
         mut self: Pin<&mut Self>, context: &mut Context, into: ReadBufCursor,
     ) -> Poll<io::Result<()>> {
+        let ended = self.lay.is_some() && self.peek().is_ok_and(|length| length == 0);
         let read = Pin::new(&mut self.stream).poll_read(context, into);
-        self.heard |= read.is_ready();
+        if let Poll::Ready(came) = &read {
+            self.heard = Some(Instant::now());
+            let lay = self.lay.take();
+            lay.into_iter().for_each(|lay| self.keep.reused(lay, ended || came.is_err()));
+        }
         read
     }
 }
 
 impl Write for Link {
     fn poll_write(mut self: Pin<&mut Self>, context: &mut Context, from: &[u8]) -> Poll<io::Result<usize>> {
-        if self.heard && !self.is_quiet() {
+        if self.heard.is_some() && !self.is_quiet() {
             return Poll::Ready(Err(io::Error::other(NotQuiet)));
         }
-        self.heard = false;
+        self.lay = self.heard.take().map(|heard| heard.elapsed()).or(self.lay);
         Pin::new(&mut self.stream).poll_write(context, from)
     }
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context) -> Poll<io::Result<()>> {
--- a/crates/beechcroft-relay/src/wire/mod.rs
+++ b/crates/beechcroft-relay/src/wire/mod.rs
@@ -4,6 +4,7 @@
 pub mod budget;
 pub mod clients;
 pub mod discovery;
+pub mod keep;
 pub mod link;
 pub mod peers;
 pub mod platform;
--- a/crates/beechcroft-relay/src/wire/units.rs
+++ b/crates/beechcroft-relay/src/wire/units.rs
@@ -2,13 +2,14 @@
 //! one outcome; `ConnectFailed`, `Full` and `Moot` only where it is proven that the task never ran.
 
 use crate::memory::module::{Ended, Event, Mailbox};
-use crate::wire::budget::{ANSWER_MAX, DIAL_PART, KEEP_PART, REPLACED, UNIT_CALLS};
+use crate::wire::budget::{ANSWER_GAP, ANSWER_MAX, DIAL_PART, KEEP_PART, REPLACED, UNIT_CALLS};
+use crate::wire::keep::Keep;
 use crate::wire::link::{Connector, HttpClient, NoRoom, NotQuiet, Room};
 use crate::wire::sparse::{whole, Sparse};
 use crate::wire::{Call, Reply};
 use beechcroft::{DispatchNo, Outcome, TaskId};
 use beechcroft_settings::Transport;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use http::{header, HeaderMap, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
@@ -19,7 +20,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{sleep_until, Instant};
+use tokio::time::{sleep_until, timeout, Instant};
 
 pub const TXN: &str = "x-txn";
 pub const REMAINING: &str = "x-remaining-ms";
@@ -58,7 +59,7 @@
     pub module: Mailbox,
     pub room: Room,
     pub dial_time_out: Duration,
-    pub keep: Duration,
+    pub keep: Keep,
 }
 
 impl Shared {
@@ -67,21 +68,22 @@
             module,
             room: Room::new(connections),
             dial_time_out: transport.dial_time_out,
-            keep: transport.idle_close.mul_f64(KEEP_PART),
+            keep: Keep::new(transport.idle_close.mul_f64(KEEP_PART)),
         }
     }
 
     pub fn spawn(&self, listing: Listing) -> UnitMailbox {
         let (sender, mailbox) = mpsc::unbounded_channel();
-        let actor =
-            UnitActor { shared: self.clone(), listing, client: self.client(listing), orders: HashMap::new() };
+        let (client, kept) = (self.client(listing), self.keep.worth());
+        let actor = UnitActor { shared: self.clone(), listing, client, kept, orders: HashMap::new() };
         tokio::spawn(actor.run(mailbox));
         sender
     }
 
     fn client(&self, listing: Listing) -> HttpClient {
         let Shared { room, dial_time_out, keep, .. } = self.clone();
-        Connector { to: listing.address, time_out: dial_time_out, room }.client(keep)
+        let worth = keep.worth();
+        Connector { to: listing.address, time_out: dial_time_out, room, keep }.client(worth)
     }
 }
 
@@ -97,6 +99,8 @@
     shared: Shared,
     listing: Listing,
     client: HttpClient,
+    /// For how long it keeps idle connections.
+    kept: Duration,
     orders: HashMap<(TaskId, u32), watch::Sender<Order>>,
 }
 
@@ -148,6 +152,10 @@
     fn call(
         &mut self, dispatch: Dispatch,
     ) -> impl std::future::Future<Output = (Ended, Option<String>)> + use<> {
+        let worth = self.shared.keep.worth();
+        if worth != self.kept {
+            (self.client, self.kept) = (self.shared.client(self.listing), worth);
+        }
         let spent_room = self.orders.len() >= UNIT_CALLS;
         let (order, told) = watch::channel(if self.listing.leaving { Order::Leave } else { Order::Proceed });
         self.orders.insert((dispatch.task.clone(), dispatch.no.0), order);
@@ -267,17 +275,30 @@
     let (head, body) = answer.into_parts();
     let outcome = of_status(head.status, &head.headers);
     // Whatever came, the body is read to its end, so that the connection can be kept.
-    match Limited::new(body, ANSWER_MAX).collect().await {
+    match collect(body).await {
         Ok(body) if outcome == Outcome::Ok => {
             let content_type = head.headers.get(header::CONTENT_TYPE).cloned();
-            Got { reply: Some(Reply { body: body.to_bytes(), content_type }), ..Got::of(outcome) }
+            Got { reply: Some(Reply { body, content_type }), ..Got::of(outcome) }
         }
-        Err(error) if outcome == Outcome::Ok => Got::odd(Outcome::Reset, format!("body: {}", whole(&*error))),
+        Err(error) if outcome == Outcome::Ok => Got::odd(Outcome::Reset, format!("body: {error}")),
         _ if head.status == StatusCode::INTERNAL_SERVER_ERROR || outcome == Outcome::Full => Got::of(outcome),
         _ => Got::odd(outcome, format!("unexpected status {}", head.status)),
     }
 }
 
+async fn collect(body: Incoming) -> Result<Bytes, String> {
+    let mut body = Limited::new(body, ANSWER_MAX);
+    let mut all = BytesMut::new();
+    loop {
+        match timeout(ANSWER_GAP, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame.data_ref().into_iter().for_each(|data| all.extend_from_slice(data)),
+            Ok(Some(Err(error))) => return Err(whole(&*error)),
+            Ok(None) => return Ok(all.freeze()),
+            Err(_) => return Err("stopped short".to_owned()),
+        }
+    }
+}
+
 /// The outcome that a status proves; any but the protocol's is an error, which may have run.
 pub fn of_status(status: StatusCode, headers: &HeaderMap) -> Outcome {
     let turned_away = headers.get(TURNED_AWAY).is_some_and(|value| value == "1");
--- a/crates/beechcroft-relay/tests/sockets.rs
+++ b/crates/beechcroft-relay/tests/sockets.rs
@@ -6,6 +6,7 @@
 use beechcroft_relay::memory::module::{Ended, Event};
 use beechcroft_relay::memory::tasks::{Hints, Taken, Tasks};
 use beechcroft_relay::wire::discovery::{Discovery, Places};
+use beechcroft_relay::wire::keep::Keep;
 use beechcroft_relay::wire::peers::{Addresses, Peers};
 use beechcroft_relay::wire::platform::{self, Ballot, ToPlatform};
 use beechcroft_relay::wire::units::{Dispatch, Listing, Shared, ToUnit};
@@ -124,6 +125,7 @@
                     let body = "x".repeat(400_000);
                     answer(&format!("HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n{body}"))
                 }
+                "stall" => answer("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nnot all"),
                 "huge" => {
                     let body = "x".repeat(2_000_000);
                     answer(&format!("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n{body}"))
@@ -204,10 +206,10 @@
     let unit = Unit::start();
     let mut calls = Calls::new(64);
     let mut told = String::new();
-    let wishes = "ok error full over bare503 missing reset short long huge endless garbage hang";
+    let wishes = "ok error full over bare503 missing reset short stall long huge endless garbage hang";
     let mailbox = calls.shared.spawn(listing(unit.address));
     for wish in wishes.split(' ') {
-        mailbox.send(calls.dispatch(wish, if wish == "hang" { ms(500) } else { PATIENCE })).ok().unwrap();
+        mailbox.send(calls.dispatch(wish, if wish == "hang" { ms(500) } else { PATIENCE / 2 })).ok().unwrap();
         let Ended { outcome, reply, .. } = calls.ended().await;
         let show = |reply: Reply| match reply.body.len() {
             length @ 100.. => format!(" {length} bytes"),
@@ -236,6 +238,7 @@
         missing: Error
         reset: Reset
         short: Reset
+        stall: Reset
         long: Ok 400000 bytes
         huge: Reset
         endless: Reset
@@ -287,6 +290,46 @@
     assert_eq!(unit.heads().len(), 4); // nothing was written twice
 }
 
+#[test]
+fn idle_connections_are_kept_as_long_as_reuse_pays() {
+    let keep = Keep::new(ms(4000));
+    let mut told = vec![keep.worth()];
+    for nth in 0..12 {
+        keep.reused(ms(60), nth == 0); // resets by chance, whatever the time
+        keep.reused(ms(150), nth % 2 == 0);
+        keep.reused(ms(900), true);
+        told.push(keep.worth());
+    }
+    told.dedup();
+    // Four resets are evidence; of the shorter time they come later.
+    assert_eq!(told, [ms(4000), ms(800), ms(100)]);
+    (0..60).for_each(|_| keep.reused(ms(150), false));
+    assert_eq!(keep.worth(), ms(800)); // it is followed both ways
+}
+
+#[tokio::test]
+async fn idle_connections_that_their_unit_drops_in_silence_are_soon_replaced_in_time() {
+    // Answers the first request of a connection, and resets it at the next.
+    let address = stand_in(|_, stream| {
+        std::thread::spawn(move || {
+            let mut reader = BufReader::new(stream.try_clone().unwrap());
+            message(&mut reader).unwrap();
+            (&stream).write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").unwrap();
+            let _ = reader.fill_buf(); // what is not read makes the close a reset
+        });
+    });
+    let mut calls = Calls::new(64);
+    let mailbox = calls.shared.spawn(listing(address));
+    let mut told = Vec::new();
+    for _ in 0..14 {
+        mailbox.send(calls.dispatch("ok", PATIENCE)).ok().unwrap();
+        told.push(calls.ended().await.outcome);
+        tokio::time::sleep(ms(60)).await;
+    }
+    let resets = told.iter().filter(|&&outcome| outcome == Outcome::Reset).count();
+    assert_eq!((resets, &told[8..]), (4, &[Outcome::Ok; 6][..]));
+}
+
 #[tokio::test]
 async fn a_connection_that_does_not_come_up_leaves_time_to_go_elsewhere() {
     let unit = Unit::start();
--- a/src/histogram.rs
+++ b/src/histogram.rs
@@ -80,27 +80,39 @@
     }
 }
 
-/// Amounts of the last while.
+/// Amounts of the last while: each time with the sum of all up to it, so that a sum costs a search and no walk.
 #[derive(Clone, Debug, Default)]
-pub struct Window(VecDeque<(Duration, f64)>);
+pub struct Window {
+    sums: VecDeque<(Duration, f64)>,
+    /// Of what was dropped.
+    before: f64,
+}
 
 impl Window {
     /// Adds an amount and drops what is older than `keep`.
     pub fn add(&mut self, now: Duration, amount: f64, keep: Duration) {
-        while self.0.front().is_some_and(|&(at, _)| at + keep < now) {
-            self.0.pop_front();
+        while let Some((_, sum)) = self.sums.pop_front_if(|&mut (at, _)| at + keep < now) {
+            self.before = sum;
+        }
+        if self.sums.is_empty() {
+            self.before = 0.0;
         }
-        self.0.push_back((now, amount));
+        self.sums.push_back((now, self.total() + amount));
+    }
+
+    fn total(&self) -> f64 {
+        self.sums.back().map_or(self.before, |&(_, sum)| sum)
     }
 
     /// The sum of what came less than `span` ago.
     pub fn sum(&self, now: Duration, span: Duration) -> f64 {
-        let recent = self.0.iter().rev().take_while(|&&(at, _)| at + span > now);
-        recent.map(|(_, amount)| amount).sum()
+        let old = self.sums.partition_point(|&(at, _)| at + span <= now);
+        let before = old.checked_sub(1).map_or(self.before, |last| self.sums[last].1);
+        self.total() - before
     }
 
     pub fn clear(&mut self) {
-        self.0.clear();
+        *self = Window::default();
     }
 }
 
