--- a/crates/beechcroft-relay/src/wire/link.rs
+++ b/crates/beechcroft-relay/src/wire/link.rs
@@ -141,6 +141,11 @@
     fn is_quiet(&self) -> bool {
         self.peek().is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
+
+    /// Whether it has ended or was reset; asking takes the error away, so that a read finds the end only.
+    fn has_ended(&self) -> bool {
+        self.peek().map_or_else(|error| error.kind() != io::ErrorKind::WouldBlock, |length| length == 0)
+    }
 }
 
 impl Connection for Link {
@@ -153,7 +158,7 @@
     fn poll_read(
         mut self: Pin<&mut Self>, context: &mut Context, into: ReadBufCursor,
     ) -> Poll<io::Result<()>> {
-        let ended = self.lay.is_some() && self.peek().is_ok_and(|length| length == 0);
+        let ended = self.lay.is_some() && self.has_ended();
         let read = Pin::new(&mut self.stream).poll_read(context, into);
         if let Poll::Ready(came) = &read {
             self.heard = Some(Instant::now());
--- a/crates/beechcroft-relay/tests/sockets.rs
+++ b/crates/beechcroft-relay/tests/sockets.rs
@@ -315,7 +315,7 @@
             let mut reader = BufReader::new(stream.try_clone().unwrap());
             message(&mut reader).unwrap();
             (&stream).write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").unwrap();
-            let _ = reader.fill_buf(); // what is not read makes the close a reset
+            let _ = stream.peek(&mut [0]); // what is not read makes the close a reset
         });
     });
     let mut calls = Calls::new(64);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -35,6 +35,7 @@
 const APART: f64 = 0.3; // of a kind's tasks late, of another's under half of that; of repeats that err again
 const LATELY: f64 = 48.0; // outcomes held of what must be known soon
 const VAIN_TRIES: f64 = 0.1; // of repeats that mostly err again are made all the same, to see it pass
+const SLOWER: f64 = 0.05; // of answers past half their quoted time: from there on none is given up sooner
 const FLAG_WEIGHT: f64 = 2.0; // wrong answers that one report may speak for
 const HOLD: Duration = Duration::from_secs(28); // at a price of 1, how long lateness of both is borne
 const LOADED: f64 = 1.25; // times the load before the trial
@@ -166,7 +167,7 @@
         let mut able: Vec<usize> =
             (0..self.fleet.units.len()).filter(|&at| self.permits(task, at, false)).collect();
         let on_trial = |at: usize| self.cap_of(self.fleet.units[at].build).is_some();
-        // A trial unit is to bear what a unit of the full fleet bears: so many of the tasks try it. Those that may
+        // A trial unit is to bear what one of the full fleet bears: so many of the tasks try it. Those that may
         // get nothing now, cold ones above all, leave no larger share to the others.
         let ready = |trial: bool| -> f64 {
             let units = able.iter().filter(|&&at| on_trial(at) == trial).map(|&at| &self.fleet.units[at]);
@@ -207,8 +208,11 @@
         if !self.permits(task, task.chosen, false) {
             return Flow::End;
         }
-        let late_pays = self.tracks[task.track.0].late_pays;
-        let time_out = if late_pays { task.end } else { task.quoted }.saturating_sub(self.now);
+        let track = &self.tracks[task.track.0];
+        let time_out = if track.late_pays { task.end } else { task.quoted }.saturating_sub(self.now);
+        // Departure: where few take half of it, half is waited, so that another unit can answer what is lost.
+        let early = self.meter.quick(BASELINE, SLOWER) && track.effect != Effect::Unrepeatable;
+        let time_out = if early && task.tries == 0 { time_out / 2 } else { time_out };
         let on_trial = self.cap_of(self.fleet.units[task.chosen].build).is_some();
         let keep = self.fig.window + self.fig.slack * 2;
         let unit = &mut self.fleet.units[task.chosen];
@@ -302,13 +306,15 @@
         let at = &mut self.fleet.units[unit];
         at.waiting.retain(|waiting| waiting != id);
         let (build, cold, ran) = (at.build, at.is_cold(sent, self.fig.warm_up), !outcome.never_ran());
+        let seen = if sent < at.since { Outcome::Moot } else { outcome }; // of what ran there before
         let (track, repeat, apart) = (task.track, task.failed_on.is_some(), self.is_apart(&task));
         self.meter.in_flight -= 1.0;
         if ran && !repeat {
             let late = outcome != Outcome::Ok || self.now > task.quoted;
             self.meter.missed(track, task.tenant, late, LATELY);
+            self.meter.paced(outcome, spent, self.tracks[track.0].quoted, KEEP);
         }
-        self.learn(&Ended { unit, track, outcome, spent, cold, repeat, flagged: false, apart }, true);
+        self.learn(&Ended { unit, track, outcome: seen, spent, cold, repeat, flagged: false, apart }, true);
         if outcome == Outcome::Ok {
             self.meter.handled += task.work;
             let forward = self.fig.forward_only && self.news.is_some_and(|news| news.build == build);
@@ -433,8 +439,7 @@
         let silent = self.fleet.units[ended.unit].streak >= STREAK;
         if matches!(ended.outcome, Outcome::Ok | Outcome::TimeOut) && !silent && !ended.apart {
             let part = 1.0 / (self.meter.keep / KEEP_FOR.as_secs_f64() / 2.0).max(20.0);
-            // However early its client gave up.
-            let quoted = self.tracks[ended.track.0].quoted;
+            let quoted = self.tracks[ended.track.0].quoted; // however early its client gave up
             let spent = if ended.outcome == Outcome::Ok { ended.spent } else { quoted };
             self.meter.answered(spent, quoted, part);
         }
@@ -557,8 +562,7 @@
         let size: f64 = self.fleet.ready().map(|unit| unit.nominal).sum();
         let count = self.fleet.ready().count().max(1) as f64;
         let meter = &mut self.meter;
-        let bore = meter.tick(TICK, 0.1) / size.max(0.01);
-        meter.bears(bore, TICK, BORE_FOR);
+        meter.tick(TICK, 0.1, size.max(0.01), BORE_FOR);
         // Little's law: open tasks that end in that part of their quoted times, or its part of two a unit.
         let part = (count * 2.0 / f64::from(self.fig.relays)).max(1.0);
         meter.limit = (meter.limit * 1.03 + 0.1 * part).min(count * 16.0);
@@ -578,11 +582,7 @@
         for sum in judge.sums.iter_mut().chain(units) {
             *sum = Cusum { w: sum.w.max(0.0) + sum.z, z: 0.0 };
         }
-        let held = busy || judge.ambient > NATS_FLOOR;
-        judge.held = if held { judge.held + TICK } else { judge.held.saturating_sub(TICK) };
-        judge.ambient *= 0.97; // fades where the earlier build answers no more
-        judge.outcome_rate += (judge.tick_outcomes - judge.outcome_rate) * 0.1;
-        judge.tick_outcomes = 0.0;
+        judge.tick(busy || judge.ambient > NATS_FLOOR, TICK, 0.97, 0.1); // it fades where none answers
         let rate = if self.fig.fuses { judge.outcome_rate } else { 0.0 }; // the others' is weighed there
         let good = TrackState::good_rate(&self.tracks);
         let expected = |bad: f64| bad * log_ratio(good, true) + (1.0 - bad) * log_ratio(good, false);
@@ -691,7 +691,7 @@
         let Some(news) = self.news else { return };
         let vote = self.stance(news, fused);
         let since = self.now.saturating_sub(self.ballot.at);
-        // Where one voice is enough, hundreds need not speak; the platform takes so many votes of all that do.
+        // Where one voice is enough, hundreds need not speak; the platform takes so many votes of all.
         let voices = if self.fig.gate == GateMode::FirstVoice { FUSERS } else { self.fig.relays };
         let gap = Duration::from_secs_f64(f64::from(voices.min(self.fig.relays)) / self.fig.votes_per_s);
         let (wait, renew) = (self.fig.answer_wait + TICK, self.fig.vote_life.mul_f64(RENEW));
--- a/src/state.rs
+++ b/src/state.rs
@@ -219,6 +219,7 @@
     pub bore: (f64, f64), // work that a warm unit was seen to bear from here, and in how many seconds
     pub tenants: Vec<(f64, f64)>,
     pub again: Tally,            // repeats after an error, and those that failed once more
+    pub slower: Tally,           // first dispatches that took more than half of the quoted time, or failed
     pub misses: [Vec<Tally>; 2], // of quoted times, by track and by tenant
 }
 
@@ -430,6 +431,18 @@
         hint / self.mean_work
     }
 
+    /// Counts whether a first dispatch took more than half of the quoted time; only what was waited for tells.
+    pub fn paced(&mut self, outcome: Outcome, spent: Duration, quoted: Duration, keep: f64) {
+        if matches!(outcome, Outcome::Ok | Outcome::TimeOut) {
+            self.slower.add(outcome == Outcome::TimeOut || spent * 2 > quoted, keep);
+        }
+    }
+
+    /// Whether fewer than a share of them did, by `least` of them or more.
+    pub fn quick(&self, least: f64, share: f64) -> bool {
+        self.slower.trials > least && self.slower.rate() < share
+    }
+
     /// Counts whether a task missed its quoted time.
     pub fn missed(&mut self, track: TrackId, tenant: Option<TenantId>, late: bool, keep: f64) {
         let [tracks, tenants] = &mut self.misses;
@@ -474,21 +487,21 @@
     }
 
     /// Counts work that a unit bore in a tick; halved once it covers `hold`.
-    pub fn bears(&mut self, work: f64, tick: Duration, hold: Duration) {
+    fn bears(&mut self, work: f64, tick: Duration, hold: Duration) {
         self.bore = (self.bore.0 + work * tick.as_secs_f64(), self.bore.1 + tick.as_secs_f64());
         if self.bore.1 > hold.as_secs_f64() {
             self.bore = (self.bore.0 / 2.0, self.bore.1 / 2.0);
         }
     }
 
-    /// Takes up a tick's counts, each rate by `part` of the difference.
-    pub fn tick(&mut self, tick: Duration, part: f64) -> f64 {
+    /// Takes up a tick's counts, each rate by `part` of the difference; units of this size bore it.
+    pub fn tick(&mut self, tick: Duration, part: f64, size: f64, hold: Duration) {
         let per_s = std::mem::take(&mut self.handled) / tick.as_secs_f64();
         self.served_rate += (per_s - self.served_rate) * part;
         for (rate, count) in &mut self.tenants {
             *rate += (std::mem::take(count) / tick.as_secs_f64() - *rate) * part;
         }
-        per_s
+        self.bears(per_s / size, tick, hold);
     }
 }
 
@@ -704,6 +717,13 @@
         (self.bit, self.load_before, self.busy_before) = (false, load, busy);
     }
 
+    /// A tick passed, in which lateness held the build or not; it fades, and rates follow by `part`.
+    pub fn tick(&mut self, held: bool, tick: Duration, fade: f64, part: f64) {
+        self.held = if held { self.held + tick } else { self.held.saturating_sub(tick) };
+        self.ambient *= fade;
+        self.outcome_rate += (std::mem::take(&mut self.tick_outcomes) - self.outcome_rate) * part;
+    }
+
     /// A stage begins.
     pub fn stage_begins(&mut self, now: Duration) {
         (self.outcomes, self.clear_since, self.on) = (0, now, false);
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -408,3 +408,48 @@
     // Those of the last minute or so keep their places.
     expect!["59 places"].assert_eq(&format!("{} places", stand.relay.list().places()));
 }
+
+#[test]
+fn where_answers_are_quick_half_the_quoted_time_is_waited_so_that_a_lost_one_is_asked_for_again() {
+    let waits = |answer: fn(&str, u64) -> (Outcome, u64)| {
+        let mut stand = Stand::new(&settings(), 3, 0);
+        stand.traffic(20, 4, answer);
+        stand.trace.text.clear();
+        let (task, _) = stand.take(0);
+        stand.pass(300);
+        stand.end(&task, 0, Outcome::TimeOut, 300);
+        stand.take(2);
+        stand.trace.text.lines().filter_map(|line| line.split(" for ").nth(1)).collect::<Vec<_>>().join(", ")
+    };
+    let slow = |_: &str, nth: u64| (Outcome::Ok, if nth % 8 == 0 { 400 } else { 60 });
+    expect!["quick: 295ms, 290ms, 590ms; some slow: 590ms, 290ms, 590ms"].assert_eq(&format!(
+        "quick: {}; some slow: {}",
+        waits(fine),
+        waits(slow)
+    ));
+}
+
+#[test]
+fn what_a_unit_held_when_it_came_back_as_another_build_is_no_evidence_against_that() {
+    let told = |anew: bool| {
+        let mut stand = Stand::on_trial(6, 3, 8, 2, 0.7);
+        for round in 0..12 {
+            let held: Vec<_> = (0..30).map(|_| stand.take(0)).collect();
+            stand.pass(50);
+            let back = |unit: &str| stand.list(unit, 2, Health::Ready, anew.then(|| ms(round)));
+            ["b0", "b1", "b2"].map(back);
+            stand.pass(50);
+            for (nth, (task, unit)) in held.into_iter().enumerate() {
+                let lost = nth % 2 == 0 && unit.is_some_and(|unit| unit.0.starts_with('b'));
+                stand.end(&task, 0, if lost { Outcome::Error } else { Outcome::Ok }, 100);
+            }
+            stand.relay.woken(Token(0), &mut stand.trace);
+        }
+        stand.votes()
+    };
+    expect!["held:\nvote Back build 2 stage 2\n, came back:\n"].assert_eq(&format!(
+        "held:\n{}, came back:\n{}",
+        told(false),
+        told(true)
+    ));
+}
