--- a/crates/beechcroft-relay/src/life/run.rs
+++ b/crates/beechcroft-relay/src/life/run.rs
@@ -77,7 +77,7 @@
     let mut module_ends = tokio::spawn(actor.run(events));
     tokio::spawn(list.run(followed, listed));
 
-    let clients = Clients::new(budget.clients);
+    let clients = Clients::new(budget);
     let front = Front::new(&names, module, life.clone());
     let heed = async {
         loop {
--- a/crates/beechcroft-relay/src/wire/budget.rs
+++ b/crates/beechcroft-relay/src/wire/budget.rs
@@ -25,11 +25,13 @@
 pub const HEAD_WAIT: Duration = Duration::from_millis(2100);
 /// For a body behind its head; both waits together stay below those 3 s.
 pub const BODY_WAIT: Duration = Duration::from_millis(700);
-/// Once connections are to close, how long one that has not yet asked for anything may take: a client asks as soon as
-/// it has connected.
+/// Once the relay leaves, how long a connection may take that has not asked for anything: it may be about to.
 pub const SILENT_WAIT: Duration = Duration::from_secs(1);
-/// The same where places run short, from its acceptance on: those who ask need them.
-pub const SILENT_SHORT: Duration = Duration::from_millis(150);
+/// While clients crowd, a connection without an open request is closed after this time: those who ask need its place, and
+/// one that was to be used again mostly has been by then.
+pub const CROWDED_WAIT: Duration = Duration::from_millis(150);
+/// How often idle connections are looked for while clients crowd.
+pub const CROWDED_LOOK: Duration = Duration::from_millis(50);
 /// After an `accept` that failed, for want of descriptors above all: some are free soon, and no loop spins.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// After a datagram that could not be received, so that no loop spins.
@@ -85,6 +87,9 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
     pub clients: usize,
+    /// Clients crowd from so many connections on. Fronts hold a third of a relay's descriptors at most: they have none
+    /// left for those who ask where some ask once and stay.
+    pub crowd: usize,
     pub units: usize,
 }
 
@@ -97,6 +102,6 @@
     /// Clients get the larger part: a connection in the backlog is a task that counts as taken.
     pub fn of(sockets: usize) -> Budget {
         let rest = sockets.saturating_sub(OTHERS);
-        Budget { clients: rest * 3 / 5, units: rest * 2 / 5 }
+        Budget { clients: rest * 3 / 5, crowd: sockets / 4, units: rest * 2 / 5 }
     }
 }
--- a/crates/beechcroft-relay/src/wire/clients.rs
+++ b/crates/beechcroft-relay/src/wire/clients.rs
@@ -5,7 +5,8 @@
 use crate::memory::module::{Event, Mailbox};
 use crate::memory::tasks::{Hints, Taken};
 use crate::wire::budget::{
-    ACCEPT_PAUSE, BODY_MAX, BODY_WAIT, HEAD_MAX, HEAD_WAIT, HINT_MAX, SILENT_SHORT, SILENT_WAIT, TXN_MAX,
+    Budget, ACCEPT_PAUSE, BODY_MAX, BODY_WAIT, CROWDED_LOOK, CROWDED_WAIT, HEAD_MAX, HEAD_WAIT, HINT_MAX,
+    SILENT_WAIT, TXN_MAX,
 };
 use crate::wire::sparse::Sparse;
 use crate::wire::units::{KEY, REMAINING, TXN};
@@ -23,12 +24,11 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use smol_str::SmolStr;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch, OwnedSemaphorePermit, Semaphore};
-use tokio::time::Instant;
+use tokio::time::{Instant, MissedTickBehavior};
 use tower_service::Service;
 
 const LANE: &str = "x-lane";
@@ -239,18 +239,27 @@
     }
 }
 
+/// What connections are told.
+#[derive(Clone, Copy)]
+enum Told {
+    /// Clients crowd: to close where it has been idle for a while.
+    Crowded,
+    /// The relay leaves: to close after the answer, or at once if it is idle.
+    Leave,
+}
+
 /// The clients' connections.
 pub struct Clients {
     room: Arc<Semaphore>,
     most: usize,
-    /// Changed to make every connection close after its answer, or at once if it is idle; says how long one that
-    /// has not asked yet may take.
-    close: watch::Sender<Duration>,
+    crowd: usize,
+    told: watch::Sender<Told>,
 }
 
 impl Clients {
-    pub fn new(most: usize) -> Clients {
-        Clients { room: Arc::new(Semaphore::new(most)), most, close: watch::Sender::new(SILENT_WAIT) }
+    pub fn new(budget: Budget) -> Clients {
+        let Budget { clients: most, crowd, .. } = budget;
+        Clients { room: Arc::new(Semaphore::new(most)), most, crowd, told: watch::Sender::new(Told::Crowded) }
     }
 
     pub fn open(&self) -> usize {
@@ -264,28 +273,30 @@
         let mut leaving = std::pin::pin!(phases.wait_for(|phase| *phase >= Phase::Leaving));
         let router = Router::new().route("/healthz", get(healthz)).fallback(task).with_state(front.clone());
         let odd = Sparse::new("clients");
+        let mut look = tokio::time::interval(CROWDED_LOOK);
+        look.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut once = false;
         loop {
-            let next = async {
-                let permit = self.room.clone().acquire_owned().await;
-                if self.room.available_permits() < self.most / 8 {
-                    odd.warn(format!("{} connections are open, idle ones are closed", self.open()));
-                    self.close_kept(SILENT_SHORT);
-                }
-                (permit, listener.accept().await)
-            };
+            let next = async { (self.room.clone().acquire_owned().await, listener.accept().await) };
             let (permit, accepted) = tokio::select! {
                 biased;
                 _ = &mut leaving, if !once => {
                     once = true;
-                    self.close_kept(SILENT_WAIT);
+                    self.told.send_replace(Told::Leave);
+                    continue;
+                }
+                _ = look.tick() => {
+                    if !once && self.open() > self.crowd {
+                        odd.warn(format!("{} connections are open, idle ones are closed", self.open()));
+                        self.told.send_replace(Told::Crowded);
+                    }
                     continue;
                 }
                 next = next => next,
             };
             match (permit, accepted) {
                 (Ok(permit), Ok((stream, _))) => {
-                    tokio::spawn(serve(stream, router.clone(), self.close.subscribe(), once, permit));
+                    tokio::spawn(serve(stream, router.clone(), self.told.subscribe(), once, permit));
                 }
                 (_, Err(error)) => {
                     odd.warn(format!("accept: {error}"));
@@ -295,24 +306,35 @@
             }
         }
     }
+}
 
-    fn close_kept(&self, silent: Duration) {
-        self.close.send_replace(silent);
-    }
+/// Since when a connection waits for a request, if it does; and whether it ever had one.
+struct Idle {
+    since: Option<Instant>,
+    asked: bool,
 }
 
-/// Serves one connection until it ends, or is told to close: at once if it is idle, else after its answer.
+fn lock(idle: &Mutex<Idle>) -> MutexGuard<'_, Idle> {
+    idle.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Serves one connection until it ends, or is told to close.
 async fn serve(
-    stream: TcpStream, router: Router, mut close: watch::Receiver<Duration>, once: bool,
+    stream: TcpStream, router: Router, mut told: watch::Receiver<Told>, once: bool,
     _permit: OwnedSemaphorePermit,
 ) {
     let _ = stream.set_nodelay(true);
-    let accepted = Instant::now();
-    let asked = Arc::new(AtomicBool::new(false));
-    let mark = asked.clone();
+    let idle = Arc::new(Mutex::new(Idle { since: Some(Instant::now()), asked: false }));
+    let marks = idle.clone();
     let service = service_fn(move |request| {
-        mark.store(true, Ordering::Relaxed);
-        router.clone().call(request)
+        let (answer, marks) = (router.clone().call(request), marks.clone());
+        async move {
+            let set = |since| *lock(&marks) = Idle { since, asked: true };
+            set(None);
+            let answer = answer.await;
+            set(Some(Instant::now()));
+            answer
+        }
     });
     let connection = http1::Builder::new()
         .keep_alive(!once)
@@ -321,15 +343,23 @@
         .max_buf_size(HEAD_MAX)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        _ = close.changed() => {}
-    }
-    if !asked.load(Ordering::Relaxed) {
-        // hyper would close it now, though its first request may be on the way.
-        let silent = *close.borrow_and_update();
-        if tokio::time::timeout_at(accepted + silent, connection.as_mut()).await.is_ok() {
-            return;
+    loop {
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            _ = told.changed() => {}
+        }
+        let Idle { since, asked } = *lock(&idle);
+        let what = *told.borrow_and_update();
+        match what {
+            Told::Crowded if since.is_none_or(|since| since.elapsed() < CROWDED_WAIT) => {}
+            Told::Leave if !asked => {
+                // hyper would close it now, though its first request may be on the way.
+                if tokio::time::timeout(SILENT_WAIT, connection.as_mut()).await.is_ok() {
+                    return;
+                }
+                break;
+            }
+            Told::Crowded | Told::Leave => break,
         }
     }
     connection.as_mut().graceful_shutdown();
--- a/crates/beechcroft-relay/tests/sockets.rs
+++ b/crates/beechcroft-relay/tests/sockets.rs
@@ -1124,6 +1124,26 @@
     drop((kept, silent));
 }
 
+#[test]
+fn connections_that_asked_once_and_stay_make_room_for_those_who_ask() {
+    let unit = Unit::start();
+    let relay = Relay::start(&configuration(discovery().0, &[entry("u-1", unit.address, "active", 1)]));
+    let ask = |txn: &str, wish: &str| {
+        let mut client = relay.connect();
+        client.get_mut().write_all(read_request(txn, wish).as_bytes()).unwrap();
+        client
+    };
+    let mut busy = ask("busy", "slow");
+    // A quarter of the 256 descriptors and some more: nobody comes any more, and yet the idle ones close.
+    let mut kept: Vec<_> = (0..70).map(|nth| ask(&format!("t-{nth}"), "ok")).collect();
+    assert!(kept.iter_mut().all(|client| status(&message(client).unwrap().0) == "200"));
+    let closed =
+        kept.iter_mut().take_while(|client| client.read(&mut [0]).is_ok_and(|read| read == 0)).count();
+    let (head, _) = message(&mut busy).unwrap(); // of 2 s, while HEAD_WAIT is 2.1 s: they closed before
+    assert_eq!((closed, status(&head)), (70, "200"));
+    assert!(relay.log().contains("connections are open, idle ones are closed"));
+}
+
 #[test]
 fn faulty_configuration_ends_the_start_with_one_line_that_names_the_key() {
     let good = configuration("127.0.0.1:9".parse().unwrap(), &[]);
