--- a/crates/beechcroft-relay/tests/sockets.rs
+++ b/crates/beechcroft-relay/tests/sockets.rs
@@ -125,6 +125,11 @@
                     let body = "x".repeat(400_000);
                     answer(&format!("HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n{body}"))
                 }
+                "ahead" => {
+                    let head = "HTTP/1.1 103 E\r\n\r\nHTTP/1.1 200 OK\r\nX-Pressure: {\"q\":no,\r\nContent-Length: 4";
+                    answer(&format!("{head}\r\n\r\ngood"))
+                }
+                "colon" => answer("HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 2\r\n\r\nok"),
                 "stall" => answer("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nnot all"),
                 "huge" => {
                     let body = "x".repeat(2_000_000);
@@ -206,7 +211,8 @@
     let unit = Unit::start();
     let mut calls = Calls::new(64);
     let mut told = String::new();
-    let wishes = "ok error full over bare503 missing reset short stall long huge endless garbage hang";
+    let wishes =
+        "ok error full over bare503 missing reset short stall ahead colon long huge endless garbage hang";
     let mailbox = calls.shared.spawn(listing(unit.address));
     for wish in wishes.split(' ') {
         mailbox.send(calls.dispatch(wish, if wish == "hang" { ms(500) } else { PATIENCE / 2 })).ok().unwrap();
@@ -239,6 +245,8 @@
         reset: Reset
         short: Reset
         stall: Reset
+        ahead: Ok b"good"
+        colon: Reset
         long: Ok 400000 bytes
         huge: Reset
         endless: Reset
