A list that stops short ends its watch after 0.15 s, as units' answers do

Seen in reading: discovery.rs, call, waited for the rest of a part until the watch's own end, up to 3.7 s, before the next watch could go out; what discovery tells meanwhile counts as told. Left: a part of a head.

--- a/crates/beechcroft-relay/src/wire/budget.rs
+++ b/crates/beechcroft-relay/src/wire/budget.rs
@@ -53,7 +53,7 @@
 pub const KEEP_SHARE: f64 = 0.25;
 /// What was seen so long ago is tried again.
 pub const KEEP_FORGET: Duration = Duration::from_secs(15);
-/// A unit writes its answer in one go: where it pauses for longer in the middle, the rest does not come.
+/// Units and discovery write an answer in one go: where one pauses for longer in the middle, the rest does not come.
 pub const ANSWER_GAP: Duration = Duration::from_millis(150);
 /// A connection comes up within milliseconds or not at all. One that has taken this part of a dispatch's time is given
 /// up, so that the task can go elsewhere in time.
--- a/crates/beechcroft-relay/src/wire/discovery.rs
+++ b/crates/beechcroft-relay/src/wire/discovery.rs
@@ -2,14 +2,14 @@
 
 use crate::wire::budget::{CONTROL_CONNECT, LIST_MAX, WATCH_SLACK, WATCH_WAIT};
 use crate::wire::keep::Keep;
-use crate::wire::link::{Connector, HttpClient, Room};
+use crate::wire::link::{collect, Connector, HttpClient, Room};
 use crate::wire::sparse::whole;
 use crate::wire::units::Listing;
 use beechcroft::{BuildId, CellId, Health, KindId, UnitId, ZoneId};
 use beechcroft_settings::Named;
 use bytes::Bytes;
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use serde::Deserialize;
 use smol_str::SmolStr;
 use std::net::SocketAddr;
@@ -151,7 +151,6 @@
         if answer.status() != StatusCode::OK {
             return Err(format!("status {}", answer.status()));
         }
-        let body = Limited::new(answer.into_body(), LIST_MAX).collect().await;
-        body.map(|body| body.to_bytes()).map_err(|error| whole(&*error))
+        collect(answer.into_body(), LIST_MAX).await
     }
 }
--- a/crates/beechcroft-relay/src/wire/link.rs
+++ b/crates/beechcroft-relay/src/wire/link.rs
@@ -1,11 +1,13 @@
 //! Outgoing HTTP connections: hyper-util's client over connections that are bounded, timed and without delay, and
 //! that carry another request only where nothing is left of the answer before.
 
-use crate::wire::budget::{HEAD_MAX, KEEP_IDLE, ROOM_WAIT};
+use crate::wire::budget::{ANSWER_GAP, HEAD_MAX, KEEP_IDLE, ROOM_WAIT};
 use crate::wire::keep::Keep;
-use bytes::Bytes;
+use crate::wire::sparse::whole;
+use bytes::{Bytes, BytesMut};
 use http::Uri;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::client::legacy::connect::{Connected, Connection};
 use hyper_util::client::legacy::Client;
@@ -48,6 +50,20 @@
 
 impl std::error::Error for NotQuiet {}
 
+/// A body of so many bytes at most. Whoever answers writes all of it in one go.
+pub async fn collect(body: Incoming, most: usize) -> Result<Bytes, String> {
+    let mut body = Limited::new(body, most);
+    let mut all = BytesMut::new();
+    loop {
+        match timeout(ANSWER_GAP, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame.data_ref().into_iter().for_each(|data| all.extend_from_slice(data)),
+            Ok(Some(Err(error))) => return Err(whole(&*error)),
+            Ok(None) => return Ok(all.freeze()),
+            Err(_) => return Err("stopped short".to_owned()),
+        }
+    }
+}
+
 /// A part of the descriptors, shared by many connectors.
 #[derive(Clone)]
 pub struct Room {
--- a/crates/beechcroft-relay/src/wire/units.rs
+++ b/crates/beechcroft-relay/src/wire/units.rs
@@ -2,17 +2,17 @@
 //! one outcome; `ConnectFailed`, `Full` and `Moot` only where it is proven that the task never ran.
 
 use crate::memory::module::{Ended, Event, Mailbox};
-use crate::wire::budget::{ANSWER_GAP, ANSWER_MAX, DIAL_PART, KEEP_PART, REPLACED, UNIT_CALLS};
+use crate::wire::budget::{ANSWER_MAX, DIAL_PART, KEEP_PART, REPLACED, UNIT_CALLS};
 use crate::wire::keep::Keep;
-use crate::wire::link::{Connector, HttpClient, NoRoom, NotQuiet, Room};
+use crate::wire::link::{collect, Connector, HttpClient, NoRoom, NotQuiet, Room};
 use crate::wire::sparse::{whole, Sparse};
 use crate::wire::{Call, Reply};
 use beechcroft::{DispatchNo, Outcome, TaskId};
 use beechcroft_settings::Transport;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use http::{header, HeaderMap, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::connect::{capture_connection, CaptureConnection};
 use std::collections::HashMap;
@@ -20,7 +20,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{sleep_until, timeout, Instant};
+use tokio::time::{sleep_until, Instant};
 
 pub const TXN: &str = "x-txn";
 pub const REMAINING: &str = "x-remaining-ms";
@@ -275,7 +275,7 @@
     let (head, body) = answer.into_parts();
     let outcome = of_status(head.status, &head.headers);
     // Whatever came, the body is read to its end, so that the connection can be kept.
-    match collect(body).await {
+    match collect(body, ANSWER_MAX).await {
         Ok(body) if outcome == Outcome::Ok => {
             let content_type = head.headers.get(header::CONTENT_TYPE).cloned();
             Got { reply: Some(Reply { body, content_type }), ..Got::of(outcome) }
@@ -286,19 +286,6 @@
     }
 }
 
-async fn collect(body: Incoming) -> Result<Bytes, String> {
-    let mut body = Limited::new(body, ANSWER_MAX);
-    let mut all = BytesMut::new();
-    loop {
-        match timeout(ANSWER_GAP, body.frame()).await {
-            Ok(Some(Ok(frame))) => frame.data_ref().into_iter().for_each(|data| all.extend_from_slice(data)),
-            Ok(Some(Err(error))) => return Err(whole(&*error)),
-            Ok(None) => return Ok(all.freeze()),
-            Err(_) => return Err("stopped short".to_owned()),
-        }
-    }
-}
-
 /// The outcome that a status proves; any but the protocol's is an error, which may have run.
 pub fn of_status(status: StatusCode, headers: &HeaderMap) -> Outcome {
     let turned_away = headers.get(TURNED_AWAY).is_some_and(|value| value == "1");
--- a/crates/beechcroft-relay/tests/sockets.rs
+++ b/crates/beechcroft-relay/tests/sockets.rs
@@ -695,6 +695,18 @@
     .assert_eq(&told);
 }
 
+#[tokio::test]
+async fn a_list_of_which_only_a_part_comes_is_not_waited_for() {
+    let address = stand_in(|_, mut stream| {
+        message(&mut BufReader::new(stream.try_clone().unwrap())).unwrap();
+        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"index\":7").unwrap();
+        std::mem::forget(stream); // open, and silent
+    });
+    let names = beechcroft_settings::read(&settings(1).to_string()).unwrap();
+    let answer = Discovery::new(address, Places::new(&names)).ask(Some(7)).await;
+    assert_eq!(answer.err().unwrap(), "stopped short"); // and not "silent", once the watch is over
+}
+
 #[tokio::test]
 async fn notes_come_from_known_relays_only_and_go_to_one_or_all() {
     let bind = || UdpSocket::bind("127.0.0.1:0").unwrap();
