A unit's pool is renewed in one place, with the time it keeps idle connections

Found on reading the change again: a pool made anew for a shortage or a new address took the learnt keeping time without noting it (units.rs, client), so that the next dispatch made it once more and left its connections behind. One function now does both. What is sent, waited for and counted stays as it is; all tests as before.

--- a/crates/beechcroft-relay/src/wire/units.rs
+++ b/crates/beechcroft-relay/src/wire/units.rs
@@ -74,16 +74,16 @@
 
     pub fn spawn(&self, listing: Listing) -> UnitMailbox {
         let (sender, mailbox) = mpsc::unbounded_channel();
-        let (client, kept) = (self.client(listing), self.keep.worth());
+        let kept = self.keep.worth();
+        let client = self.client(listing, kept);
         let actor = UnitActor { shared: self.clone(), listing, client, kept, orders: HashMap::new() };
         tokio::spawn(actor.run(mailbox));
         sender
     }
 
-    fn client(&self, listing: Listing) -> HttpClient {
+    fn client(&self, listing: Listing, kept: Duration) -> HttpClient {
         let Shared { room, dial_time_out, keep, .. } = self.clone();
-        let worth = keep.worth();
-        Connector { to: listing.address, time_out: dial_time_out, room, keep }.client(worth)
+        Connector { to: listing.address, time_out: dial_time_out, room, keep }.client(kept)
     }
 }
 
@@ -126,7 +126,7 @@
                     None => open = false,
                 },
                 // A pool that is dropped closes its idle connections; the calls under way keep theirs.
-                Ok(()) = shortage.changed() => self.client = self.shared.client(self.listing),
+                Ok(()) = shortage.changed() => self.renew(),
                 Some((ended, oddity)) = calls.next() => {
                     self.orders.remove(&(ended.task.clone(), ended.no.0));
                     oddity.into_iter().for_each(|oddity| odd.warn(format!("{} {oddity}", self.listing.address)));
@@ -136,12 +136,18 @@
         }
     }
 
+    /// Leaves what is idle behind; what is under way keeps its connection.
+    fn renew(&mut self) {
+        self.kept = self.shared.keep.worth();
+        self.client = self.shared.client(self.listing, self.kept);
+    }
+
     /// A new address or start is a new machine: its connections are new ones.
     fn listed(&mut self, listing: Listing) {
-        if (listing.address, listing.started) != (self.listing.address, self.listing.started) {
-            self.client = self.shared.client(listing);
+        let before = std::mem::replace(&mut self.listing, listing);
+        if (listing.address, listing.started) != (before.address, before.started) {
+            self.renew();
         }
-        self.listing = listing;
         if listing.leaving {
             for order in self.orders.values() {
                 order.send_replace(Order::Leave);
@@ -152,9 +158,8 @@
     fn call(
         &mut self, dispatch: Dispatch,
     ) -> impl std::future::Future<Output = (Ended, Option<String>)> + use<> {
-        let worth = self.shared.keep.worth();
-        if worth != self.kept {
-            (self.client, self.kept) = (self.shared.client(self.listing), worth);
+        if self.shared.keep.worth() != self.kept {
+            self.renew();
         }
         let spent_room = self.orders.len() >= UNIT_CALLS;
         let (order, told) = watch::channel(if self.listing.leaving { Order::Leave } else { Order::Proceed });
