--- /dev/null
+++ b/crates/beechcroft-operator/tests/operator.rs
@@ -0,0 +1,61 @@
+//! The operator's file as it is shipped, and what is said of a faulty one.
+
+use beechcroft_operator::{Connections, Operator};
+use expect_test::expect;
+use std::path::Path;
+
+const SHIPPED: &str = include_str!("../../../deploy/operator.toml");
+
+#[test]
+fn the_shipped_file_turns_nothing_on_and_shows_every_key_with_its_default() {
+    assert_eq!(Operator::decode("f", SHIPPED), Ok(Operator::default()));
+    let with = SHIPPED.lines().map(|line| match line.strip_prefix('#') {
+        Some(rest) if !rest.starts_with([' ', '#']) => rest,
+        _ => line,
+    });
+    let with = with.collect::<Vec<_>>().join("\n");
+    let all = Operator::decode("f", &with).unwrap();
+    assert_eq!(all, Operator { connections: Some(Connections::default()) });
+    for key in Operator::keys() {
+        assert!(with.contains(&format!("\n{} = {}", key.name, key.default.replace('_', ""))), "{}", key.name);
+    }
+    assert_eq!(all.held().len(), Operator::keys().len());
+}
+
+#[test]
+fn an_empty_table_turns_its_subsystem_on_with_defaults() {
+    let operator = Operator::decode("f", "[connections]\n").unwrap();
+    assert_eq!((operator.on(), operator.connections), (vec!["connections"], Some(Connections::default())));
+}
+
+#[test]
+fn what_cannot_be_taken_is_refused_by_table_key_and_line() {
+    let faulty = [
+        "[conections]\n",
+        "[connections]\nkeep_s = 60\nkep_s = 60.0\n",
+        "[connections]\n\n# a minute\nkeep_s = \"60\"\n",
+        "[connections]\nkeep_s = 0.2\n",
+        "[connections]\nkeep_s = nan\n",
+        "[connections]\nwakes_at_once = -1\n",
+        "[connections]\nwakes_at_once = 0 # none\n",
+        "[connections]\npark = yes\n",
+        "[connections]\nkeep_s = 60.0\nkeep_s = 70.0\n",
+        "keep_s = 60.0\n",
+    ];
+    let told = faulty.map(|text| Operator::decode("operator.toml", text).unwrap_err().to_string());
+    expect![[r#"
+        operator.toml, line 1: conections: unknown key `conections`, expected `connections`
+        operator.toml, line 3: connections.kep_s: unknown key `kep_s`, expected one of `park`, `keep_s`, `fresh_keep_s`, `head_wait_s`, `descriptors_part`, `most_parked`, `memory_mb`, `wakes_at_once`, `wake_wait_ms`, `expire_per_s`, `late_most_s`, `probe_s`
+        operator.toml, line 4: connections.keep_s: invalid type: string "60", expected f64
+        operator.toml, line 2: connections.keep_s: 0.2 is out of range, 1 to 604800 can be had
+        operator.toml, line 2: connections.keep_s: NaN is out of range, 1 to 604800 can be had
+        operator.toml, line 2: connections.wakes_at_once: invalid value: integer `-1`, expected u32
+        operator.toml, line 2: connections.wakes_at_once: 0 is out of range, 1 to 100000 can be had
+        operator.toml, line 2: connections.park: string values must be quoted, expected literal string
+        operator.toml, line 3: connections.keep_s: duplicate key
+        operator.toml, line 1: keep_s: unknown key `keep_s`, expected `connections`
+    "#]]
+    .assert_eq(&(told.join("\n") + "\n"));
+    let missing = Operator::read(Path::new("/nowhere/operator.toml")).unwrap_err().to_string();
+    assert!(missing.starts_with("/nowhere/operator.toml: No such file"));
+}
--- a/crates/beechcroft-relay/src/life/config.rs
+++ b/crates/beechcroft-relay/src/life/config.rs
@@ -6,9 +6,10 @@
 use crate::wire::peers::Addresses;
 use crate::wire::platform;
 use beechcroft_settings::Named;
-use log::warn;
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use tracing::warn;
 
 /// Descriptors where the configuration states no limit.
 const SOCKETS: u64 = 1024;
@@ -35,10 +36,19 @@
     File,
 }
 
-/// Reads the file that `PROXY_CONFIG` names.
-pub fn read(variable: impl Fn(&str) -> Option<String>, holds: Holds) -> Result<Config, String> {
-    let path = variable("PROXY_CONFIG").ok_or("PROXY_CONFIG: not set")?;
-    let text = std::fs::read_to_string(&path).map_err(|error| format!("PROXY_CONFIG: {path}: {error}"))?;
+/// Reads the file of the command line, or else the one that `PROXY_CONFIG` names.
+pub fn read(
+    file: Option<&Path>, variable: impl Fn(&str) -> Option<String>, holds: Holds,
+) -> Result<Config, String> {
+    let (source, path) = match file {
+        Some(file) => ("--config", file.to_owned()),
+        None => {
+            let unset = "PROXY_CONFIG: not set, and no --config FILE given";
+            ("PROXY_CONFIG", PathBuf::from(variable("PROXY_CONFIG").ok_or(unset)?))
+        }
+    };
+    let text = std::fs::read_to_string(&path);
+    let text = text.map_err(|error| format!("{source}: {}: {error}", path.display()))?;
     decode(&text, variable, holds)
 }
 
--- a/crates/beechcroft-relay/src/life/phases.rs
+++ b/crates/beechcroft-relay/src/life/phases.rs
@@ -1,7 +1,7 @@
 //! The phases of a relay, as states of one object.
 
-use log::info;
 use tokio::sync::watch;
+use tracing::info;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -41,7 +41,7 @@
             later
         });
         if entered {
-            info!("phase {phase:?}");
+            info!(phase = ?phase, "phase {phase:?}");
         }
         entered
     }
--- a/crates/beechcroft-relay/src/life/run.rs
+++ b/crates/beechcroft-relay/src/life/run.rs
@@ -5,17 +5,19 @@
 use crate::life::signals::{Asked, Signals};
 use crate::memory::list::{ListActor, ListMailbox, ToList};
 use crate::memory::module::{Clock, Event, Hands, ModuleActor};
-use crate::wire::budget::{Budget, LEAVE_LONGEST, LEAVE_MARGIN, LINGER};
-use crate::wire::clients::{Clients, Front};
+use crate::wire::budget::{limits, Budget, LEAVE_LONGEST, LEAVE_MARGIN, LINGER};
+use crate::wire::clients::{router, Front};
 use crate::wire::discovery::{Discovery, Places};
+use crate::wire::lot::Lot;
 use crate::wire::peers::Peers;
 use crate::wire::platform::{self, PlatformMailbox, ToPlatform};
 use crate::wire::units::Shared;
-use log::{error, info, warn};
+use beechcroft_operator::Operator;
+use std::net::TcpListener;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
+use tracing::{error, info, warn};
 
 /// The actors that a new configuration concerns.
 struct Followers {
@@ -42,14 +44,19 @@
 
 /// From start to exit; an error is one line. `reread` gives the configuration as it is by then.
 pub async fn run(
-    config: Config, mut signals: Signals, reread: impl Fn() -> Result<Config, String>,
+    config: Config, operator: Operator, mut signals: Signals, reread: impl Fn() -> Result<Config, String>,
 ) -> Result<(), String> {
     let life = Life::begin();
     let Config { name, listen, discovery, seed, sockets, peers, rollouts, news, known, names } = config;
-    let budget = Budget::of(sockets);
-    let bound = TcpListener::bind(listen).await.and_then(|listener| Ok((listener.local_addr()?, listener)));
+    let table = operator.connections.as_ref();
+    let budget = Budget::of(sockets, table);
+    let bound = TcpListener::bind(listen).and_then(|listener| Ok((listener.local_addr()?, listener)));
     let (listen, listener) = bound.map_err(|error| format!("listen: {listen}: {error}"))?;
-    info!("{name} of {} relays, listens on {listen}, {sockets} descriptors", names.settings.relays);
+    let relays = names.settings.relays;
+    info!(relays, %listen, sockets, "{name} of {relays} relays, listens on {listen}, {sockets} descriptors");
+    for (table, key, value) in operator.held() {
+        info!(table, key, value, "operator: {table}.{key} = {value}");
+    }
 
     // The module hears of the list and of the builds before it hears of any task.
     let (module, events) = mpsc::unbounded_channel();
@@ -77,8 +84,13 @@
     let mut module_ends = tokio::spawn(actor.run(events));
     tokio::spawn(list.run(followed, listed));
 
-    let clients = Clients::new(budget);
     let front = Front::new(&names, module, life.clone());
+    let probe = table.map_or(Duration::ZERO, |table| Duration::from_secs_f64(table.probe_s));
+    let lot = Lot::new(listener, limits(table, budget, &names.settings), probe, router(front));
+    let lot = lot.map_err(|error| format!("listen: {listen}: {error}"))?;
+    let clients = lot.open();
+    let mut leaves = life.watch();
+    let leaving = async move { drop(leaves.wait_for(|phase| *phase >= Phase::Leaving).await) };
     let heed = async {
         loop {
             match signals.next().await {
@@ -101,20 +113,19 @@
         }
         sleep(LINGER).await;
         let closed = async {
-            // One place is the accepting loop's own.
-            while clients.open() > 1 {
+            while clients.count() > 0 {
                 sleep(Duration::from_millis(5)).await;
             }
         };
         if timeout((longest + LEAVE_MARGIN).saturating_sub(LINGER), closed).await.is_err() {
-            warn!("{} connections are still open", clients.open() - 1);
+            warn!("{} connections are still open", clients.count());
         }
         life.enter(Phase::Ended);
     };
     tokio::select! {
         () = leave => Ok(()),
         () = heed => Err("signals: no longer heeded".to_owned()),
-        () = clients.accept(listener, front) => Err("clients: no longer accepted".to_owned()),
+        () = lot.run(leaving) => Err("clients: no longer accepted".to_owned()),
         ended = &mut module_ends => {
             error!("the module's actor ended: {ended:?}");
             Err("module: ended".to_owned())
--- a/crates/beechcroft-relay/src/main.rs
+++ b/crates/beechcroft-relay/src/main.rs
@@ -1,21 +1,19 @@
-//! One real relay. Its configuration is read in `life::config`; everything runs on one thread.
+//! One real relay, and the commands about its files. Everything but the writing of log lines runs on one thread.
 
-use beechcroft_relay::life::config::{self, Holds};
-use beechcroft_relay::life::{run, signals::Signals};
+use beechcroft_relay::life::command::{self, Command, Relay};
+use beechcroft_relay::life::config::Holds;
+use beechcroft_relay::life::{logs, run, signals::Signals};
+use clap::Parser;
 use std::process::ExitCode;
 use tokio::runtime::Runtime;
 
 fn main() -> ExitCode {
     // Before all else: a signal that finds no handler ends the process.
     let begun = begin();
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
-        .format_target(false) // each line names its part itself
-        .init();
-    let variable = |name: &str| std::env::var(name).ok();
-    let ended = begun.and_then(|(runtime, signals)| {
-        let config = config::read(variable, Holds::Environment)?;
-        runtime.block_on(run::run(config, signals, || config::read(variable, Holds::File)))
-    });
+    let ended = match Command::parse().relay() {
+        Ok(relay) => begun.and_then(|(runtime, signals)| serve(relay, &runtime, signals)),
+        Err(what) => command::answer(what).map(|text| print!("{text}")),
+    };
     match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(line) => {
@@ -25,6 +23,13 @@
     }
 }
 
+fn serve(relay: Relay, runtime: &Runtime, signals: Signals) -> Result<(), String> {
+    let _lines = logs::begin(relay.log_format);
+    let operator = relay.files.operator()?;
+    let config = relay.files.config(Holds::Environment)?;
+    runtime.block_on(run::run(config, operator, signals, || relay.files.config(Holds::File)))
+}
+
 fn begin() -> Result<(Runtime, Signals), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|error| format!("runtime: {error}"))?;
--- a/crates/beechcroft-relay/src/memory/module.rs
+++ b/crates/beechcroft-relay/src/memory/module.rs
@@ -11,11 +11,11 @@
 use crate::wire::{Answer, Reply};
 use beechcroft::decide::Relay;
 use beechcroft::*;
-use log::{info, warn};
 use std::collections::HashMap;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc;
 use tokio::time::{sleep_until, Instant};
+use tracing::{info, warn};
 
 pub type Mailbox = mpsc::UnboundedSender<Event>;
 
@@ -106,7 +106,7 @@
                 let _ = mailbox.send(ToUnit::Dispatch(dispatch));
             }
             None => {
-                warn!("dispatch of {} to {}, which is not listed", task.0, unit.0);
+                warn!(task = %task.0, unit = %unit.0, "dispatch of {} to {}, which is not listed", task.0, unit.0);
                 let (outcome, spent) = (Outcome::Moot, Duration::ZERO);
                 let _ = self.units.module.send(Event::Ended(Ended { task, no, outcome, reply: None, spent }));
             }
@@ -193,7 +193,9 @@
                 let left = taken.abandon_at.saturating_duration_since(hands.now);
                 match hands.tasks.take(taken) {
                     Ok(()) => relay.task_taken(id, track, hints.tenant, hints.key, left, hints.work, hands),
-                    Err(twin) => warn!("task {} is open already, the second was not taken", twin.id.0),
+                    Err(twin) => {
+                        warn!(task = %twin.id.0, "task {} is open already, the second was not taken", twin.id.0)
+                    }
                 }
             }
             Event::Left(task) => {
--- a/crates/beechcroft-relay/src/wire/budget.rs
+++ b/crates/beechcroft-relay/src/wire/budget.rs
@@ -1,6 +1,9 @@
 //! What sockets alone need: parts of the descriptors, waits and sizes. Nothing here decides about tasks, units or
 //! builds; the module does.
 
+use beechcroft::Settings;
+use beechcroft_connections::{HeadFrom, Limits, PARKED_BYTES};
+use beechcroft_operator::Connections;
 use std::time::Duration;
 
 /// The protocol's longest body; what clients send beyond it is refused.
@@ -27,11 +30,28 @@
 pub const BODY_WAIT: Duration = Duration::from_millis(700);
 /// Once the relay leaves, how long a connection may take that has not asked for anything: it may be about to.
 pub const SILENT_WAIT: Duration = Duration::from_secs(1);
-/// While clients crowd, a connection without an open request is closed after this time: those who ask need its place, and
-/// one that was to be used again mostly has been by then.
+/// While clients crowd, and where room is needed, a connection without an open request is closed after this time: those
+/// who ask need its place, and one that was to be used again mostly has been by then.
 pub const CROWDED_WAIT: Duration = Duration::from_millis(150);
-/// How often idle connections are looked for while clients crowd.
-pub const CROWDED_LOOK: Duration = Duration::from_millis(50);
+/// Without an operator's file: connections whose time is up are closed at this rate a second, or faster so that none is
+/// this much late. With `HEAD_WAIT` that is still below the 3 s in which a silent client is owed an end.
+pub const EXPIRE_PER_S: u32 = 1000;
+pub const LATE_MOST: Duration = Duration::from_millis(300);
+/// A connection whose first byte woke it counts as being read for so long: what was sent in one go is read in one turn.
+pub const WAKE_HOLD: Duration = Duration::from_millis(50);
+/// Of the shortest quoted time: what a client may stand in line to be read, if the operator states nothing. The other
+/// half is for its task.
+pub const WAKE_PART: f64 = 0.5;
+/// For a client that was turned away to read why; closing at once could cost it the answer.
+pub const CLOSING_WAIT: Duration = Duration::from_millis(500);
+/// Connections accepted in one turn, so that those who were accepted get theirs.
+pub const ACCEPTS: usize = 64;
+/// How the kernel asks a client's machine whether it is still there, past the operator's `probe_s`.
+pub const PROBE_GAP: Duration = Duration::from_secs(10);
+pub const PROBES: u32 = 3;
+/// What a connection that is not parked is reckoned to cost in user memory, bytes: hyper's buffers, its task, and the
+/// runtime's place for its socket. Measured by the lab.
+pub const HELD_BYTES: usize = 16 * 1024;
 /// After an `accept` that failed, for want of descriptors above all: some are free soon, and no loop spins.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// After a datagram that could not be received, so that no loop spins.
@@ -100,8 +120,58 @@
 
 impl Budget {
     /// Clients get the larger part: a connection in the backlog is a task that counts as taken.
-    pub fn of(sockets: usize) -> Budget {
+    pub fn of(sockets: usize, table: Option<&Connections>) -> Budget {
         let rest = sockets.saturating_sub(OTHERS);
-        Budget { clients: rest * 3 / 5, crowd: sockets / 4, units: rest * 2 / 5 }
+        let Some(table) = table else {
+            return Budget { clients: rest * 3 / 5, crowd: sockets / 4, units: rest * 2 / 5 };
+        };
+        let clients = (rest as f64 * table.descriptors_part) as usize;
+        // Where the operator lets clients stay, they do not crowd: the longest parked makes room where it is needed.
+        Budget { clients, crowd: usize::MAX, units: rest - clients }
+    }
+}
+
+/// What holds for clients' connections: as the operator's table states it, else what a platform that reads every silence
+/// as a fault asks for.
+pub fn limits(table: Option<&Connections>, budget: Budget, settings: &Settings) -> Limits {
+    let least = settings.tracks.iter().map(|track| track.quoted).min().unwrap_or_default();
+    let without = Limits {
+        park: false,
+        most: budget.clients,
+        most_idle: budget.clients,
+        fresh_keep: HEAD_WAIT,
+        keep: HEAD_WAIT,
+        head_wait: HEAD_WAIT,
+        head_from: HeadFrom::Idle,
+        expire_per_s: EXPIRE_PER_S,
+        late_most: LATE_MOST,
+        wakes_at_once: budget.clients,
+        wake_hold: WAKE_HOLD,
+        wake_wait: least.mul_f64(WAKE_PART),
+        hold_off_most: if settings.may_name_hold_off { settings.max_hold_off } else { Duration::ZERO },
+        crowd: budget.crowd,
+        spare_after: CROWDED_WAIT,
+        leave_wait: SILENT_WAIT,
+        closing_wait: CLOSING_WAIT,
+    };
+    let Some(table) = table else { return without };
+    let seconds = Duration::from_secs_f64; // the table's ranges are well within it
+    let each = if table.park { PARKED_BYTES } else { HELD_BYTES };
+    let most_idle = ((table.memory_mb * 1e6) as usize / each).min(table.most_parked as usize).max(1);
+    Limits {
+        park: table.park,
+        most_idle,
+        fresh_keep: seconds(table.fresh_keep_s),
+        keep: seconds(table.keep_s),
+        head_wait: seconds(table.head_wait_s),
+        head_from: HeadFrom::FirstByte,
+        expire_per_s: table.expire_per_s,
+        late_most: seconds(table.late_most_s),
+        wakes_at_once: table.wakes_at_once as usize,
+        wake_wait: match table.wake_wait_ms {
+            0.0 => without.wake_wait,
+            wait => seconds(wait / 1000.0),
+        },
+        ..without
     }
 }
--- a/crates/beechcroft-relay/src/wire/clients.rs
+++ b/crates/beechcroft-relay/src/wire/clients.rs
@@ -1,14 +1,10 @@
-//! Clients: axum in front. A request is decoded once into a task, its answer encoded once; connections are
-//! accepted within their part of the descriptors, and closed when the relay leaves or that part runs short.
+//! Clients: axum in front. A request is decoded once into a task, its answer encoded once. Connections are kept in
+//! [`crate::wire::lot`] and served in [`crate::wire::serving`].
 
 use crate::life::phases::{Life, Phase};
 use crate::memory::module::{Event, Mailbox};
 use crate::memory::tasks::{Hints, Taken};
-use crate::wire::budget::{
-    Budget, ACCEPT_PAUSE, BODY_MAX, BODY_WAIT, CROWDED_LOOK, CROWDED_WAIT, HEAD_MAX, HEAD_WAIT, HINT_MAX,
-    SILENT_WAIT, TXN_MAX,
-};
-use crate::wire::sparse::Sparse;
+use crate::wire::budget::{BODY_MAX, BODY_WAIT, HINT_MAX, TXN_MAX};
 use crate::wire::units::{KEY, REMAINING, TXN};
 use crate::wire::{Answer, Call};
 use axum::body::{Body, HttpBody};
@@ -20,16 +16,11 @@
 use beechcroft_settings::Named;
 use http::request::Parts;
 use http::{header, HeaderMap, HeaderName, HeaderValue, StatusCode};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
 use smol_str::SmolStr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{oneshot, watch, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{Instant, MissedTickBehavior};
-use tower_service::Service;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 const LANE: &str = "x-lane";
 const LABELS: &str = "x-labels";
@@ -192,10 +183,14 @@
     }
 }
 
+/// When something of a request had arrived, which may be before its head was read.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrived(pub Instant);
+
 /// Dropped when the client closes its connection, which tells the module.
 async fn task(State(front): State<Arc<Front>>, request: Request) -> Response {
-    let arrived = Instant::now();
     let (head, body) = request.into_parts();
+    let arrived = head.extensions.get().map_or_else(Instant::now, |&Arrived(at)| at);
     let asked = match front.decode(&head) {
         Ok(asked) => asked,
         Err(fault) => return fault.encode(),
@@ -239,129 +234,7 @@
     }
 }
 
-/// What connections are told.
-#[derive(Clone, Copy)]
-enum Told {
-    /// Clients crowd: to close where it has been idle for a while.
-    Crowded,
-    /// The relay leaves: to close after the answer, or at once if it is idle.
-    Leave,
-}
-
-/// The clients' connections.
-pub struct Clients {
-    room: Arc<Semaphore>,
-    most: usize,
-    crowd: usize,
-    told: watch::Sender<Told>,
-}
-
-impl Clients {
-    pub fn new(budget: Budget) -> Clients {
-        let Budget { clients: most, crowd, .. } = budget;
-        Clients { room: Arc::new(Semaphore::new(most)), most, crowd, told: watch::Sender::new(Told::Crowded) }
-    }
-
-    pub fn open(&self) -> usize {
-        self.most - self.room.available_permits()
-    }
-
-    /// Accepts until dropped; once the relay leaves, kept connections close and new ones serve one request each.
-    pub async fn accept(&self, listener: TcpListener, front: Front) {
-        let front = Arc::new(front);
-        let mut phases = front.life.watch();
-        let mut leaving = std::pin::pin!(phases.wait_for(|phase| *phase >= Phase::Leaving));
-        let router = Router::new().route("/healthz", get(healthz)).fallback(task).with_state(front.clone());
-        let odd = Sparse::new("clients");
-        let mut look = tokio::time::interval(CROWDED_LOOK);
-        look.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut once = false;
-        loop {
-            let next = async { (self.room.clone().acquire_owned().await, listener.accept().await) };
-            let (permit, accepted) = tokio::select! {
-                biased;
-                _ = &mut leaving, if !once => {
-                    once = true;
-                    self.told.send_replace(Told::Leave);
-                    continue;
-                }
-                _ = look.tick() => {
-                    if !once && self.open() > self.crowd {
-                        odd.warn(format!("{} connections are open, idle ones are closed", self.open()));
-                        self.told.send_replace(Told::Crowded);
-                    }
-                    continue;
-                }
-                next = next => next,
-            };
-            match (permit, accepted) {
-                (Ok(permit), Ok((stream, _))) => {
-                    tokio::spawn(serve(stream, router.clone(), self.told.subscribe(), once, permit));
-                }
-                (_, Err(error)) => {
-                    odd.warn(format!("accept: {error}"));
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
-                (Err(_), _) => return, // the room is never closed
-            }
-        }
-    }
-}
-
-/// Since when a connection waits for a request, if it does; and whether it ever had one.
-struct Idle {
-    since: Option<Instant>,
-    asked: bool,
-}
-
-fn lock(idle: &Mutex<Idle>) -> MutexGuard<'_, Idle> {
-    idle.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// Serves one connection until it ends, or is told to close.
-async fn serve(
-    stream: TcpStream, router: Router, mut told: watch::Receiver<Told>, once: bool,
-    _permit: OwnedSemaphorePermit,
-) {
-    let _ = stream.set_nodelay(true);
-    let idle = Arc::new(Mutex::new(Idle { since: Some(Instant::now()), asked: false }));
-    let marks = idle.clone();
-    let service = service_fn(move |request| {
-        let (answer, marks) = (router.clone().call(request), marks.clone());
-        async move {
-            let set = |since| *lock(&marks) = Idle { since, asked: true };
-            set(None);
-            let answer = answer.await;
-            set(Some(Instant::now()));
-            answer
-        }
-    });
-    let connection = http1::Builder::new()
-        .keep_alive(!once)
-        .timer(TokioTimer::new())
-        .header_read_timeout(if once { SILENT_WAIT } else { HEAD_WAIT })
-        .max_buf_size(HEAD_MAX)
-        .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    loop {
-        tokio::select! {
-            _ = connection.as_mut() => return,
-            _ = told.changed() => {}
-        }
-        let Idle { since, asked } = *lock(&idle);
-        let what = *told.borrow_and_update();
-        match what {
-            Told::Crowded if since.is_none_or(|since| since.elapsed() < CROWDED_WAIT) => {}
-            Told::Leave if !asked => {
-                // hyper would close it now, though its first request may be on the way.
-                if tokio::time::timeout(SILENT_WAIT, connection.as_mut()).await.is_ok() {
-                    return;
-                }
-                break;
-            }
-            Told::Crowded | Told::Leave => break,
-        }
-    }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+/// What answers the requests of all connections.
+pub fn router(front: Front) -> Router {
+    Router::new().route("/healthz", get(healthz)).fallback(task).with_state(Arc::new(front))
 }
--- a/crates/beechcroft-relay/src/wire/mod.rs
+++ b/crates/beechcroft-relay/src/wire/mod.rs
@@ -6,8 +6,10 @@
 pub mod discovery;
 pub mod keep;
 pub mod link;
+pub mod lot;
 pub mod peers;
 pub mod platform;
+pub mod serving;
 pub mod sparse;
 pub mod units;
 
--- a/crates/beechcroft-relay/src/wire/platform.rs
+++ b/crates/beechcroft-relay/src/wire/platform.rs
@@ -286,7 +286,7 @@
             Report::Up => (self.lines[at].up, self.lines[at].heard_at) = (true, Instant::now()),
             Report::Ended(why) => {
                 if self.lines[at].opened_at.elapsed() > PLATFORM_PAUSE {
-                    log::info!("platform: connection ended: {why}");
+                    tracing::info!(part = "platform", reason = %why, "platform: connection ended: {why}");
                 } else {
                     self.odd.warn(&why);
                 }
--- a/crates/beechcroft-relay/src/wire/sparse.rs
+++ b/crates/beechcroft-relay/src/wire/sparse.rs
@@ -1,10 +1,10 @@
 //! Log lines about what others send: the first of a kind at once, then one a second with the count left out.
 
-use log::warn;
 use std::cell::Cell;
 use std::error::Error;
 use std::fmt::Display;
 use std::time::{Duration, Instant};
+use tracing::warn;
 
 const GAP: Duration = Duration::from_secs(1);
 
@@ -31,8 +31,10 @@
         }
         self.last.set(Some(Instant::now()));
         match self.left_out.take() {
-            0 => warn!("{}: {detail}", self.what),
-            left_out => warn!("{}: {detail} ({left_out} more left out)", self.what),
+            0 => warn!(part = self.what, reason = %detail, "{}: {detail}", self.what),
+            left_out => {
+                warn!(part = self.what, reason = %detail, left_out, "{}: {detail} ({left_out} more left out)", self.what)
+            }
         }
     }
 }
