--- /dev/null
+++ b/crates/beechcroft-lab/src/main.rs
@@ -0,0 +1,74 @@
+//! The lab: experiments with relays as processes on loopback. Each prints a table, and one JSON object as its last line;
+//! charts and the same table go to a folder. Its figures are this machine's; no verdict of a test hangs on them.
+
+mod chart;
+mod fleet;
+mod holder;
+mod idle;
+mod load;
+mod probe;
+mod ways;
+
+use clap::{Parser, Subcommand};
+use std::process::ExitCode;
+
+/// Counts what the relay allocates where the lab runs one itself; a count and an addition for each call.
+#[global_allocator]
+static ALLOCATED: &stats_alloc::StatsAlloc<std::alloc::System> = &stats_alloc::INSTRUMENTED_SYSTEM;
+
+/// Experiments with relays on loopback.
+#[derive(Parser)]
+#[command(
+    version,
+    after_help = "Examples:
+  cargo build --release --workspace
+  target/release/beechcroft-lab idle --quick
+  target/release/beechcroft-lab idle --out docs/results/connections"
+)]
+struct Command {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Many idle connections: what each costs, and whether tasks are still on time.
+    #[command(after_help = "Examples:
+  beechcroft-lab idle --quick
+  beechcroft-lab idle --idle 60000 --relays 4 --out results")]
+    Idle(idle::Idle),
+    /// Ways to keep a quiet connection, and what the allocator counts for each.
+    #[command(after_help = "Examples:
+  beechcroft-lab ways")]
+    Ways(ways::Ways),
+    /// A process of an experiment; not to be called by hand.
+    #[command(subcommand, hide = true)]
+    Role(Role),
+}
+
+#[derive(Subcommand)]
+enum Role {
+    /// Holds connections, as told by lines on standard input.
+    Holder { address: std::net::SocketAddr },
+    /// Units and discovery.
+    Fleet { units: usize },
+    /// A relay whose allocations are counted.
+    Relay { config: std::path::PathBuf, operator: std::path::PathBuf },
+}
+
+fn main() -> ExitCode {
+    let ended = match Command::parse().what {
+        What::Idle(idle) => idle.run(),
+        What::Ways(ways) => ways.run(),
+        What::Role(Role::Holder { address }) => holder::hold(address),
+        What::Role(Role::Fleet { units }) => fleet::serve(units),
+        What::Role(Role::Relay { config, operator }) => probe::relay(&config, &operator),
+    };
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(line) => {
+            eprintln!("beechcroft-lab: {line}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/beechcroft-relay/src/life/run.rs
+++ b/crates/beechcroft-relay/src/life/run.rs
@@ -13,8 +13,8 @@
 use crate::wire::platform::{self, PlatformMailbox, ToPlatform};
 use crate::wire::units::Shared;
 use beechcroft_operator::Operator;
-use std::net::TcpListener;
 use std::time::Duration;
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
 use tracing::{error, info, warn};
@@ -50,7 +50,10 @@
     let Config { name, listen, discovery, seed, sockets, peers, rollouts, news, known, names } = config;
     let table = operator.connections.as_ref();
     let budget = Budget::of(sockets, table);
-    let bound = TcpListener::bind(listen).and_then(|listener| Ok((listener.local_addr()?, listener)));
+    let bound = TcpListener::bind(listen)
+        .await
+        .and_then(TcpListener::into_std)
+        .and_then(|listener| Ok((listener.local_addr()?, listener)));
     let (listen, listener) = bound.map_err(|error| format!("listen: {listen}: {error}"))?;
     let relays = names.settings.relays;
     info!(relays, %listen, sockets, "{name} of {relays} relays, listens on {listen}, {sockets} descriptors");
--- a/crates/beechcroft-relay/src/wire/lot.rs
+++ b/crates/beechcroft-relay/src/wire/lot.rs
@@ -22,7 +22,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep_until, Instant, MissedTickBehavior};
-use tracing::{debug, trace};
+use tracing::{debug, trace, warn};
 
 /// Wake-ups taken in one turn, so that a burst of them lets others have theirs.
 const WAKES: usize = 1024;
@@ -98,8 +98,12 @@
 
     fn serve(&mut self, id: Id, stream: TcpStream, arrived: Option<Instant>, last: bool) {
         let gate = Gate::new(id, arrived, self.park, self.mailbox.clone());
-        let Ok(stream) = tokio::net::TcpStream::from_std(stream) else {
-            return drop(self.mailbox.send(Told::Of(Event::Ended(id))));
+        let stream = match tokio::net::TcpStream::from_std(stream) {
+            Ok(stream) => stream,
+            Err(error) => {
+                warn!(connection = id.data().as_ffi(), reason = %error, "clients: a connection could not be served: {error}");
+                return drop(self.mailbox.send(Told::Of(Event::Ended(id))));
+            }
         };
         let serving = serve(stream, gate.clone(), self.router.clone(), last, self.leave.subscribe());
         self.held.insert(id, Held::Served(tokio::spawn(serving).abort_handle(), gate));
@@ -205,6 +209,8 @@
     pause: Option<Instant>,
     /// Whether more wake-ups may lie in the epoll.
     woken: bool,
+    /// Whether more connections may wait to be accepted.
+    waiting: bool,
     shown: Fill,
 }
 
@@ -239,6 +245,7 @@
             odd: Sparse::new("clients"),
             pause: None,
             woken: false,
+            waiting: false,
             shown: Fill::default(),
         })
     }
@@ -257,7 +264,7 @@
             let now = Instant::now();
             let pause = self.pause.filter(|&pause| pause > now);
             let has_room = pause.is_none() && self.all.has_room(now - self.sockets.began);
-            let at_once = self.woken || self.all.more();
+            let at_once = self.woken || self.all.more() || (self.waiting && has_room);
             tokio::select! {
                 biased;
                 () = &mut leaving, if !leaves => {
@@ -270,16 +277,9 @@
                     ready.clear_ready();
                     self.woken = true;
                 },
-                _ = ticks.tick(), if self.all.wants_ticks() => self.tick(),
-                ready = self.listener.readable(), if has_room => {
-                    let blocked = ready.map(|mut ready| {
-                        let none = ready.get_inner().accept();
-                        if none.as_ref().is_err_and(|error| error.kind() == ErrorKind::WouldBlock) {
-                            ready.clear_ready();
-                        }
-                        none
-                    });
-                    blocked.into_iter().for_each(|accepted| self.accepted(accepted));
+                _ = ticks.tick(), if self.all.wants_ticks() || self.shown != self.all.fill() => self.tick(),
+                ready = async { self.listener.readable().await.map(|mut ready| ready.clear_ready()) }, if has_room && !self.waiting => {
+                    self.waiting = ready.is_ok();
                 }
                 () = sleep_until(pause.unwrap_or(now)), if pause.is_some() => {}
                 () = tokio::task::yield_now(), if at_once => {
@@ -289,6 +289,9 @@
                     if self.all.more() {
                         self.tick();
                     }
+                    if self.waiting && has_room {
+                        self.waiting = self.accept();
+                    }
                 }
             }
             self.open.0.store(self.all.fill().open(), Ordering::Relaxed);
@@ -351,24 +354,24 @@
         }
     }
 
-    /// Takes connections until there is none, no room, or others are due.
-    fn accepted(&mut self, first: io::Result<(TcpStream, std::net::SocketAddr)>) {
-        let mut next = first;
+    /// Takes connections until there is none, no room, or others are due; whether there may be more.
+    fn accept(&mut self) -> bool {
         for _ in 0..ACCEPTS {
-            match next {
+            if !self.all.has_room(self.now()) {
+                return true;
+            }
+            match self.listener.get_ref().accept() {
                 Ok((stream, _)) => self.opened(stream),
-                Err(error) if matches!(error.kind(), ErrorKind::WouldBlock) => return,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return false,
                 Err(error) => {
                     self.odd.warn(format!("accept: {error}"));
                     self.pause = Some(Instant::now() + ACCEPT_PAUSE);
-                    return self.tell(Event::Short);
+                    self.tell(Event::Short);
+                    return true;
                 }
             }
-            if !self.all.has_room(self.now()) {
-                return;
-            }
-            next = self.listener.get_ref().accept();
         }
+        true
     }
 
     fn opened(&mut self, stream: TcpStream) {
--- a/crates/beechcroft-relay/src/wire/serving.rs
+++ b/crates/beechcroft-relay/src/wire/serving.rs
@@ -3,6 +3,7 @@
 
 use crate::wire::budget::HEAD_MAX;
 use crate::wire::clients::Arrived;
+use crate::wire::sparse::whole;
 use axum::body::{Body, HttpBody};
 use axum::Router;
 use beechcroft_connections::{Event, Id};
@@ -12,6 +13,7 @@
 use hyper::rt::ReadBufCursor;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use slotmap::Key;
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
 use std::io;
@@ -25,6 +27,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 use tower_service::Service;
+use tracing::trace;
 
 /// What who serves a connection tells the lot.
 pub enum Told {
@@ -228,7 +231,9 @@
         let (mut leaves, mut told, mut heard) = (*leave.borrow(), last, true);
         let is_free = loop {
             let turn = poll_fn(|cx| loop {
-                if Pin::new(&mut connection).poll(cx).is_ready() {
+                if let Poll::Ready(ended) = Pin::new(&mut connection).poll(cx) {
+                    let reason = ended.err().map_or("closed".to_owned(), |error| whole(&error));
+                    trace!(connection = gate.id.data().as_ffi(), stage = ?gate.stage(), reason, "ended");
                     return Poll::Ready(false);
                 }
                 // Earlier, hyper would close it at once, though a request may be on the way.
