--- a/crates/beechcroft-relay/src/memory/module.rs
+++ b/crates/beechcroft-core/src/module.rs
@@ -1,14 +1,11 @@
 //! The module's actor, the only owner of [`Relay`]: events come in by one mailbox in the order of their arrival,
-//! actions go out to the mailboxes of those whom they concern. It decides nothing.
+//! actions go out to the carrier. It decides nothing.
 
-use crate::memory::list::{ListMailbox, ToList};
-use crate::memory::tasks::{Taken, Tasks};
-use crate::memory::timers::Timers;
-use crate::wire::discovery::List;
-use crate::wire::peers::Peers;
-use crate::wire::platform::{Ballot, PlatformMailbox, ToPlatform};
-use crate::wire::units::{Dispatch, Shared, ToUnit, UnitMailbox};
-use crate::wire::{Answer, Reply};
+use crate::call::Answer;
+use crate::list::List;
+use crate::tasks::Tasks;
+use crate::timers::Timers;
+use crate::{Ballot, Carrier, Dispatch, Ended, Event, Mailbox, News, ToUnit};
 use beechcroft::decide::Relay;
 use beechcroft::*;
 use std::collections::HashMap;
@@ -17,39 +14,6 @@
 use tokio::time::{sleep_until, Instant};
 use tracing::{info, warn};
 
-pub type Mailbox = mpsc::UnboundedSender<Event>;
-
-/// Everything that the module is told.
-pub enum Event {
-    Task(Taken),
-    Left(TaskId),
-    Ended(Ended),
-    List(List),
-    ListFailed,
-    News(News),
-    VoteAnswered(Outcome, Option<News>),
-    Complaint(UnitId, TrackId),
-    Note(PeerId, Vec<u8>),
-}
-
-/// How a dispatch ended.
-pub struct Ended {
-    pub task: TaskId,
-    pub no: DispatchNo,
-    pub outcome: Outcome,
-    pub reply: Option<Reply>,
-    pub spent: Duration,
-}
-
-/// Where the newest build stands.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct News {
-    pub build: BuildId,
-    pub stage: Stage,
-    pub phase: Phase,
-    pub cap: f64,
-}
-
 /// The module's clock: Unix time at start, then monotonic, so that it fits the list's and never goes back.
 #[derive(Clone, Copy)]
 pub struct Clock {
@@ -68,47 +32,34 @@
     }
 }
 
-/// What carries the module's actions out.
-pub struct Hands {
-    units: Shared,
-    list: ListMailbox,
-    platform: Option<PlatformMailbox>,
-    peers: Peers,
-    known: HashMap<UnitId, UnitMailbox>,
-    tasks: Tasks,
+/// What the module acts through.
+struct Hands<C: Carrier> {
+    carrier: C,
+    /// Its own, which it must not keep open.
+    mailbox: mpsc::WeakUnboundedSender<Event>,
+    known: HashMap<UnitId, C::Unit>,
+    tasks: Tasks<C::Unit>,
     timers: Timers,
     /// The time of the event at hand.
     now: Instant,
 }
 
-impl Hands {
-    pub fn new(units: Shared, list: ListMailbox, platform: Option<PlatformMailbox>, peers: Peers) -> Hands {
-        Hands {
-            units,
-            list,
-            platform,
-            peers,
-            known: HashMap::new(),
-            tasks: Tasks::default(),
-            timers: Timers::default(),
-            now: Instant::now(),
-        }
-    }
-}
-
-impl Actions for Hands {
+impl<C: Carrier> Actions for Hands<C> {
     fn dispatch(&mut self, task: &TaskId, unit: &UnitId, time_out: Duration) {
-        let (task, mailbox) = (task.clone(), self.known.get(unit));
-        let Some((no, call)) = self.tasks.sent(&task, mailbox) else { return };
-        match mailbox {
-            Some(mailbox) => {
+        let (task, known) = (task.clone(), self.known.get(unit));
+        let Some((no, call)) = self.tasks.sent(&task, known) else { return };
+        match known {
+            Some(unit) => {
                 let dispatch = Dispatch { task, no, call, at: self.now, time_out };
-                let _ = mailbox.send(ToUnit::Dispatch(dispatch));
+                self.carrier.send(unit, ToUnit::Dispatch(dispatch));
             }
             None => {
                 warn!(task = %task.0, unit = %unit.0, "dispatch of {} to {}, which is not listed", task.0, unit.0);
                 let (outcome, spent) = (Outcome::Moot, Duration::ZERO);
-                let _ = self.units.module.send(Event::Ended(Ended { task, no, outcome, reply: None, spent }));
+                let ended = Event::Ended(Ended { task, no, outcome, reply: None, spent });
+                if let Some(mailbox) = self.mailbox.upgrade() {
+                    let _ = mailbox.send(ended);
+                }
             }
         }
     }
@@ -120,37 +71,45 @@
     }
     fn abandon(&mut self, task: &TaskId, dispatch: DispatchNo) {
         if let Some(unit) = self.tasks.out(task, dispatch) {
-            let _ = unit.send(ToUnit::Abandon(task.clone(), dispatch));
+            self.carrier.send(unit, ToUnit::Abandon(task.clone(), dispatch));
         }
     }
     fn tell(&mut self, peer: Option<PeerId>, payload: &[u8]) {
-        self.peers.tell(peer, payload);
+        self.carrier.tell(peer, payload);
     }
     fn vote(&mut self, build: BuildId, stage: Stage, vote: Vote) {
-        if let Some(platform) = &self.platform {
-            let _ = platform.send(ToPlatform::Cast(Ballot { build, stage, vote }));
-        }
+        self.carrier.cast(Ballot { build, stage, vote });
     }
     fn wake(&mut self, after: Duration, token: Token) {
         self.timers.add(self.now + after, token);
     }
     fn follow_list(&mut self) {
-        let _ = self.list.send(ToList::Follow);
+        self.carrier.follow();
     }
     fn log(&mut self, line: &str) {
         info!("{line}");
     }
 }
 
-pub struct ModuleActor {
+pub struct ModuleActor<C: Carrier> {
     relay: Relay,
     clock: Clock,
-    hands: Hands,
+    hands: Hands<C>,
 }
 
-impl ModuleActor {
-    pub fn start(settings: &Settings, seed: u64, clock: Clock, mut hands: Hands) -> ModuleActor {
-        hands.now = Instant::now();
+impl<C: Carrier> ModuleActor<C> {
+    /// `mailbox` is the one whose events it will run on.
+    pub fn start(
+        settings: &Settings, seed: u64, clock: Clock, carrier: C, mailbox: Mailbox,
+    ) -> ModuleActor<C> {
+        let mut hands = Hands {
+            carrier,
+            mailbox: mailbox.downgrade(),
+            known: HashMap::new(),
+            tasks: Tasks::default(),
+            timers: Timers::default(),
+            now: Instant::now(),
+        };
         let relay = Relay::start(settings, seed, clock.at(hands.now), &mut hands);
         ModuleActor { relay, clock, hands }
     }
@@ -234,14 +193,14 @@
         for entry in list.entries {
             let known = before.remove(&entry.unit).or_else(|| self.hands.known.remove(&entry.unit));
             match (known, entry.health) {
-                (Some(unit), Health::Gone) => drop(unit.send(ToUnit::Gone)),
+                (Some(unit), Health::Gone) => self.hands.carrier.send(&unit, ToUnit::Gone),
                 (None, Health::Gone) => {}
                 (Some(unit), _) => {
-                    let _ = unit.send(ToUnit::Listed(entry.listing));
+                    self.hands.carrier.send(&unit, ToUnit::Listed(entry.listing));
                     self.hands.known.insert(entry.unit.clone(), unit);
                 }
                 (None, _) => {
-                    let unit = self.hands.units.spawn(entry.listing);
+                    let unit = self.hands.carrier.unit(entry.listing);
                     self.hands.known.insert(entry.unit.clone(), unit);
                 }
             }
@@ -258,6 +217,6 @@
         }
         fleet.ends();
         // What a whole list leaves out is gone.
-        before.into_values().for_each(|unit| drop(unit.send(ToUnit::Gone)));
+        before.into_values().for_each(|unit| self.hands.carrier.send(&unit, ToUnit::Gone));
     }
 }
--- a/crates/beechcroft-relay/src/memory/tasks.rs
+++ b/crates/beechcroft-core/src/tasks.rs
@@ -1,7 +1,6 @@
 //! Open tasks: who waits for the answer, and what is out. A task is kept until it is answered and nothing is out.
 
-use crate::wire::units::UnitMailbox;
-use crate::wire::{Answer, Call};
+use crate::call::{Answer, Call};
 use beechcroft::{DispatchNo, TaskId, TrackId};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -26,17 +25,23 @@
     pub work: Option<std::time::Duration>,
 }
 
-struct Open {
+struct Open<U> {
     call: Arc<Call>,
     answer: Option<oneshot::Sender<Answer>>,
     tries: u32,
-    out: Option<(DispatchNo, Option<UnitMailbox>)>,
+    out: Option<(DispatchNo, Option<U>)>,
 }
 
-#[derive(Default)]
-pub struct Tasks(HashMap<TaskId, Open>);
+/// Units are held as `U`, what a dispatch is handed to.
+pub struct Tasks<U>(HashMap<TaskId, Open<U>>);
 
-impl Tasks {
+impl<U> Default for Tasks<U> {
+    fn default() -> Tasks<U> {
+        Tasks(HashMap::new())
+    }
+}
+
+impl<U: Clone> Tasks<U> {
     /// Takes a task; an id that is still open hands the task back.
     pub fn take(&mut self, taken: Taken) -> Result<(), Taken> {
         if self.0.contains_key(&taken.id) {
@@ -48,7 +53,7 @@
     }
 
     /// Counts a dispatch of a task that is not yet answered; gives its number and what to send.
-    pub fn sent(&mut self, id: &TaskId, to: Option<&UnitMailbox>) -> Option<(DispatchNo, Arc<Call>)> {
+    pub fn sent(&mut self, id: &TaskId, to: Option<&U>) -> Option<(DispatchNo, Arc<Call>)> {
         let open = self.0.get_mut(id).filter(|open| open.answer.is_some())?;
         let no = DispatchNo(open.tries);
         open.tries += 1;
@@ -83,7 +88,7 @@
     }
 
     /// Where a dispatch is out.
-    pub fn out(&self, id: &TaskId, no: DispatchNo) -> Option<&UnitMailbox> {
+    pub fn out(&self, id: &TaskId, no: DispatchNo) -> Option<&U> {
         let out = self.0.get(id)?.out.as_ref();
         out.filter(|(out, _)| *out == no).and_then(|(_, unit)| unit.as_ref())
     }
--- a/crates/beechcroft-relay/src/life/config.rs
+++ b/crates/beechcroft-relay/src/life/config.rs
@@ -1,10 +1,11 @@
 //! The one place where configuration is read, checked and given defaults. An error is one line that names the key.
 
-use crate::memory::module::News;
 use crate::wire::budget::SOCKETS_MIN;
-use crate::wire::discovery::{List, Places};
+use crate::wire::discovery::Places;
 use crate::wire::peers::Addresses;
 use crate::wire::platform;
+use beechcroft_core::list::List;
+use beechcroft_core::News;
 use beechcroft_settings::Named;
 use serde_json::Value;
 use std::net::SocketAddr;
--- a/crates/beechcroft-relay/src/life/run.rs
+++ b/crates/beechcroft-relay/src/life/run.rs
@@ -1,10 +1,10 @@
 //! Puts the parts together, waits until all can serve, and takes them down again.
 
+use crate::life::carrier::Wires;
 use crate::life::config::Config;
 use crate::life::phases::{Life, Phase};
 use crate::life::signals::{Asked, Signals};
 use crate::memory::list::{ListActor, ListMailbox, ToList};
-use crate::memory::module::{Clock, Event, Hands, ModuleActor};
 use crate::wire::budget::{limits, Budget, LEAVE_LONGEST, LEAVE_MARGIN, LINGER};
 use crate::wire::clients::{router, Front};
 use crate::wire::discovery::{Discovery, Places};
@@ -12,6 +12,8 @@
 use crate::wire::peers::Peers;
 use crate::wire::platform::{self, PlatformMailbox, ToPlatform};
 use crate::wire::units::Shared;
+use beechcroft_core::module::{Clock, ModuleActor};
+use beechcroft_core::Event;
 use beechcroft_operator::Operator;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -82,8 +84,8 @@
     let platform = rollouts.map(|at| platform::spawn(at, wait, tracks, module.clone(), reached));
     let followers = Followers { list: follow.clone(), platform: platform.clone() };
     let units = Shared::new(module.clone(), budget.units, &names.transport);
-    let hands = Hands::new(units, follow, platform, peers);
-    let actor = ModuleActor::start(&names.settings, seed, Clock::start(), hands);
+    let wires = Wires { units, list: follow, platform, peers };
+    let actor = ModuleActor::start(&names.settings, seed, Clock::start(), wires, module.clone());
     let mut module_ends = tokio::spawn(actor.run(events));
     tokio::spawn(list.run(followed, listed));
 
--- a/crates/beechcroft-relay/src/memory/list.rs
+++ b/crates/beechcroft-relay/src/memory/list.rs
@@ -1,9 +1,10 @@
 //! The list's actor: watches discovery without a gap and tells the module each change in order.
 
-use crate::memory::module::{Event, Mailbox};
 use crate::wire::budget::{WATCH_FLOOR, WATCH_PAUSE};
-use crate::wire::discovery::{Discovery, List};
+use crate::wire::discovery::Discovery;
 use crate::wire::sparse::Sparse;
+use beechcroft_core::list::List;
+use beechcroft_core::{Event, Mailbox};
 use std::net::SocketAddr;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout, Instant};
--- a/crates/beechcroft-relay/src/wire/clients.rs
+++ b/crates/beechcroft-relay/src/wire/clients.rs
@@ -2,17 +2,17 @@
 //! [`crate::wire::lot`] and served in [`crate::wire::serving`].
 
 use crate::life::phases::{Life, Phase};
-use crate::memory::module::{Event, Mailbox};
-use crate::memory::tasks::{Hints, Taken};
 use crate::wire::budget::{BODY_MAX, BODY_WAIT, HINT_MAX, TXN_MAX};
 use crate::wire::units::{KEY, REMAINING, TXN};
-use crate::wire::{Answer, Call};
 use axum::body::{Body, HttpBody};
 use axum::extract::{Request, State};
 use axum::response::Response;
 use axum::routing::get;
 use axum::Router;
 use beechcroft::{Effect, Key, TaskId, TenantId, TrackId};
+use beechcroft_core::call::{Answer, Call};
+use beechcroft_core::tasks::{Hints, Taken};
+use beechcroft_core::{Event, Mailbox};
 use beechcroft_settings::Named;
 use http::request::Parts;
 use http::{header, HeaderMap, HeaderName, HeaderValue, StatusCode};
--- a/crates/beechcroft-relay/src/wire/discovery.rs
+++ b/crates/beechcroft-relay/src/wire/discovery.rs
@@ -1,11 +1,11 @@
-//! Discovery: its list as it comes and goes, and the client that asks for it. The list's actor decides when.
+//! Discovery: how its list is written, and the client that asks for it. The list's actor decides when.
 
 use crate::wire::budget::{CONTROL_CONNECT, LIST_MAX, WATCH_SLACK, WATCH_WAIT};
 use crate::wire::keep::Keep;
 use crate::wire::link::{collect, Connector, HttpClient, Room};
 use crate::wire::sparse::whole;
-use crate::wire::units::Listing;
 use beechcroft::{BuildId, CellId, Health, KindId, UnitId, ZoneId};
+use beechcroft_core::list::{Entry, List, Listing};
 use beechcroft_settings::Named;
 use bytes::Bytes;
 use http::{Request, StatusCode};
@@ -15,26 +15,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// The whole list, or what changed.
-#[derive(Debug)]
-pub struct List {
-    pub index: u64,
-    pub whole: bool,
-    pub entries: Vec<Entry>,
-}
-
-#[derive(Debug)]
-pub struct Entry {
-    pub unit: UnitId,
-    pub listing: Listing,
-    pub build: BuildId,
-    pub zone: Option<ZoneId>,
-    pub kind: KindId,
-    pub cell: CellId,
-    pub health: Health,
-    pub nominal: f64,
-}
-
 #[derive(Deserialize)]
 struct ListForm {
     index: u64,
--- a/crates/beechcroft-relay/src/wire/mod.rs
+++ b/crates/beechcroft-relay/src/wire/mod.rs
@@ -12,33 +12,3 @@
 pub mod serving;
 pub mod sparse;
 pub mod units;
-
-use bytes::Bytes;
-use http::{HeaderValue, Method, Uri};
-use std::time::Duration;
-
-/// What a client asked for, as it goes on to a unit.
-#[derive(Debug)]
-pub struct Call {
-    pub method: Method,
-    pub target: Uri,
-    pub txn: HeaderValue,
-    pub idempotency_key: Option<HeaderValue>,
-    pub content_type: Option<HeaderValue>,
-    pub body: Bytes,
-}
-
-/// A unit's whole answer with 200.
-#[derive(Debug)]
-pub struct Reply {
-    pub body: Bytes,
-    pub content_type: Option<HeaderValue>,
-}
-
-/// The one final answer of a task.
-#[derive(Debug)]
-pub enum Answer {
-    Handled(Reply),
-    Nacked(Duration),
-    Terminated,
-}
--- a/crates/beechcroft-relay/src/wire/peers.rs
+++ b/crates/beechcroft-relay/src/wire/peers.rs
@@ -1,9 +1,9 @@
 //! Fellow relays: datagrams out, by an actor for each and one for all, and in, known by their sender's address.
 
-use crate::memory::module::{Event, Mailbox};
 use crate::wire::budget::{NOTE_MAX, NOTE_PAUSE};
 use crate::wire::sparse::Sparse;
 use beechcroft::PeerId;
+use beechcroft_core::{Event, Mailbox};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
--- a/crates/beechcroft-relay/src/wire/platform.rs
+++ b/crates/beechcroft-relay/src/wire/platform.rs
@@ -1,10 +1,10 @@
 //! The platform: JSON-RPC lines over TCP. One actor keeps a connection that listens, another beside it once the
 //! first falls silent, and the votes that wait for their answers; each connection is carried by a task of its own.
 
-use crate::memory::module::{Event, Mailbox, News};
 use crate::wire::budget::{CONTROL_CONNECT, LINE_MAX, PING_LAPSE, PLATFORM_PAUSE};
 use crate::wire::sparse::Sparse;
 use beechcroft::{BuildId, Outcome, Phase, Stage, TrackId, UnitId, Vote};
+use beechcroft_core::{Ballot, Event, Mailbox, News};
 use serde::Deserialize;
 use serde_json::{json, Value};
 use smol_str::SmolStr;
@@ -25,14 +25,6 @@
     Moved(SocketAddr),
 }
 
-/// A vote to be cast.
-#[derive(Clone, Copy, Debug)]
-pub struct Ballot {
-    pub build: BuildId,
-    pub stage: Stage,
-    pub vote: Vote,
-}
-
 /// One line of the platform's.
 #[derive(Debug)]
 pub enum Told {
--- a/crates/beechcroft-relay/src/wire/units.rs
+++ b/crates/beechcroft-relay/src/wire/units.rs
@@ -1,13 +1,14 @@
 //! Units: one actor for each, which alone speaks with it. A dispatch goes out as an HTTP call and comes back as
 //! one outcome; `ConnectFailed`, `Full` and `Moot` only where it is proven that the task never ran.
 
-use crate::memory::module::{Ended, Event, Mailbox};
 use crate::wire::budget::{ANSWER_MAX, DIAL_PART, KEEP_PART, REPLACED, UNIT_CALLS};
 use crate::wire::keep::Keep;
 use crate::wire::link::{collect, Connector, HttpClient, NoRoom, NotQuiet, Room};
 use crate::wire::sparse::{whole, Sparse};
-use crate::wire::{Call, Reply};
-use beechcroft::{DispatchNo, Outcome, TaskId};
+use beechcroft::{Outcome, TaskId};
+use beechcroft_core::call::{Call, Reply};
+use beechcroft_core::list::Listing;
+use beechcroft_core::{Dispatch, Ended, Event, Mailbox, ToUnit};
 use beechcroft_settings::Transport;
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
@@ -17,7 +18,6 @@
 use hyper_util::client::legacy::connect::{capture_connection, CaptureConnection};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, Instant};
@@ -29,30 +29,6 @@
 
 pub type UnitMailbox = mpsc::UnboundedSender<ToUnit>;
 
-pub enum ToUnit {
-    Listed(Listing),
-    /// No longer on the list.
-    Gone,
-    Dispatch(Dispatch),
-    Abandon(TaskId, DispatchNo),
-}
-
-/// What the list says of a unit, as far as its connections go.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Listing {
-    pub address: SocketAddr,
-    pub started: Option<Duration>,
-    pub leaving: bool,
-}
-
-pub struct Dispatch {
-    pub task: TaskId,
-    pub no: DispatchNo,
-    pub call: Arc<Call>,
-    pub at: Instant,
-    pub time_out: Duration,
-}
-
 /// What all units' actors share.
 #[derive(Clone)]
 pub struct Shared {
