--- /dev/null
+++ b/crates/beechcroft-resp/tests/resp.rs
@@ -0,0 +1,143 @@
+//! The codec: however a stream is cut, the same messages; whatever it holds, no panic and no more than the bounds.
+
+use beechcroft_resp::{command, reply, Bounds, Malformed, Reader, Value, Version};
+use expect_test::expect;
+use proptest::prelude::*;
+
+const BOUNDS: Bounds = Bounds { bytes: 1 << 16, nesting: 8, values: 1000 };
+
+fn value() -> impl Strategy<Value = Value> {
+    let text = prop::collection::vec(any::<u8>(), 0..40).prop_map(|bytes| Value::Text(bytes.into()));
+    let leaf = prop_oneof![
+        Just(Value::Nothing),
+        text,
+        any::<i64>().prop_map(Value::Number),
+        any::<bool>().prop_map(Value::Flag),
+        (-1e6..1e6f64).prop_map(Value::Double),
+        "[A-Z]{3,9} [a-z ]{0,20}".prop_map(Value::Fault),
+    ];
+    leaf.prop_recursive(4, 40, 6, |inner| {
+        let keys = "[a-z]{1,8}".prop_map(|key| Value::Text(key.into()));
+        prop_oneof![
+            prop::collection::vec(inner.clone(), 0..6).prop_map(Value::List),
+            prop::collection::vec((keys, inner), 0..1).prop_map(Value::Map),
+        ]
+    })
+}
+
+fn all(reader: &mut Reader) -> Result<Vec<Value>, Malformed> {
+    let mut got = Vec::new();
+    while let Some(value) = reader.next_message()? {
+        got.push(value);
+    }
+    Ok(got)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn every_cut_of_a_stream_gives_the_same_messages(values in prop::collection::vec(value(), 1..4), step in 1..9usize) {
+        let mut bytes = Vec::new();
+        values.iter().for_each(|value| reply(value, Version::Resp3, &mut bytes));
+        for pieces in [bytes.chunks(step).collect::<Vec<_>>(), vec![&bytes[..]]] {
+            let (mut reader, mut got) = (Reader::new(BOUNDS, Version::Resp3), Vec::new());
+            for piece in pieces {
+                reader.feed(piece);
+                got.extend(all(&mut reader).unwrap());
+            }
+            prop_assert_eq!(&got, &values);
+            prop_assert_eq!(reader.held(), 0);
+        }
+    }
+
+    #[test]
+    fn whatever_comes_nothing_panics_and_nothing_grows(bytes in prop::collection::vec(prop_oneof![
+        any::<u8>(), prop::sample::select(&b"*$%|~>+-:_#,(=!?0123459\r\n"[..]),
+    ], 0..200)) {
+        let mut reader = Reader::new(BOUNDS, Version::Resp3);
+        for byte in bytes {
+            reader.feed(&[byte]);
+            if reader.next_message().is_err() {
+                break;
+            }
+            prop_assert!(reader.held() <= BOUNDS.bytes);
+        }
+    }
+}
+
+fn read_as(bytes: &[u8], version: Version) -> Result<Vec<Value>, Malformed> {
+    let mut reader = Reader::new(BOUNDS, version);
+    reader.feed(bytes);
+    all(&mut reader)
+}
+
+fn read(bytes: &[u8]) -> Result<Vec<Value>, Malformed> {
+    read_as(bytes, Version::Resp3)
+}
+
+#[test]
+fn bombs_are_refused_before_they_cost_anything() {
+    let cases: [&[u8]; 9] = [
+        &b"*1\r\n".repeat(20),
+        b"*999999999\r\n",
+        b"%999999999\r\n",
+        b"$999999999\r\n",
+        b"$99999999999999999999\r\n",
+        b"$?\r\n",
+        b"$-2\r\n",
+        b"GET / HTTP/1.1\r\n",
+        &b"+a".repeat(3000),
+    ];
+    let told: Vec<String> = cases.iter().map(|bytes| read(bytes).unwrap_err().to_string()).collect();
+    expect![[r#"
+        a message with more lists in lists than are taken
+        a message with more values than are taken
+        a message with more values than are taken
+        a message with more bytes than are taken
+        "99999999999999999999" is no length
+        streamed strings and lists are not taken
+        "-2" is no length
+        a message cannot begin with 'G'
+        a message with more bytes in a line than are taken
+    "#]]
+    .assert_eq(&(told.join("\n") + "\n"));
+}
+
+#[test]
+fn an_attribute_belongs_to_the_value_behind_it_and_a_push_is_told_apart() {
+    let bytes = b"|1\r\n+ttl\r\n:3\r\n$2\r\nok\r\n>2\r\n+invalidate\r\n_\r\n*2\r\n|1\r\n+a\r\n+b\r\n:1\r\n:2\r\n:7\r\n";
+    let text = |text: &'static str| Value::Text(text.into());
+    let expected = [
+        text("ok"),
+        Value::Push(vec![text("invalidate"), Value::Nothing]),
+        Value::List(vec![Value::Number(1), Value::Number(2)]),
+        Value::Number(7),
+    ];
+    assert_eq!(read(bytes).unwrap(), expected);
+}
+
+#[test]
+fn a_command_is_a_list_of_strings_and_resp2_gets_what_it_knows() {
+    let mut bytes = Vec::new();
+    command(&["SET", "k", "a\r\nb"], &mut bytes);
+    assert_eq!(bytes, b"*3\r\n$3\r\nSET\r\n$1\r\nk\r\n$4\r\na\r\nb\r\n");
+    let all = Value::List(vec![
+        Value::Nothing,
+        Value::Flag(true),
+        Value::Double(1.5),
+        Value::Map(vec![(Value::Text("a".into()), Value::Number(1))]),
+        Value::Fault("ERR two\r\nlines".to_owned()),
+    ]);
+    let mut bytes = Vec::new();
+    reply(&all, Version::Resp2, &mut bytes);
+    assert_eq!(bytes, b"*5\r\n$-1\r\n:1\r\n$3\r\n1.5\r\n*2\r\n$1\r\na\r\n:1\r\n-ERR two  lines\r\n");
+}
+
+#[test]
+fn resp2_says_nothing_by_a_length_of_minus_one() {
+    assert_eq!(
+        read_as(b"$-1\r\n*-1\r\n*2\r\n$-1\r\n:1\r\n", Version::Resp2).unwrap(),
+        [Value::Nothing, Value::Nothing, Value::List(vec![Value::Nothing, Value::Number(1)]),]
+    );
+}
