--- /dev/null
+++ b/crates/beechcroft-store/tests/follow.rs
@@ -0,0 +1,181 @@
+//! The follower against a store that goes wrong: whatever it does, a claim is a permission only where the store proves that
+//! this claim is the one it holds.
+
+use beechcroft::{PeerId, TrackId, UnitId};
+use beechcroft_shared::marks::{Found, Mark};
+use beechcroft_shared::Holder;
+use beechcroft_standins::store::{Script, Store as StandIn};
+use beechcroft_store::{name, Ask, Place, Store};
+use std::time::{Duration, Instant};
+
+const KEPT: Duration = Duration::from_secs(7);
+/// Longer than anything takes where a store answers.
+const WAIT: Duration = Duration::from_secs(10);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn mark(relay: u32, unit: Option<&str>) -> Mark {
+    Mark { by: Holder { relay: PeerId(relay), run: 0xabc }, unit: unit.map(|unit| UnitId(unit.into())) }
+}
+
+fn place(store: &StandIn, seed: u64) -> Place {
+    Place { address: store.address(), user: String::new(), password: String::new(), database: 0, seed }
+}
+
+fn key(key: &str) -> String {
+    name("bc:", TrackId(1), None, key)
+}
+
+async fn claim(store: &Store, of: &str) -> Found {
+    store.claim(key(of), mark(0, None), KEPT, WAIT).await
+}
+
+/// Asks until there is a connection; unasked until then.
+async fn connected(store: &Store) {
+    let began = Instant::now();
+    while claim(store, &format!("c-{:?}", began.elapsed())).await != Found::Nothing {
+        assert!(began.elapsed() < WAIT, "no connection");
+        tokio::time::sleep(ms(10)).await;
+    }
+}
+
+#[tokio::test]
+async fn of_two_relays_one_has_the_claim_and_the_other_finds_where_it_was_sent() {
+    let stand_in = StandIn::start().unwrap();
+    let [one, two] = [1, 2].map(|seed| Store::follow(place(&stand_in, seed)));
+    connected(&one).await;
+    connected(&two).await;
+    assert_eq!(claim(&one, "k").await, Found::Nothing);
+    let found = two.claim(key("k"), mark(1, None), KEPT, WAIT).await;
+    let Found::Mark { mark: of, left } = found else { panic!("{found:?}") };
+    assert_eq!(of, mark(0, None));
+    assert!(left <= KEPT && left > KEPT - WAIT.min(ms(5000)));
+    assert!(one.tell(Ask::Sent { name: key("k"), mark: mark(0, Some("u-7")), kept: KEPT }));
+    assert_eq!(claim(&one, "after").await, Found::Nothing); // the one before it is through
+    let found = two.claim(key("k"), mark(1, None), KEPT, WAIT).await;
+    assert!(matches!(found, Found::Mark { mark: of, .. } if of == mark(0, Some("u-7"))));
+    assert!(stand_in.keys().iter().all(|(key, left)| key.starts_with("bc:m:1:-:") && left.is_some()));
+}
+
+#[tokio::test]
+async fn claims_asked_together_go_out_together_and_each_has_its_own_answer() {
+    let stand_in = StandIn::start().unwrap();
+    let store = Store::follow(place(&stand_in, 1));
+    connected(&store).await;
+    let all = (0..200).map(|nth| {
+        let store = store.clone();
+        tokio::spawn(async move { claim(&store, &format!("k-{}", nth % 100)).await })
+    });
+    let mut first = 0;
+    for task in all.collect::<Vec<_>>() {
+        match task.await.unwrap() {
+            Found::Nothing => first += 1,
+            Found::Mark { mark: of, .. } => assert_eq!(of, mark(0, None)),
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!((first, stand_in.opened()), (100, 1));
+}
+
+#[tokio::test]
+async fn replies_swapped_dropped_or_cut_are_noticed_and_never_a_permission() {
+    let scripts = [
+        Script { reverse: true, ..Script::default() },
+        Script { drop_each: Some(4), ..Script::default() },
+        Script { cut_after: Some(2), ..Script::default() },
+        Script {
+            refuse: Some("LOADING Redis is loading the dataset in memory".to_owned()),
+            ..Script::default()
+        },
+        Script { refuse: Some("MOVED 3999 127.0.0.1:6381".to_owned()), ..Script::default() },
+        Script { do_and_refuse: Some("OOM command not allowed".to_owned()), ..Script::default() },
+        Script {
+            refuse: Some("READONLY You can't write against a read only replica.".to_owned()),
+            ..Script::default()
+        },
+    ];
+    for (nth, script) in scripts.into_iter().enumerate() {
+        let stand_in = StandIn::start().unwrap();
+        let store = Store::follow(place(&stand_in, 1));
+        connected(&store).await;
+        stand_in.script(script.clone());
+        let both = tokio::join!(claim(&store, "a"), claim(&store, "b"));
+        for found in [both.0, both.1] {
+            assert!(matches!(found, Found::Unknown | Found::Unasked), "{nth}: {found:?} of {script:?}");
+        }
+        // Once it is sound, it is used again.
+        stand_in.script(Script::default());
+        connected(&store).await;
+    }
+}
+
+#[tokio::test]
+async fn a_slow_store_holds_nobody_up_and_one_that_vanished_is_found_again() {
+    let stand_in = StandIn::start().unwrap();
+    let store = Store::follow(place(&stand_in, 1));
+    connected(&store).await;
+    stand_in.script(Script { pause: ms(300), ..Script::default() });
+    let began = Instant::now();
+    assert_eq!(store.claim(key("slow"), mark(0, None), KEPT, ms(20)).await, Found::Unknown);
+    assert!(began.elapsed() < ms(250));
+    stand_in.script(Script::default());
+    stand_in.vanish();
+    let began = Instant::now();
+    // With no connection nobody waits at all: as soon as its end is seen, claims are told that they are not asked.
+    while claim(&store, "gone").await != Found::Unasked {
+        assert!(began.elapsed() < WAIT);
+    }
+    stand_in.come_back();
+    connected(&store).await;
+    assert!(stand_in.opened() >= 2);
+}
+
+#[tokio::test]
+async fn ten_thousand_open_waits_end_in_their_time_when_the_store_stops() {
+    let stand_in = StandIn::start().unwrap();
+    let store = Store::follow(place(&stand_in, 1));
+    connected(&store).await;
+    stand_in.script(Script { pause: ms(60_000), ..Script::default() });
+    let all = (0..10_000).map(|nth| {
+        let store = store.clone();
+        tokio::spawn(async move { store.claim(key(&format!("w-{nth}")), mark(0, None), KEPT, ms(50)).await })
+    });
+    for task in all.collect::<Vec<_>>() {
+        let found = task.await.unwrap();
+        assert!(matches!(found, Found::Unknown | Found::Unasked), "{found:?}");
+    }
+}
+
+#[tokio::test]
+async fn resp2_is_spoken_where_resp3_is_refused_and_a_wrong_password_is_named() {
+    let stand_in = StandIn::start().unwrap();
+    stand_in.script(Script { only_resp2: true, password: Some("pw".to_owned()), ..Script::default() });
+    let store = Store::follow(Place { password: "pw".to_owned(), database: 3, ..place(&stand_in, 1) });
+    connected(&store).await;
+    let asked = stand_in.asked();
+    assert!(asked.iter().any(|words| words[0] == "SELECT" && words[1] == "3"));
+    let store = Store::follow(Place { password: "no".to_owned(), ..place(&stand_in, 2) });
+    tokio::time::sleep(ms(200)).await;
+    assert_eq!(claim(&store, "k").await, Found::Unasked);
+}
+
+#[tokio::test]
+async fn a_store_that_moved_is_followed_and_what_was_open_is_unknown() {
+    let [old, new] = [(); 2].map(|()| StandIn::start().unwrap());
+    let store = Store::follow(place(&old, 1));
+    connected(&store).await;
+    old.script(Script { pause: ms(60_000), ..Script::default() });
+    let open = tokio::spawn({
+        let store = store.clone();
+        async move { claim(&store, "open").await }
+    });
+    while old.asked().iter().all(|words| !words.iter().any(|word| word.ends_with(":open"))) {
+        tokio::time::sleep(ms(5)).await;
+    }
+    assert!(store.tell(Ask::Moved(new.address())));
+    assert_eq!(open.await.unwrap(), Found::Unknown);
+    connected(&store).await;
+    assert!(new.opened() == 1);
+}
