Pressure on cold units: what others sent beyond their shares is taken from this relay's

Cause: each relay guesses how much a newly started unit can take. Change: counts told at most each 0.1 s and once, totals looked back on over the module's span, the excess of others left out of the own share; no I/O. Result: property test over any totals a store may tell, the allowance is never above the share; not in use yet.

--- a/crates/beechcroft-shared/src/lib.rs
+++ b/crates/beechcroft-shared/src/lib.rs
@@ -1,10 +1,12 @@
-//! What relays share by way of a store, without I/O: budgets given up for one another, marks of what may have run, and
+//! What relays share by way of a store, without I/O: what is sent to cold units, budgets given up for one another,
+//! marks of what may have run, and
 //! when the store is not worth waiting for. Nothing here is needed to keep the rules; what the store says can make a relay
 //! more careful, and less so only by a budget that another relay gave up before.
 
 pub mod breaker;
 pub mod escrow;
 pub mod marks;
+pub mod pressure;
 
 use beechcroft::PeerId;
 
--- a/crates/beechcroft-shared/tests/shared.rs
+++ b/crates/beechcroft-shared/tests/shared.rs
@@ -4,6 +4,7 @@
 use beechcroft_shared::breaker::{Breaker, May, Waits};
 use beechcroft_shared::escrow::{Escrow, Gift, Milli, Stake, Wish};
 use beechcroft_shared::marks::{kept, leave, Command, Found, Leave, Mark, CLAIM_KEPT, KEPT_BEYOND};
+use beechcroft_shared::pressure::Pressure;
 use beechcroft_shared::Holder;
 use proptest::prelude::*;
 use std::time::Duration;
@@ -112,6 +113,35 @@
         }
     }
 
+    #[test]
+    fn what_others_sent_takes_from_a_share_and_never_adds_to_it(
+        steps in prop::collection::vec((0..300u64, prop::option::of(any::<u64>()), 0..500u64), 1..60),
+        more in 0..5000u64, own in 0..2000u64, relays in 1..8u64,
+    ) {
+        // Two that hear the same totals, but the second each of them larger.
+        let [mut one, mut two] = [(); 2].map(|()| Pressure::new(ms(3000)));
+        let mut now = ms(0);
+        let (share, whole) = (Milli(own), Milli(own * relays));
+        for (gap, total, sent) in steps {
+            now += ms(gap);
+            for pressure in [&mut one, &mut two] {
+                pressure.sent(&stake(7), Milli(sent));
+            }
+            let told = [one.due(now), two.due(now)];
+            prop_assert_eq!(&told[0], &told[1]);
+            if let Some(total) = total {
+                // A store may tell anything.
+                let total = if total % 3 == 0 { total } else { total % 20_000 };
+                one.total(now, &stake(7), Milli(total));
+                two.total(now, &stake(7), Milli(total.saturating_add(more)));
+            }
+            let [may, less] = [&one, &two].map(|pressure| pressure.allowance(now, &stake(7), share, whole));
+            prop_assert!(may <= share && less <= share);
+        }
+        // What was heard long ago holds nobody back.
+        prop_assert_eq!(one.allowance(now + ms(3000), &stake(7), share, whole), share);
+    }
+
     #[test]
     fn no_claim_that_is_found_and_no_silence_is_a_permission(
         by in 0..3u32, run in 1..3u64, sent in any::<bool>(), left in 0..700_000u64, waited in 0..500u64, which in 0..4usize,
@@ -204,6 +234,27 @@
     assert!(giver.escrow.give(&wish, SHARE, Milli(250)).is_none());
 }
 
+#[test]
+fn what_others_sent_beyond_their_shares_is_left_out_of_mine_for_as_long_as_it_counts() {
+    let mut pressure = Pressure::new(ms(1000));
+    let may = |pressure: &Pressure, now| pressure.allowance(ms(now), &stake(7), Milli(300), Milli(900)).0;
+    pressure.sent(&stake(7), Milli(200));
+    assert_eq!(pressure.due(ms(5000)), [(stake(7), Milli(200))]);
+    pressure.sent(&stake(7), Milli(10));
+    assert_eq!(pressure.due(ms(5050)), []); // not so soon again
+    pressure.total(ms(5000), &stake(7), Milli(200)); // mine alone
+    assert_eq!(may(&pressure, 5000), 300);
+    pressure.total(ms(5400), &stake(7), Milli(800)); // their own 600
+    assert_eq!(may(&pressure, 5400), 300);
+    pressure.total(ms(5600), &stake(7), Milli(1000)); // 200 more
+    assert_eq!(may(&pressure, 5600), 100);
+    pressure.total(ms(5700), &stake(7), Milli(0)); // the store forgot; it happened all the same
+    assert_eq!(may(&pressure, 5700), 100);
+    assert_eq!(may(&pressure, 6650), 100);
+    assert_eq!(may(&pressure, 6700), 300);
+    assert_eq!(pressure.allowance(ms(5700), &stake(8), Milli(300), Milli(900)), Milli(300));
+}
+
 #[test]
 fn a_mark_is_kept_beyond_its_window_and_its_age_is_by_the_stores_clock_alone() {
     let window = ms(5000);
