--- a/crates/beechcroft-operator/src/lib.rs
+++ b/crates/beechcroft-operator/src/lib.rs
@@ -30,7 +30,7 @@
             "Connections that may wait for a request at once; the one that has waited longest goes first.";
         memory_mb: f64 = 64.0, 0.1, 65_536.0, "MB of user memory",
             "Memory that waiting connections may cost, at 256 bytes each when parked and 16 KB when not. The kernel \
-             needs some 2 to 4 KB more for each, which it alone knows.";
+             needs some 5 KB more for each, which it alone counts.";
         wakes_at_once: u32 = 64, 1, 100_000, "connections",
             "Connections whose heads are read at once; others stand in line in the order in which they asked.";
         wake_wait_ms: f64 = 0.0, 0.0, 60_000.0, "milliseconds",
