--- a/crates/beechcroft-lab/src/probe.rs
+++ b/crates/beechcroft-lab/src/probe.rs
@@ -49,6 +49,12 @@
     table.lines().find_map(|line| line.strip_prefix(name))?.split_whitespace().next()?.parse().ok()
 }
 
+/// Bytes that this process holds now by its allocator's count. What a reallocation adds or takes is in both sums already.
+pub fn allocated() -> i64 {
+    let stats = crate::ALLOCATED.stats();
+    stats.bytes_allocated as i64 - stats.bytes_deallocated as i64
+}
+
 /// How often a counting relay says what it has allocated.
 const SAYS: Duration = Duration::from_millis(250);
 
@@ -64,11 +70,7 @@
     let files = Files { config: Some(config.to_owned()), operator: Some(operator.to_owned()) };
     let (read, operator) = (files.config(Holds::File)?, files.operator()?);
     std::thread::spawn(|| loop {
-        let stats = crate::ALLOCATED.stats();
-        println!(
-            "{}",
-            stats.bytes_allocated as i64 + stats.bytes_reallocated as i64 - stats.bytes_deallocated as i64
-        );
+        println!("{}", allocated());
         std::thread::sleep(SAYS);
     });
     runtime.block_on(run::run(read, operator, signals, || files.config(Holds::File)))
--- a/crates/beechcroft-lab/src/ways.rs
+++ b/crates/beechcroft-lab/src/ways.rs
@@ -1,6 +1,6 @@
 //! Ways to keep a quiet connection, side by side in this process: the allocator's own count for each.
 
-use crate::ALLOCATED;
+use crate::probe::allocated;
 use beechcroft_connections::{Actions, Closed, Connections, Id, Why};
 use beechcroft_relay::wire::budget::{limits, Budget};
 use beechcroft_settings::Named;
@@ -32,11 +32,6 @@
     fn cut(&mut self, _: Id, _: Why) {}
 }
 
-fn allocated() -> i64 {
-    let stats = ALLOCATED.stats();
-    stats.bytes_allocated as i64 + stats.bytes_reallocated as i64 - stats.bytes_deallocated as i64
-}
-
 /// Bytes allocated for each connection by what is done with its server's end.
 async fn bytes<F>(count: usize, asks: bool, each: impl Fn(TcpStream) -> F) -> std::io::Result<f64>
 where
