Why a connection ended is put into words only where it is logged; an unused clear goes

Found on reading the change again: serving.rs made a text for each connection's end whether or not trace lines are read, on the way of every connection; beechcroft-resp had a Reader::clear that nobody calls.

--- a/crates/beechcroft-relay/src/wire/serving.rs
+++ b/crates/beechcroft-relay/src/wire/serving.rs
@@ -232,8 +232,9 @@
         let is_free = loop {
             let turn = poll_fn(|cx| loop {
                 if let Poll::Ready(ended) = Pin::new(&mut connection).poll(cx) {
-                    let reason = ended.err().map_or("closed".to_owned(), |error| whole(&error));
-                    trace!(connection = gate.id.data().as_ffi(), stage = ?gate.stage(), reason, "ended");
+                    // The reason is put into words only where somebody reads it.
+                    let reason = || ended.err().map_or("closed".to_owned(), |error| whole(&error));
+                    trace!(connection = gate.id.data().as_ffi(), stage = ?gate.stage(), reason = reason(), "ended");
                     return Poll::Ready(false);
                 }
                 // Earlier, hyper would close it at once, though a request may be on the way.
--- a/crates/beechcroft-resp/src/lib.rs
+++ b/crates/beechcroft-resp/src/lib.rs
@@ -4,7 +4,7 @@
 
 mod scan;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 use redis_protocol::resp2::{self, types::BytesFrame as Frame2};
 use redis_protocol::resp3::{self, types::BytesFrame as Frame3};
 use scan::Scan;
@@ -203,11 +203,3 @@
         }
     }
 }
-
-impl Reader {
-    /// Throws away what was fed, as after an error.
-    pub fn clear(&mut self) {
-        self.buffer.advance(self.buffer.len());
-        self.scan = Scan::default();
-    }
-}
