--- /dev/null
+++ b/crates/beechcroft-fleet/src/turns.rs
@@ -0,0 +1,192 @@
+//! Calls to a service that takes so many a second of all relays together. All relays come to the same wish within a
+//! second of each other; if all then call at once, most are refused, and if the refused wait for a whole round, the wish
+//! is never heard. Here each has its turn by its number, and those that were refused spread over a widening pause.
+
+use std::time::Duration;
+
+/// The service takes this many seconds' worth of calls at once after a pause; half of it is left to others.
+const BURST_S: f64 = 1.0;
+/// A round goes a little faster than the service takes calls, on what is left of the burst: those whom the news reached
+/// late still find room (of 164 votes at 16 a second the last stands after 8.7 s; 9.9 s at the very rate, 8.3 s is least).
+const PACE: f64 = 1.1;
+/// What must be heard soon may come at this multiple of the rate: some of those whose turn it is may be dead, and a
+/// refusal costs nothing but the call.
+const HASTE: f64 = 2.0;
+/// Calls of this time are kept back from a round that begins early, for those who call last.
+const RESERVE_S: f64 = 0.5;
+/// The pause after a first refusal is drawn from up to this; it doubles with each further one.
+const AGAIN: Duration = Duration::from_secs(1);
+/// A round is to end within this part of the life of its first call, else it begins afresh.
+const FRESH: f64 = 0.9;
+
+/// The turns of one relay.
+#[derive(Clone, Copy, Debug)]
+pub struct Turns {
+    /// Its number among the relays.
+    place: u32,
+    relays: u32,
+    per_s: f64,
+    /// Voices without which nothing comes of a call; 0 where that is not known.
+    needed: u32,
+}
+
+impl Turns {
+    pub fn new(place: u32, relays: u32, per_s: f64, needed: u32) -> Turns {
+        Turns { place, relays, per_s: per_s.max(0.1), needed }
+    }
+
+    /// Places from this one on speak last: without them the needed voices are not there.
+    fn first_last(&self) -> u32 {
+        self.needed.saturating_sub((self.per_s * RESERVE_S).ceil() as u32)
+    }
+
+    /// Whether this relay may speak before the matter is settled: a round takes long, and those who speak last decide.
+    pub fn is_early(&self) -> bool {
+        self.place < self.first_last()
+    }
+
+    fn line(&self, place: f64, pace: f64) -> Duration {
+        Duration::from_secs_f64((place / (self.per_s * pace)).max(0.0))
+    }
+
+    /// When the last of those needed has its turn, after the begin of a round.
+    fn round(&self) -> Duration {
+        self.line(f64::from(self.needed) - self.per_s * BURST_S, PACE)
+    }
+
+    /// This relay's turn for a call that stands for `life`, in a round that began at a time; the matter is settled since
+    /// another, or not yet. Where the round would end past the life of its first calls, a fresh one begins with the
+    /// settling: what was said before is then said again.
+    pub fn forward(&self, began: Duration, settled: Option<Duration>, life: Duration) -> Turn {
+        let in_line = self.line(f64::from(self.place) - self.per_s * BURST_S, PACE);
+        let Some(settled) = settled else { return Turn { at: began + in_line, anew: Duration::ZERO } };
+        let last = Duration::from_secs_f64(RESERVE_S);
+        if (began + self.round()).max(settled + last) > began + life.mul_f64(FRESH) {
+            return Turn { at: settled + in_line, anew: settled };
+        }
+        let behind = self.line(f64::from(self.place) - f64::from(self.first_last()), 1.0);
+        let at = if self.is_early() { began + in_line } else { (began + in_line).max(settled + behind) };
+        Turn { at, anew: Duration::ZERO }
+    }
+
+    /// The same for what cannot wait.
+    pub fn in_haste(&self, wished: Duration) -> Turn {
+        let in_line = self.line(f64::from(self.place) - self.per_s * BURST_S * HASTE, HASTE);
+        Turn { at: wished + in_line, anew: Duration::ZERO }
+    }
+
+    /// How long a relay waits that was refused so many times in a row; `draw` is from 0 to 1. A round of all is enough.
+    pub fn again(&self, refused: u32, draw: f64) -> Duration {
+        let round = Duration::from_secs_f64(f64::from(self.relays) / self.per_s).max(AGAIN);
+        let most = (AGAIN * (1 << refused.saturating_sub(1).min(8))).min(round);
+        most.mul_f64(draw.clamp(0.0, 1.0))
+    }
+
+    /// After which time a call that stands for `life` is renewed: by `part` of it, but not before a round is through. Where
+    /// a round takes longer than a call stands, the needed ones all stand only at the end of each.
+    pub fn renew(&self, life: Duration, part: f64) -> Duration {
+        let voices = if self.needed > 0 { self.needed } else { self.relays };
+        life.mul_f64(part).max(Duration::from_secs_f64(f64::from(voices) / self.per_s))
+    }
+}
+
+/// When a relay may call, and since when what it said counts as said.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Turn {
+    pub at: Duration,
+    pub anew: Duration,
+}
+
+/// How the last call fared.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+enum State {
+    #[default]
+    Silent,
+    /// Called, not answered.
+    Asked,
+    Stands,
+    /// And not to call again before.
+    Refused(Duration),
+}
+
+/// What one relay has called for, and what it wishes now.
+#[derive(Clone, Copy, Debug)]
+pub struct Voice<W> {
+    wish: Option<W>,
+    /// When the wish came up.
+    wished: Duration,
+    /// When what it is about was first settled.
+    settled: Option<Duration>,
+    said: Option<W>,
+    at: Duration,
+    state: State,
+    /// How many times in a row.
+    refused: u32,
+}
+
+impl<W> Default for Voice<W> {
+    fn default() -> Voice<W> {
+        let at = Duration::ZERO;
+        Voice { wish: None, wished: at, settled: None, said: None, at, state: State::Silent, refused: 0 }
+    }
+}
+
+impl<W: Copy + PartialEq> Voice<W> {
+    /// The matter changed: what was said of the former one holds no more. No call follows another any faster for it.
+    pub fn forget(&mut self) {
+        *self = Voice { at: self.at, ..Voice::default() };
+    }
+
+    /// Notes a wish; none where nothing is to be called for. Since when it is wished.
+    pub fn wishes(&mut self, wish: Option<W>, now: Duration) -> Duration {
+        if wish != self.wish {
+            (self.wish, self.wished) = (wish, now);
+            if let State::Refused(_) = self.state {
+                (self.state, self.refused) = (State::Silent, 0); // that was another call
+            }
+        }
+        self.wished
+    }
+
+    /// Since when the matter is settled. That it wavers for less than `life` begins no new round.
+    pub fn settles(&mut self, settled: bool, now: Duration, life: Duration) -> Option<Duration> {
+        if settled && self.settled.is_none_or(|at| now > at + life) {
+            self.settled = Some(now);
+        }
+        self.settled.filter(|_| settled)
+    }
+
+    /// Whether the call is to be made now, its turn being given. It is one if the wish differs from what was said, was
+    /// refused or has to be renewed; none is made while one waits for its answer, nor sooner than `gap` after another.
+    pub fn is_due(&self, turn: Turn, now: Duration, wait: Duration, gap: Duration, renew: Duration) -> bool {
+        let since = now.saturating_sub(self.at);
+        if since < gap || self.state == State::Asked && since < wait {
+            return false;
+        }
+        match self.state {
+            State::Refused(until) => now >= until,
+            _ if self.wish != self.said || self.wish.is_some() && self.at < turn.anew => now >= turn.at,
+            State::Stands => self.wish.is_some() && since >= renew,
+            State::Asked | State::Silent => self.wish.is_some(), // the answer was lost
+        }
+    }
+
+    /// What was said last, and stands as far as is known.
+    pub fn said(&self) -> Option<W> {
+        self.said
+    }
+
+    pub fn calls(&mut self, now: Duration) {
+        (self.said, self.at, self.state) = (self.wish, now, State::Asked);
+    }
+
+    pub fn taken(&mut self) {
+        (self.state, self.refused) = (State::Stands, 0);
+    }
+
+    /// Refused, or lost; `pause` tells the wait by how many times in a row.
+    pub fn refused(&mut self, now: Duration, pause: impl FnOnce(u32) -> Duration) {
+        self.refused += 1;
+        self.state = State::Refused(now + pause(self.refused));
+    }
+}
--- a/crates/beechcroft-settings/src/lib.rs
+++ b/crates/beechcroft-settings/src/lib.rs
@@ -65,6 +65,10 @@
         let count = self.read(key, None, Value::as_u64)?;
         u32::try_from(count).map_err(|_| self.lacks(key))
     }
+    fn count_or(&self, key: &str, or: u32) -> Result<u32, String> {
+        let count = self.read(key, Some(or.into()), Value::as_u64)?;
+        u32::try_from(count).map_err(|_| self.lacks(key))
+    }
     fn span(&self, key: &str) -> Result<Duration, String> {
         Duration::try_from_secs_f64(self.number(key)?).map_err(|_| self.lacks(key))
     }
@@ -198,6 +202,7 @@
         answer_wait: rollout.span("answer_wait_s")?,
         vote_life: rollout.span("vote_life_s")?,
         votes_per_s: rollout.number("calls_per_s")?,
+        on_votes: rollout.count_or("on_votes", 0)?,
         delay_price: rollout.number_or("delay_price", 0.0)?,
         complaint_share: rollout.share("complaint_share", rollout.number_or("complaint_share", 0.0)?)?,
     };
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -7,6 +7,7 @@
 use crate::histogram::{excess, Histogram, Tally, Window};
 use crate::state::*;
 use crate::*;
+use beechcroft_fleet::turns::Voice;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::HashMap;
@@ -72,7 +73,7 @@
     exposure: Exposure,
     judge: Judge,
     peers: Peers,
-    ballot: Ballot,
+    voice: Voice<Vote>,
     ticks: u64,
 }
 
@@ -94,7 +95,7 @@
             exposure: Exposure::default(),
             judge: Judge::new(settings.tracks.len(), now),
             peers: Peers::default(),
-            ballot: Ballot::default(),
+            voice: Voice::default(),
             ticks: 0,
         }
     }
@@ -499,7 +500,7 @@
         if (last.build, last.stage) != (build, stage) {
             self.judge.stage_begins(self.now);
         }
-        self.ballot = Ballot { at: self.ballot.at, ..Ballot::default() };
+        self.voice.forget();
         if self.fig.fuses {
             act.log(&format!("build {} stage {} {phase:?} cap {cap}", build.0, stage.0));
         }
@@ -650,23 +651,30 @@
         !self.judge.busy_before && self.meter.shed_within(BUSY_FOR, self.now)
     }
 
-    /// Which vote this relay stands for.
-    fn stance(&mut self, news: News, fused: f64) -> Vote {
+    /// Which vote this relay stands for, and whether the evidence is in: else a vote to go on is one ahead of it.
+    fn stance(&mut self, news: News, fused: f64) -> (Vote, bool) {
         self.judge.on = self.may_go_on(news, fused);
         match news.phase {
-            Phase::OnTrial | Phase::Released if fused >= ALARMS_M => return Vote::Back,
+            Phase::OnTrial | Phase::Released if fused >= ALARMS_M => return (Vote::Back, true),
             Phase::OnTrial => {}
-            _ => return Vote::Nothing,
+            _ => return (Vote::Nothing, true),
         }
         let fusers = || self.live_peers().filter(|peer| peer.stage == news.stage && peer.outcomes > 0);
         let most = fusers().filter(|peer| peer.on).count() * 2 > fusers().count();
         let on = if self.fig.fuses { self.judge.on } else { fused <= 0.0 && most };
-        match self.fig.gate {
+        let vote = match self.fig.gate {
             GateMode::Automatic if self.judge.bit => Vote::Hold,
             GateMode::FirstVoice if on && self.fig.me.0 < PROCEED_VOICES => Vote::On,
-            GateMode::ByCount if on => Vote::On,
+            // Departure: a round of votes takes long, so those without whom it is not one vote ahead of the evidence.
+            GateMode::ByCount if on || self.fig.turns.is_early() && self.is_unharmed(fused) => Vote::On,
             _ => Vote::Nothing,
-        }
+        };
+        (vote, on || vote == Vote::Hold)
+    }
+
+    /// Whether nothing speaks against the build so far.
+    fn is_unharmed(&self, fused: f64) -> bool {
+        fused <= 0.0 && !self.judge.bit && self.worst().0 < CLEAR_NATS
     }
 
     /// Whether the build may go on to its next stage, by what this relay knows.
@@ -689,19 +697,26 @@
 
     fn cast(&mut self, fused: f64, act: Act) {
         let Some(news) = self.news else { return };
-        let vote = self.stance(news, fused);
-        let since = self.now.saturating_sub(self.ballot.at);
+        let (vote, settled) = self.stance(news, fused);
         // Where one voice is enough, hundreds need not speak; the platform takes so many votes of all.
         let voices = if self.fig.gate == GateMode::FirstVoice { FUSERS } else { self.fig.relays };
-        let gap = Duration::from_secs_f64(f64::from(voices.min(self.fig.relays)) / self.fig.votes_per_s);
-        let (wait, renew) = (self.fig.answer_wait + TICK, self.fig.vote_life.mul_f64(RENEW));
-        if self.fig.me.0 >= voices || !self.ballot.is_due(vote, since, wait, gap.max(TICK * 2), renew) {
+        let wished = self.voice.wishes(Some(vote).filter(|&vote| vote != Vote::Nothing), self.now);
+        let (turns, life) = (&self.fig.turns, self.fig.vote_life);
+        let settled = self.voice.settles(settled, self.now, life);
+        let turn = match vote {
+            Vote::Back => turns.in_haste(wished),
+            _ => turns.forward(self.judge.stage_at, settled, life),
+        };
+        let ahead = vote == Vote::On && settled.is_none();
+        let renew = if ahead { Duration::MAX } else { turns.renew(life, RENEW) };
+        let wait = self.fig.answer_wait + TICK;
+        if self.fig.me.0 >= voices || !self.voice.is_due(turn, self.now, wait, TICK * 2, renew) {
             return;
         }
-        if self.ballot.sent.unwrap_or(Vote::Nothing) != vote && self.fig.fuses {
+        if self.voice.said().unwrap_or(Vote::Nothing) != vote && self.fig.fuses {
             act.log(&self.judge.line(news, vote, fused, self.worst()));
         }
-        self.ballot = Ballot { sent: Some(vote), at: self.now, stands: false, waits: true };
+        self.voice.calls(self.now);
         act.vote(news.build, news.stage, vote);
     }
 
@@ -710,7 +725,11 @@
     }
 
     pub fn vote_answered(&mut self, outcome: Outcome) {
-        (self.ballot.waits, self.ballot.stands) = (false, outcome == Outcome::Ok);
+        let draw = self.rng.random();
+        match outcome {
+            Outcome::Ok => self.voice.taken(),
+            _ => self.voice.refused(self.now, |times| self.fig.turns.again(times, draw)),
+        }
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -133,6 +133,8 @@
     pub answer_wait: Duration,
     pub vote_life: Duration,
     pub votes_per_s: f64,
+    /// Votes that take a build a stage further; 0 where that is not stated.
+    pub on_votes: u32,
     /// Points lost if all were served by an older build than the newest good one.
     pub delay_price: f64,
     /// The share of wrong answers that clients report.
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::histogram::{Histogram, Tally, Window};
 use crate::*;
+use beechcroft_fleet::turns::Turns;
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -45,7 +46,7 @@
     pub by_track: bool,
     pub forward_only: bool,
     pub vote_life: Duration,
-    pub votes_per_s: f64,
+    pub turns: Turns, // at the platform
     pub answer_wait: Duration,
     pub complaint_share: f64,
     pub delay_price: f64,
@@ -192,18 +193,11 @@
     pub bit: bool,
     pub on: bool, // the build may go on, by what this relay knows
     pub divergence: f64,
+    pub stage_at: Duration, // when this relay heard of the stage
     pub clear_since: Duration,
     pub untold: Vec<u8>,
 }
 
-#[derive(Default)]
-pub struct Ballot {
-    pub sent: Option<Vote>, // for the present build and stage
-    pub at: Duration,
-    pub stands: bool,
-    pub waits: bool,
-}
-
 /// What this relay measures of its own traffic.
 #[derive(Default)]
 pub struct Meter {
@@ -254,7 +248,7 @@
             by_track: settings.exposure_by_track,
             forward_only: settings.forward_only,
             vote_life: settings.vote_life,
-            votes_per_s: settings.votes_per_s.max(0.1),
+            turns: Turns::new(settings.me.0, settings.relays, settings.votes_per_s, settings.on_votes),
             answer_wait: settings.answer_wait,
             complaint_share: settings.complaint_share,
             delay_price: settings.delay_price,
@@ -652,18 +646,6 @@
     pub forward_keys: HashSet<Key>,
 }
 
-impl Ballot {
-    /// Whether a vote is to be cast: it differs from what was sent or must be renewed, the last one is answered
-    /// or given up, and the platform takes another.
-    pub fn is_due(
-        &self, vote: Vote, since: Duration, wait: Duration, gap: Duration, renew: Duration,
-    ) -> bool {
-        let free = !(self.waits && since < wait) && since >= gap;
-        let renewed = vote != Vote::Nothing && !(self.stands && since < renew);
-        free && (renewed || self.sent.unwrap_or(Vote::Nothing) != vote)
-    }
-}
-
 impl Group {
     /// Whether a repeat of what went to one unit is dropped by the other.
     pub fn joins(self, one: &Unit, other: &Unit) -> bool {
@@ -706,7 +688,7 @@
 impl Judge {
     pub fn new(tracks: usize, now: Duration) -> Judge {
         let sums = vec![Cusum::default(); tracks + 3];
-        Judge { sums, clear_since: now, load_before: f64::INFINITY, ..Judge::default() }
+        Judge { sums, stage_at: now, clear_since: now, load_before: f64::INFINITY, ..Judge::default() }
     }
 
     /// The log line of a vote.
@@ -733,7 +715,7 @@
 
     /// A stage begins.
     pub fn stage_begins(&mut self, now: Duration) {
-        (self.outcomes, self.clear_since, self.on) = (0, now, false);
+        (self.outcomes, self.stage_at, self.clear_since, self.on) = (0, now, now, false);
         (self.ambient, self.held) = (0.0, Duration::ZERO);
     }
 
--- a/tests/bench_free/mod.rs
+++ b/tests/bench_free/mod.rs
@@ -88,6 +88,7 @@
         answer_wait: ms(1200),
         vote_life: ms(10_000),
         votes_per_s: 100.0,
+        on_votes: 2,
         delay_price: 0.35,
         complaint_share: 0.5,
     }
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -456,3 +456,28 @@
         told(true)
     ));
 }
+
+#[test]
+fn where_a_round_of_votes_takes_long_those_who_do_not_decide_vote_ahead_of_the_evidence() {
+    let fleet = Settings { relays: 273, votes_per_s: 16.0, on_votes: 164, ..settings() };
+    let votes = |me: u32, alarmed: bool| {
+        let mut stand = Stand::new(&Settings { me: PeerId(me), ..fleet.clone() }, 6, 3);
+        stand.news(2, 1, Phase::OnTrial, 0.2);
+        for _ in 0..100 {
+            if alarmed {
+                // A fuser whose bit is set, with I 0.5 and 40 outcomes.
+                stand.relay.note_from(PeerId(0), &[2, 0, 2, 1, 1, 63, 0, 0, 0, 0, 40, 0, 40, 10, 0]);
+            }
+            stand.traffic(1, 0, fine);
+        }
+        stand.votes().lines().next().unwrap_or("none").to_owned() // unanswered, it is cast again and again
+    };
+    // 156 votes never move a stage; the last eight wait for what the fusers find, and nobody stands by an alarm.
+    let told = [(9, false), (155, false), (156, false), (9, true)].map(|(me, alarmed)| votes(me, alarmed));
+    expect![[r#"
+        vote On build 2 stage 1
+        vote On build 2 stage 1
+        none
+        vote Back build 2 stage 1"#]]
+    .assert_eq(&told.join("\n"));
+}
