A round of votes begins with the platform's burst, and afresh only past a vote's life

Change: a round begins anew only where the settling came past the life of its first votes; one right behind another rests 2 s first where the needed votes hardly stand together, so that the platform has its burst again. A test of 304 relays behind another round fails without the rest.

--- a/crates/beechcroft-fleet/src/turns.rs
+++ b/crates/beechcroft-fleet/src/turns.rs
@@ -16,8 +16,10 @@
 const RESERVE_S: f64 = 0.5;
 /// The pause after a first refusal is drawn from up to this; it doubles with each further one.
 const AGAIN: Duration = Duration::from_secs(1);
-/// A round is to end within this part of the life of its first call, else it begins afresh.
-const FRESH: f64 = 0.9;
+/// Within this time relays hear of a matter, and come to think the same of it.
+const SPREAD: Duration = Duration::from_secs(1);
+/// For the service to gather its whole burst: twice a second's calls, as it takes no others meanwhile.
+const GATHER_S: f64 = 2.0;
 
 /// The turns of one relay.
 #[derive(Clone, Copy, Debug)]
@@ -49,23 +51,25 @@
         Duration::from_secs_f64((place / (self.per_s * pace)).max(0.0))
     }
 
-    /// When the last of those needed has its turn, after the begin of a round.
-    fn round(&self) -> Duration {
-        self.line(f64::from(self.needed) - self.per_s * BURST_S, PACE)
+    /// How long a round is put off that follows another: where all those needed are hardly heard within a call's life, they
+    /// are so only with the whole burst, which the service gathers while nobody calls.
+    fn rest(&self, life: Duration) -> Duration {
+        let hardly = self.line(f64::from(self.needed), 1.0) + SPREAD > life;
+        Duration::from_secs_f64(if hardly { GATHER_S } else { 0.0 })
     }
 
-    /// This relay's turn for a call that stands for `life`, in a round that began at a time; the matter is settled since
-    /// another, or not yet. Where the round would end past the life of its first calls, a fresh one begins with the
-    /// settling: what was said before is then said again.
-    pub fn forward(&self, began: Duration, settled: Option<Duration>, life: Duration) -> Turn {
+    /// This relay's turn for a call that stands for `life`. Its round began at a time, perhaps behind another one; the
+    /// matter is settled since a further time, or not yet. Where that is past the life of the round's first calls, a fresh
+    /// one begins with the settling: what was said before is then said again.
+    pub fn forward(&self, began: Duration, behind: bool, settled: Option<Duration>, life: Duration) -> Turn {
+        let began = if behind { began + self.rest(life) } else { began };
         let in_line = self.line(f64::from(self.place) - self.per_s * BURST_S, PACE);
         let Some(settled) = settled else { return Turn { at: began + in_line, anew: Duration::ZERO } };
-        let last = Duration::from_secs_f64(RESERVE_S);
-        if (began + self.round()).max(settled + last) > began + life.mul_f64(FRESH) {
+        if settled + SPREAD > began + life {
             return Turn { at: settled + in_line, anew: settled };
         }
-        let behind = self.line(f64::from(self.place) - f64::from(self.first_last()), 1.0);
-        let at = if self.is_early() { began + in_line } else { (began + in_line).max(settled + behind) };
+        let last = self.line(f64::from(self.place) - f64::from(self.first_last()), 1.0);
+        let at = if self.is_early() { began + in_line } else { (began + in_line).max(settled + last) };
         Turn { at, anew: Duration::ZERO }
     }
 
--- a/crates/beechcroft-fleet/tests/turns.rs
+++ b/crates/beechcroft-fleet/tests/turns.rs
@@ -33,6 +33,8 @@
 struct Fleet {
     per_s: f64,
     needed: u32,
+    /// Another round went right before, so that the platform's burst is spent.
+    behind: bool,
     /// By relay: whether it lives.
     alive: Vec<bool>,
     rng: Pcg64Mcg,
@@ -41,7 +43,7 @@
 impl Fleet {
     fn new(relays: u32, per_s: f64, needed: u32, seed: u64) -> Fleet {
         let alive = vec![true; relays as usize];
-        Fleet { per_s, needed, alive, rng: Pcg64Mcg::seed_from_u64(seed) }
+        Fleet { per_s, needed, behind: false, alive, rng: Pcg64Mcg::seed_from_u64(seed) }
     }
 
     /// Plays until the wished votes stand, or for a minute: after how long they did, and the platform as it was. A stage
@@ -50,7 +52,7 @@
         let count = self.alive.len();
         let mut platform = Platform {
             per_s: self.per_s,
-            bucket: self.per_s * 2.0,
+            bucket: if self.behind { 0.0 } else { self.per_s * 2.0 },
             stands: vec![None; count],
             calls: 0,
             refused: 0,
@@ -76,8 +78,8 @@
                 let wished = voice.wishes(wish, now);
                 let settles = voice.settles(settled, now, LIFE);
                 let (turn, renew) = match (say, settled) {
-                    (Say::On, true) => (turns.forward(*began, settles, LIFE), renew),
-                    (Say::On, false) => (turns.forward(*began, settles, LIFE), Duration::MAX),
+                    (Say::On, true) => (turns.forward(*began, self.behind, settles, LIFE), renew),
+                    (Say::On, false) => (turns.forward(*began, self.behind, settles, LIFE), Duration::MAX),
                     (Say::Back, _) => (turns.in_haste(wished), renew),
                 };
                 if !voice.is_due(turn, now, TICK * 13, TICK * 2, renew) {
@@ -118,6 +120,17 @@
     }
 }
 
+#[test]
+fn a_stage_right_behind_another_is_brought_on_though_a_vote_stands_no_longer_than_a_round() {
+    for seed in 0..20 {
+        // 182 votes at 16 a second take 11.4 s, and stand for 10 s: they all do only after a burst of 32.
+        let mut fleet = Fleet::new(304, 16.0, 182, seed);
+        fleet.behind = true;
+        let (at, _) = fleet.play(Say::On, Duration::from_millis(3600));
+        assert!(at.is_some_and(|at| at <= Duration::from_millis(13_500)), "seed {seed}: {at:?}");
+    }
+}
+
 #[test]
 fn a_round_that_waits_for_evidence_is_short_while_the_first_votes_stand() {
     for seed in 0..20 {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -705,7 +705,7 @@
         let settled = self.voice.settles(settled, self.now, life);
         let turn = match vote {
             Vote::Back => turns.in_haste(wished),
-            _ => turns.forward(self.judge.stage_at, settled, life),
+            _ => turns.forward(self.judge.stage_at, news.stage.0 > 0, settled, life),
         };
         let ahead = vote == Vote::On && settled.is_none();
         let renew = if ahead { Duration::MAX } else { turns.renew(life, RENEW) };
