--- a/crates/beechcroft-adapter/src/wire.rs
+++ b/crates/beechcroft-adapter/src/wire.rs
@@ -89,14 +89,17 @@
             other => return Err(format!("health: malformed '{other}'")),
         })
     }
-    /// Load reports are only checked: the module has no use for them yet.
-    fn check_load(&self) -> Result<(), String> {
+    /// How many tasks the unit's load report says that it holds, if it came with one that says so.
+    fn held(&self) -> Result<Option<f64>, String> {
         let pairs = self.get("usage").filter(|text| !text.is_empty() && *text != "-");
-        let sound = |pair: &str| pair.split_once(':').is_some_and(|(_, value)| value.parse::<f64>().is_ok());
-        match pairs.into_iter().flat_map(|text| text.split(',')).find(|pair| !sound(pair)) {
-            Some(pair) => Err(format!("usage: malformed '{pair}'")),
-            None => Ok(()),
+        let mut held = None;
+        for pair in pairs.into_iter().flat_map(|text| text.split(',')) {
+            let value =
+                pair.split_once(':').and_then(|(name, value)| Some((name, value.parse::<f64>().ok()?)));
+            let (name, value) = value.ok_or_else(|| format!("usage: malformed '{pair}'"))?;
+            held = if name == "rif" && value >= 0.0 { Some(value) } else { held };
         }
+        Ok(held)
     }
     fn payload(&self) -> Result<Vec<u8>, String> {
         let text = self.text("payload")?;
@@ -356,8 +359,10 @@
             }
             "REPORT_BACK" => {
                 line.unit()?;
-                line.check_load()?;
+                let held = line.held()?;
                 let (dispatch, outcome) = (DispatchNo(line.num("trial")?), line.outcome()?);
+                held.into_iter()
+                    .for_each(|held| line.task().iter().for_each(|id| relay.load_told(id, dispatch, held)));
                 let (spent, settled) = (line.span("spent_s")?, line.flag("settled")?);
                 relay.dispatch_ended(&line.task()?, dispatch, outcome, spent, settled, act);
             }
@@ -368,7 +373,7 @@
                 line.unit()?;
                 line.outcome()?;
                 line.span("spent_s")?;
-                line.check_load()?;
+                line.held()?;
             }
             "NOTE_FROM" => relay.note_from(PeerId(line.num("sender")?), &line.payload()?),
             "PROMOTION" => {
--- a/crates/beechcroft-core/src/lib.rs
+++ b/crates/beechcroft-core/src/lib.rs
@@ -38,6 +38,8 @@
     pub outcome: Outcome,
     pub reply: Option<Reply>,
     pub spent: Duration,
+    /// How many tasks the unit told that it holds.
+    pub held: Option<f64>,
 }
 
 /// Where the newest build stands.
--- a/crates/beechcroft-core/src/module.rs
+++ b/crates/beechcroft-core/src/module.rs
@@ -56,7 +56,7 @@
             None => {
                 warn!(task = %task.0, unit = %unit.0, "dispatch of {} to {}, which is not listed", task.0, unit.0);
                 let (outcome, spent) = (Outcome::Moot, Duration::ZERO);
-                let ended = Event::Ended(Ended { task, no, outcome, reply: None, spent });
+                let ended = Event::Ended(Ended { task, no, outcome, reply: None, spent, held: None });
                 if let Some(mailbox) = self.mailbox.upgrade() {
                     let _ = mailbox.send(ended);
                 }
@@ -162,7 +162,8 @@
                     relay.client_left(&task, hands);
                 }
             }
-            Event::Ended(Ended { task, no, outcome, reply, spent }) => {
+            Event::Ended(Ended { task, no, outcome, reply, spent, held }) => {
+                held.into_iter().for_each(|held| relay.load_told(&task, no, held));
                 if let Some(reply) = reply {
                     hands.tasks.answer(&task, Answer::Handled(reply));
                 }
--- a/crates/beechcroft-relay/src/wire/budget.rs
+++ b/crates/beechcroft-relay/src/wire/budget.rs
@@ -62,9 +62,6 @@
 pub const LEAVE_MARGIN: Duration = Duration::from_millis(600);
 pub const LEAVE_LONGEST: Duration = Duration::from_secs(3);
 
-/// Connections to a unit are kept for this part of the time after which it may close them, as a request written
-/// while it closes one is lost.
-pub const KEEP_PART: f64 = 0.5;
 /// Idle for less, a connection is kept whatever was seen.
 pub const KEEP_LEAST: Duration = Duration::from_millis(25);
 /// So many resets of connections that lay idle for a like time, and this share of them, show that such are not worth
@@ -87,6 +84,9 @@
 /// Dispatches that one unit may hold from here at once; a unit keeps a limited number of connections.
 pub const UNIT_CALLS: usize = 96;
 
+/// A load report of more tasks than that is none: no unit holds so many.
+pub const HELD_MAX: f64 = 1e6;
+
 /// How long a watch waits for news: what discovery has to tell counts as told 2 s after that, and 6 s at least.
 pub const WATCH_WAIT: Duration = Duration::from_secs(3);
 /// Beyond that wait, discovery is silent, and is asked anew.
--- a/crates/beechcroft-relay/src/wire/units.rs
+++ b/crates/beechcroft-relay/src/wire/units.rs
@@ -1,7 +1,7 @@
 //! Units: one actor for each, which alone speaks with it. A dispatch goes out as an HTTP call and comes back as
 //! one outcome; `ConnectFailed`, `Full` and `Moot` only where it is proven that the task never ran.
 
-use crate::wire::budget::{ANSWER_MAX, DIAL_PART, KEEP_PART, REPLACED, UNIT_CALLS};
+use crate::wire::budget::{ANSWER_MAX, DIAL_PART, HELD_MAX, REPLACED, UNIT_CALLS};
 use crate::wire::keep::Keep;
 use crate::wire::link::{collect, Connector, HttpClient, NoRoom, NotQuiet, Room};
 use crate::wire::sparse::{whole, Sparse};
@@ -9,6 +9,7 @@
 use beechcroft_core::call::{Call, Reply};
 use beechcroft_core::list::Listing;
 use beechcroft_core::{Dispatch, Ended, Event, Mailbox, ToUnit};
+use beechcroft_fleet::subset::KEPT_PART;
 use beechcroft_settings::Transport;
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
@@ -16,6 +17,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::connect::{capture_connection, CaptureConnection};
+use serde::Deserialize;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -26,6 +28,14 @@
 pub const REMAINING: &str = "x-remaining-ms";
 pub const KEY: &str = "idempotency-key";
 const TURNED_AWAY: &str = "x-turned-away";
+const LOAD: &str = "x-pressure";
+
+/// The fields of a load report that are used. Deployments name them differently.
+#[derive(Deserialize)]
+struct LoadForm {
+    #[serde(alias = "rif", alias = "inflight")]
+    held: Option<f64>,
+}
 
 pub type UnitMailbox = mpsc::UnboundedSender<ToUnit>;
 
@@ -44,7 +54,7 @@
             module,
             room: Room::new(connections),
             dial_time_out: transport.dial_time_out,
-            keep: Keep::new(transport.idle_close.mul_f64(KEEP_PART)),
+            keep: Keep::new(transport.idle_close.mul_f64(KEPT_PART)),
         }
     }
 
@@ -148,8 +158,8 @@
                 Ok(request) => exchange(client, request, told, at, time_out).await,
                 Err(error) => Got::odd(Outcome::Moot, error.to_string()),
             };
-            let Got { outcome, reply, oddity, .. } = got;
-            (Ended { task, no, outcome, reply, spent: at.elapsed() }, oddity)
+            let Got { outcome, reply, oddity, held, .. } = got;
+            (Ended { task, no, outcome, reply, spent: at.elapsed(), held }, oddity)
         }
     }
 }
@@ -159,13 +169,15 @@
     outcome: Outcome,
     reply: Option<Reply>,
     oddity: Option<String>,
+    /// How many tasks the unit told that it holds.
+    held: Option<f64>,
     /// Nothing was written, as the connection was unfit to be used again.
     unwritten: bool,
 }
 
 impl Got {
     fn of(outcome: Outcome) -> Got {
-        Got { outcome, reply: None, oddity: None, unwritten: false }
+        Got { outcome, reply: None, oddity: None, held: None, unwritten: false }
     }
 
     fn odd(outcome: Outcome, oddity: String) -> Got {
@@ -255,8 +267,9 @@
     };
     let (head, body) = answer.into_parts();
     let outcome = of_status(head.status, &head.headers);
+    let held = head.headers.get(LOAD).and_then(|value| held_by(value.as_bytes()));
     // Whatever came, the body is read to its end, so that the connection can be kept.
-    match collect(body, ANSWER_MAX).await {
+    let got = match collect(body, ANSWER_MAX).await {
         Ok(body) if outcome == Outcome::Ok => {
             let content_type = head.headers.get(header::CONTENT_TYPE).cloned();
             Got { reply: Some(Reply { body, content_type }), ..Got::of(outcome) }
@@ -264,7 +277,14 @@
         Err(error) if outcome == Outcome::Ok => Got::odd(Outcome::Reset, format!("body: {error}")),
         _ if head.status == StatusCode::INTERNAL_SERVER_ERROR || outcome == Outcome::Full => Got::of(outcome),
         _ => Got::odd(outcome, format!("unexpected status {}", head.status)),
-    }
+    };
+    Got { held, ..got }
+}
+
+/// How many tasks a load report says that the unit holds; one that cannot be read, or says nonsense, says nothing.
+pub fn held_by(report: &[u8]) -> Option<f64> {
+    let report: LoadForm = serde_json::from_slice(report).ok()?;
+    report.held.filter(|held| (0.0..=HELD_MAX).contains(held))
 }
 
 /// The outcome that a status proves; any but the protocol's is an error, which may have run.
--- a/crates/beechcroft-settings/src/lib.rs
+++ b/crates/beechcroft-settings/src/lib.rs
@@ -187,6 +187,7 @@
         max_dispatches: limits.count("max_attempts")?,
         max_hold_off: limits.span_or("max_retry_after_s", Duration::ZERO)?,
         drain_grace: rules.span("drain_grace_s")?,
+        idle_close: limits.span_or("idle_close_s", IDLE_CLOSE)?,
         cold_from: rules.share("cold_from", rules.number("cold_from")?)?,
         warm_up: rules.span("warm_up_s")?,
         fall_multiple: rules.number("fall_multiple")?,
@@ -208,7 +209,7 @@
     };
     let kinds = all.words("kinds").unwrap_or_default();
     let transport = Transport {
-        idle_close: limits.span_or("idle_close_s", IDLE_CLOSE)?,
+        idle_close: settings.idle_close,
         dial_time_out: limits.span_or("dial_timeout_s", DIAL_TIME_OUT)?,
         longest_wait,
     };
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -7,6 +7,7 @@
 use crate::histogram::{excess, Histogram, Tally, Window};
 use crate::state::*;
 use crate::*;
+use beechcroft_fleet::subset;
 use beechcroft_fleet::turns::Voice;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -118,6 +119,7 @@
         let over_share = self.meter.over_share(tenant, quotas, QUOTA_MARGIN, draw);
         let state = &mut self.tracks[track.0];
         state.taken.add(self.now, 1.0, self.fig.window);
+        self.meter.arrived += 1.0;
         let quoted = (state.quoted + Duration::from_secs_f64(work * state.stretch)).min(left);
         let by = |span: Duration| (self.now + span).saturating_sub(self.fig.slack);
         let mut task = Task::new(id, track, key, by(left), by(quoted));
@@ -164,6 +166,9 @@
 
     /// Stage 2: a build at random, then two random choices by in-flight count among its units.
     fn choose(&mut self, task: &mut Task, _act: Act) -> Flow {
+        if !self.fleet.ranked {
+            self.rank();
+        }
         let (chance, one, two, three): (f64, u32, u32, u32) = self.rng.random();
         let mut able: Vec<usize> =
             (0..self.fleet.units.len()).filter(|&at| self.permits(task, at, false)).collect();
@@ -189,14 +194,26 @@
         prefer(&|at| !self.is_aside(&self.fleet.units[at]));
         prefer(&|at| task.failed_on != Some(at));
         let either = able.clone();
-        able.retain(|&at| on_trial(at) == to_trial);
         let Some(&third) = either.get(three as usize % either.len().max(1)) else { return Flow::End };
+        // Departure: of either build it keeps to as many as its tasks keep connections to.
+        let part = (new / places.max(new)).clamp(0.0, 1.0);
+        let width = |part: f64| subset::width(self.meter.rate.per_s() * part, self.fig.kept);
+        able.retain(|&at| on_trial(at) == to_trial);
+        // Where it keeps to a part of them, its own tasks there are the fewest: what units tell that they hold counts.
+        let kept = width(if to_trial { part } else { 1.0 - part });
+        let (thin, usual) = (kept < able.len(), self.meter.usual.value());
+        if thin {
+            able.sort_by_key(|&at| self.fleet.units[at].rank);
+            able.truncate(kept);
+        }
         able.extend(able.is_empty().then_some(third));
         let [first, second] = [one, two].map(|nth| able[nth as usize % able.len()]);
         let burden = |at: usize| {
             let unit = &self.fleet.units[at];
             let away = if unit.zone != self.fig.zone && self.fig.zones_cost { ZONE_PENALTY } else { 0.0 };
-            (unit.waiting.len() as f64 + 1.0 + away) / (unit.nominal * unit.warmth(self.now, &self.fig))
+            let others = if thin { unit.held.now(self.now, usual) } else { 0.0 };
+            (unit.waiting.len() as f64 + 1.0 + away + others)
+                / (unit.nominal * unit.warmth(self.now, &self.fig))
         };
         let least = if burden(second) < burden(first) { second } else { first };
         // Whatever overloads one side, small units or a share too large, tasks then go to either.
@@ -204,6 +221,22 @@
         Flow::Pass
     }
 
+    /// Ranks the units of either side for this relay, and tells which it keeps to.
+    fn rank(&mut self) {
+        let width = subset::width(self.meter.rate.per_s(), self.fig.kept);
+        for on_trial in [false, true] {
+            let of = |unit: &Unit| unit.ready && self.cap_of(unit.build).is_some() == on_trial;
+            let units = &self.fleet.units;
+            let places: Vec<usize> = (0..units.len()).filter(|&at| of(&units[at])).collect();
+            let tags: Vec<u32> = places.iter().map(|&at| units[at].tag).collect();
+            for (rank, nth) in subset::order(self.fig.me.0, &tags).into_iter().enumerate() {
+                let unit = &mut self.fleet.units[places[nth]];
+                (unit.rank, unit.near) = (rank, rank < width);
+            }
+        }
+        self.fleet.ranked = true;
+    }
+
     /// Stage 3: passes the gate, counts the dispatch and sends it.
     fn send(&mut self, task: &mut Task, act: Act) -> Flow {
         if !self.permits(task, task.chosen, false) {
@@ -253,6 +286,7 @@
         let span = self.fig.overload_for;
         let (work_done, secs) = self.meter.bore;
         let warm = work_done / secs.max(0.1) * unit.nominal * span.as_secs_f64();
+        let warm = if unit.near { warm } else { 0.0 }; // others keep to it
         let half_ago = self.now.saturating_sub(span / 2);
         let part = COLD_MARGIN * self.fig.fall_multiple * unit.warmth(half_ago, &self.fig);
         let budget = (part * warm).max(1.0 / f64::from(self.fig.relays));
@@ -297,6 +331,15 @@
         self.now < unit.away_until.max(unit.shunned_until) || on_probation || silent
     }
 
+    /// A unit told with its answer to a dispatch how many tasks it holds.
+    pub fn load_told(&mut self, id: &TaskId, dispatch: DispatchNo, held: f64) {
+        let out = self.tasks.get(id).and_then(|task| task.out);
+        for (_, at, _) in out.into_iter().filter(|(number, ..)| *number == dispatch) {
+            self.fleet.units[at].held.tells(held, self.now, self.meter.usual.value());
+            self.meter.usual.tells(held);
+        }
+    }
+
     pub fn dispatch_ended(
         &mut self, id: &TaskId, dispatch: DispatchNo, outcome: Outcome, spent: Duration, settled: bool,
         act: Act,
@@ -559,11 +602,14 @@
     }
 
     fn measure(&mut self) {
+        self.rank();
         self.meter.keep = KEEP.max(self.fleet_rate() * KEEP_FOR.as_secs_f64());
-        let size: f64 = self.fleet.ready().map(|unit| unit.nominal).sum();
+        let near = self.fleet.ready().filter(|unit| unit.near);
+        let size: f64 = near.map(|unit| unit.nominal).sum();
         let count = self.fleet.ready().count().max(1) as f64;
         let meter = &mut self.meter;
         meter.tick(TICK, 0.1, size.max(0.01), BORE_FOR);
+        meter.rate.add(std::mem::take(&mut meter.arrived), TICK, BORE_FOR);
         // Little's law: open tasks that end in that part of their quoted times, or its part of two a unit.
         let part = (count * 2.0 / f64::from(self.fig.relays)).max(1.0);
         meter.limit = (meter.limit * 1.03 + 0.1 * part).min(count * 16.0);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -118,6 +118,8 @@
     pub max_dispatches: u32,
     pub max_hold_off: Duration,
     pub drain_grace: Duration,
+    /// After which a unit may close an idle connection.
+    pub idle_close: Duration,
     pub cold_from: f64,
     pub warm_up: Duration,
     pub fall_multiple: f64,
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,8 @@
 
 use crate::histogram::{Histogram, Tally, Window};
 use crate::*;
+use beechcroft_fleet::held::{Held, Usual};
+use beechcroft_fleet::subset::{Rate, KEPT_PART};
 use beechcroft_fleet::turns::Turns;
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -50,6 +52,7 @@
     pub answer_wait: Duration,
     pub complaint_share: f64,
     pub delay_price: f64,
+    pub kept: Duration, // an idle connection to a unit
 }
 
 pub struct TrackState {
@@ -110,6 +113,9 @@
     pub away_until: Duration,
     pub away_for: Duration,
     pub shunned_until: Duration, // by the word of peers
+    pub rank: usize,             // for this relay, among its side
+    pub near: bool,              // this relay keeps to it
+    pub held: Held,
 }
 
 pub struct Task {
@@ -209,6 +215,9 @@
     pub mean_work: f64,
     pub handled: f64,
     pub served_rate: f64, // work a second
+    pub arrived: f64,     // tasks of this tick
+    pub rate: Rate,       // of tasks
+    pub usual: Usual,     // held by units
     pub mean_quoted: f64, // seconds
     pub bore: (f64, f64), // work that a warm unit was seen to bear from here, and in how many seconds
     pub tenants: Vec<(f64, f64)>,
@@ -252,6 +261,7 @@
             answer_wait: settings.answer_wait,
             complaint_share: settings.complaint_share,
             delay_price: settings.delay_price,
+            kept: settings.idle_close.mul_f64(KEPT_PART),
         }
     }
 
@@ -513,6 +523,7 @@
     pub(crate) units: Vec<Unit>,
     pub(crate) index: HashMap<UnitId, usize>,
     tags: HashMap<u32, usize>,
+    pub(crate) ranked: bool,
 }
 
 impl Fleet {
@@ -621,6 +632,7 @@
     }
 
     pub fn ends(&mut self) {
+        self.ranked = false;
         for unit in self.units.iter_mut().filter(|unit| !unit.listed) {
             unit.ready = false;
             unit.gone_at.get_or_insert(self.now);
--- a/tests/bench_free/mod.rs
+++ b/tests/bench_free/mod.rs
@@ -73,6 +73,7 @@
         max_dispatches: 3,
         max_hold_off: ms(1000),
         drain_grace: ms(250),
+        idle_close: ms(15_000),
         cold_from: 0.4,
         warm_up: ms(3600),
         fall_multiple: 2.0,
