--- a/crates/beechcroft-relay/tests/sockets.rs
+++ b/crates/beechcroft-relay/tests/sockets.rs
@@ -980,3 +980,13 @@
     let line = String::from_utf8(run.stderr).unwrap();
     assert_eq!((line.lines().count(), line.starts_with("beechcroft: PROXY_CONFIG: /nowhere: ")), (1, true));
 }
+
+#[test]
+fn a_load_report_that_says_nonsense_says_nothing() {
+    let told = |report: &str| beechcroft_relay::wire::units::held_by(report.as_bytes());
+    assert_eq!(told(r#"{"q":0,"busy":0.7,"rif":3.9}"#), Some(3.9));
+    assert_eq!(told(r#"{"inflight":7,"queue":2,"util":0.61}"#), Some(7.0));
+    let odd = ["", "{", "[]", "null", "7", "{}", r#"{"rif":-1}"#, r#"{"rif":1e99}"#, r#"{"rif":"many"}"#];
+    assert!(odd.iter().all(|report| told(report).is_none()));
+    assert_eq!(told(r#"{"rif":1,"inflight":2}"#), None); // two words for one thing
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -784,6 +784,7 @@
         let draw = self.rng.random();
         match outcome {
             Outcome::Ok => self.voice.taken(),
+            Outcome::Moot => self.voice.refused(self.now, |_| self.fig.vote_life), // the news is on its way
             _ => self.voice.refused(self.now, |times| self.fig.turns.again(times, draw)),
         }
     }
--- a/tests/decide.rs
+++ b/tests/decide.rs
@@ -521,3 +521,18 @@
     expect!["100 tasks went to 7 of 137 units; of 10, 0 to 30 cold ones"]
         .assert_eq(&format!("{before} tasks went to {warm} of 137 units; of 10, {cold} to 30 cold ones"));
 }
+
+#[test]
+fn a_vote_that_is_moot_is_not_cast_again_before_there_is_news() {
+    let mut stand = Stand::on_trial(6, 3, 8, 1, 0.2);
+    stand.traffic(50, 8, fine);
+    stand.relay.vote_answered(Outcome::Moot);
+    let before = stand.votes().lines().count();
+    stand.traffic(50, 8, fine);
+    let after = stand.votes().lines().count();
+    stand.news(2, 2, Phase::OnTrial, 0.7);
+    stand.traffic(60, 8, fine);
+    let last = stand.votes().lines().last().unwrap_or("none").to_owned();
+    expect!["0 more in 5 s, then vote On build 2 stage 2"]
+        .assert_eq(&format!("{} more in 5 s, then {last}", after - before));
+}
