One check of load reports for both fronts; dead code of the fleet package goes

Held::silent had no caller; the line behind those who speak early was written twice; the relay bounded a load report's figure and the simulator's wire did not, so that rif:inf would have spoilt the usual load.

--- a/crates/beechcroft-adapter/src/wire.rs
+++ b/crates/beechcroft-adapter/src/wire.rs
@@ -2,6 +2,7 @@
 
 use beechcroft::decide::Relay;
 use beechcroft::*;
+use beechcroft_fleet::held::sound;
 use beechcroft_settings::Named;
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
@@ -97,7 +98,7 @@
             let value =
                 pair.split_once(':').and_then(|(name, value)| Some((name, value.parse::<f64>().ok()?)));
             let (name, value) = value.ok_or_else(|| format!("usage: malformed '{pair}'"))?;
-            held = if name == "rif" && value >= 0.0 { Some(value) } else { held };
+            held = if name == "rif" { sound(value) } else { held };
         }
         Ok(held)
     }
@@ -361,10 +362,9 @@
                 line.unit()?;
                 let held = line.held()?;
                 let (dispatch, outcome) = (DispatchNo(line.num("trial")?), line.outcome()?);
-                held.into_iter()
-                    .for_each(|held| line.task().iter().for_each(|id| relay.load_told(id, dispatch, held)));
-                let (spent, settled) = (line.span("spent_s")?, line.flag("settled")?);
-                relay.dispatch_ended(&line.task()?, dispatch, outcome, spent, settled, act);
+                let (spent, settled, id) = (line.span("spent_s")?, line.flag("settled")?, line.task()?);
+                held.into_iter().for_each(|held| relay.load_told(&id, dispatch, held));
+                relay.dispatch_ended(&id, dispatch, outcome, spent, settled, act);
             }
             "CLIENT_LEFT" => relay.client_left(&line.task()?, act),
             "FIRED" => relay.woken(Token(line.num("ref")?), act),
--- a/crates/beechcroft-fleet/src/held.rs
+++ b/crates/beechcroft-fleet/src/held.rs
@@ -4,11 +4,19 @@
 
 use std::time::Duration;
 
-/// A word counts for half of what is believed, as it is late and noisy.
+/// By this part of the difference belief follows a word, as that is late and noisy.
 const FOLLOW: f64 = 0.3;
 /// After this time little is left of what was told: queues come and go in about as long.
 const FADE: Duration = Duration::from_secs(5);
 
+/// A report of more tasks than that is none: no unit holds so many.
+const MOST: f64 = 1e6;
+
+/// What a load report's figure says; one out of range, or no number, says nothing.
+pub fn sound(held: f64) -> Option<f64> {
+    (0.0..=MOST).contains(&held).then_some(held)
+}
+
 /// What is believed of one unit.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Held {
@@ -29,11 +37,6 @@
         let follow = if self.told.is_some() { FOLLOW } else { 1.0 };
         self.told = Some((believed + (held - believed) * follow, now));
     }
-
-    /// It did not answer in time: it holds more than those like it, and than was believed.
-    pub fn silent(&mut self, now: Duration, usual: f64) {
-        self.told = Some((self.now(now, usual) * 1.5 + usual.max(1.0), now));
-    }
 }
 
 /// What units usually hold, over the words of all.
--- a/crates/beechcroft-fleet/src/subset.rs
+++ b/crates/beechcroft-fleet/src/subset.rs
@@ -9,11 +9,12 @@
 /// Idle connections are kept for this part of the time after which the unit may close them, as a task written while it
 /// closes one is lost.
 pub const KEPT_PART: f64 = 0.5;
-/// Meetings of a relay with each unit of its arc within the time for which a connection is kept. At 4 one in 50 finds
+/// Meetings of a relay with each unit of its set within the time for which a connection is kept. At 4 one in 50 finds
 /// it closed, as tasks come at random; more would leave fewer units to choose from.
 const MEETINGS: f64 = 4.0;
 /// Two to choose from, and one that may be ill.
 const LEAST: usize = 3;
+
 /// How many units a relay keeps to that sends so many tasks a second, and keeps an idle connection for `kept`.
 pub fn width(per_s: f64, kept: Duration) -> usize {
     ((per_s * kept.as_secs_f64() / MEETINGS).ceil() as usize).max(LEAST)
--- a/crates/beechcroft-fleet/src/turns.rs
+++ b/crates/beechcroft-fleet/src/turns.rs
@@ -53,6 +53,11 @@
         Duration::from_secs_f64((place / (self.per_s * pace)).max(0.0))
     }
 
+    /// How long those who speak last have before this relay does.
+    fn behind_early(&self) -> Duration {
+        self.line(f64::from(self.place) - f64::from(self.first_last()), 1.0)
+    }
+
     /// How long a round is put off that follows another: where all those needed are hardly heard within a call's life, they
     /// are so only with the whole burst, which the service gathers while nobody calls.
     fn rest(&self, life: Duration) -> Duration {
@@ -70,8 +75,11 @@
         if settled + SPREAD > began + life {
             return Turn { at: settled + in_line, anew: settled };
         }
-        let last = self.line(f64::from(self.place) - f64::from(self.first_last()), 1.0);
-        let at = if self.is_early() { began + in_line } else { (began + in_line).max(settled + last) };
+        let at = if self.is_early() {
+            began + in_line
+        } else {
+            (began + in_line).max(settled + self.behind_early())
+        };
         Turn { at, anew: Duration::ZERO }
     }
 
@@ -84,8 +92,7 @@
     /// When a call is taken back that is wished no more. Those who spoke early let theirs stand, as nothing comes of them
     /// alone; the others go in line, so that a matter that wavers costs no call.
     pub fn back(&self, wished: Duration) -> Turn {
-        let behind = self.line(f64::from(self.place) - f64::from(self.first_last()), 1.0);
-        let at = if self.is_early() { Duration::MAX } else { wished + behind.max(SETTLE) };
+        let at = if self.is_early() { Duration::MAX } else { wished + self.behind_early().max(SETTLE) };
         Turn { at, anew: Duration::ZERO }
     }
 
--- a/crates/beechcroft-fleet/tests/subset.rs
+++ b/crates/beechcroft-fleet/tests/subset.rs
@@ -133,3 +133,10 @@
         prop_assert!(order(1, &[]).is_empty());
     }
 }
+
+#[test]
+fn a_figure_that_no_unit_can_hold_is_no_word() {
+    use beechcroft_fleet::held::sound;
+    assert_eq!(sound(3.9), Some(3.9));
+    assert!([-1.0, 1e99, f64::INFINITY, f64::NAN].iter().all(|&odd| sound(odd).is_none()));
+}
--- a/crates/beechcroft-relay/src/wire/budget.rs
+++ b/crates/beechcroft-relay/src/wire/budget.rs
@@ -84,9 +84,6 @@
 /// Dispatches that one unit may hold from here at once; a unit keeps a limited number of connections.
 pub const UNIT_CALLS: usize = 96;
 
-/// A load report of more tasks than that is none: no unit holds so many.
-pub const HELD_MAX: f64 = 1e6;
-
 /// How long a watch waits for news: what discovery has to tell counts as told 2 s after that, and 6 s at least.
 pub const WATCH_WAIT: Duration = Duration::from_secs(3);
 /// Beyond that wait, discovery is silent, and is asked anew.
--- a/crates/beechcroft-relay/src/wire/units.rs
+++ b/crates/beechcroft-relay/src/wire/units.rs
@@ -1,7 +1,7 @@
 //! Units: one actor for each, which alone speaks with it. A dispatch goes out as an HTTP call and comes back as
 //! one outcome; `ConnectFailed`, `Full` and `Moot` only where it is proven that the task never ran.
 
-use crate::wire::budget::{ANSWER_MAX, DIAL_PART, HELD_MAX, REPLACED, UNIT_CALLS};
+use crate::wire::budget::{ANSWER_MAX, DIAL_PART, REPLACED, UNIT_CALLS};
 use crate::wire::keep::Keep;
 use crate::wire::link::{collect, Connector, HttpClient, NoRoom, NotQuiet, Room};
 use crate::wire::sparse::{whole, Sparse};
@@ -9,6 +9,7 @@
 use beechcroft_core::call::{Call, Reply};
 use beechcroft_core::list::Listing;
 use beechcroft_core::{Dispatch, Ended, Event, Mailbox, ToUnit};
+use beechcroft_fleet::held;
 use beechcroft_fleet::subset::KEPT_PART;
 use beechcroft_settings::Transport;
 use bytes::Bytes;
@@ -284,7 +285,7 @@
 /// How many tasks a load report says that the unit holds; one that cannot be read, or says nonsense, says nothing.
 pub fn held_by(report: &[u8]) -> Option<f64> {
     let report: LoadForm = serde_json::from_slice(report).ok()?;
-    report.held.filter(|held| (0.0..=HELD_MAX).contains(held))
+    report.held.and_then(held::sound)
 }
 
 /// The outcome that a status proves; any but the protocol's is an error, which may have run.
