--- /dev/null
+++ b/crates/beechcroft-cairns/src/letter.rs
@@ -0,0 +1,107 @@
+//! What relays tell each other in datagrams.
+
+use beechcroft_waymarks::{Note, RANGES};
+use rapidhash::v3::rapidhash_v3;
+use serde::{Deserialize, Serialize};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+/// Ranges over which two tables of members are compared.
+pub const MEMBER_RANGES: usize = 8;
+
+/// How a relay stands. A later standing outranks an earlier one at the same mark.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Standing {
+    /// It has no configuration or knows no units yet.
+    Coming,
+    Ready,
+    Leaving,
+    /// Its watchers have no answer from it.
+    Down,
+}
+
+/// A relay, as it says of itself or as others say.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    pub name: String,
+    pub ip: Ipv4Addr,
+    pub core: bool,
+    pub quorum: bool,
+    pub region: String,
+    pub zone: String,
+    pub ingress: Option<SocketAddrV4>,
+    pub control: Option<SocketAddrV4>,
+    /// The start of its process, in ms since 1970 by its own clock.
+    pub life: u64,
+    /// Rises with each thing it says of itself.
+    pub mark: u32,
+    pub standing: Standing,
+}
+
+impl Member {
+    pub fn rank(&self) -> (u64, u32, Standing) {
+        (self.life, self.mark, self.standing)
+    }
+
+    pub fn range(&self) -> usize {
+        rapidhash_v3(self.name.as_bytes()) as usize % MEMBER_RANGES
+    }
+
+    pub fn digest(&self) -> u32 {
+        let rank = self.life ^ (u64::from(self.mark) << 44) ^ ((self.standing as u64) << 60);
+        (rapidhash_v3(self.name.as_bytes()) ^ rank).wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(29) as u32
+    }
+}
+
+/// One relay's bit and divergence on a rollout (the design's one-bit weighted alarm).
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Sign {
+    pub relay: String,
+    pub life: u64,
+    pub count: u32,
+    pub service: String,
+    /// The rollout's begin and stage that the sign speaks of.
+    pub begun: u64,
+    pub stage: u8,
+    pub alarm: bool,
+    /// Expected log ratio a tick, in nats.
+    pub divergence: f32,
+    /// Trial outcomes and failures among them, of this stage.
+    pub trials: u32,
+    pub failures: u32,
+    /// Requests still open at units of the earlier version.
+    pub old_open: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Item {
+    Member(Member),
+    Unit(Note),
+    Sign(Sign),
+}
+
+impl Item {
+    /// About how many bytes it takes.
+    pub fn bytes(&self) -> usize {
+        match self {
+            Item::Member(m) => 40 + m.name.len() + m.region.len() + m.zone.len(),
+            Item::Unit(n) => 30 + n.id.len() + n.service.len() + n.version.len() + n.zone.len(),
+            Item::Sign(s) => 40 + s.relay.len() + s.service.len(),
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Digests {
+    pub members: [u32; MEMBER_RANGES],
+    pub units: [u32; RANGES],
+    pub revs: [u64; 2],
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Letter {
+    pub from: Member,
+    /// Whether an answer is asked for.
+    pub ask: bool,
+    pub digests: Digests,
+    pub items: Vec<Item>,
+}
--- /dev/null
+++ b/crates/beechcroft-hut/src/desks.rs
@@ -0,0 +1,187 @@
+//! What a core machine answers: to units and the operator, to clients that ask where to go, to other relays.
+
+use crate::keeper::{Command, Queue, ORDER_MS};
+use beechcroft_hutbook::{Op, BOOK, ORDERS};
+use beechcroft_kinds::{Fault, Kind};
+use beechcroft_map::Config;
+use beechcroft_pass::calls::{self, Call as Known};
+use beechcroft_pass::desk::{Answer, Call};
+use beechcroft_waymarks::{Note, State};
+use serde::Deserialize;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// A unit's beat.
+#[derive(Deserialize)]
+struct Beat {
+    address: SocketAddrV4,
+    info: Info,
+    status: Status,
+}
+
+#[derive(Deserialize)]
+struct Info {
+    service: String,
+    version: String,
+    zone: String,
+    #[serde(default)]
+    capacity: u16,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Status {
+    state: String,
+    sequence: u64,
+    #[serde(default)]
+    warmup_left_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Begin {
+    service: String,
+    target_version: String,
+    #[serde(default)]
+    ramp_s: f64,
+}
+
+/// Sends a command that is answered, and waits for it.
+async fn through<T>(queue: &Queue, make: impl FnOnce(oneshot::Sender<T>) -> Command) -> Result<T, Fault> {
+    let (answer, told) = oneshot::channel();
+    let within = Duration::from_millis(ORDER_MS + 200);
+    let gone = || Fault::new(Kind::NoMajority, "no answer");
+    queue.send(make(answer)).map_err(|_| gone())?;
+    tokio::time::timeout(within, told).await.map_err(|_| gone())?.map_err(|_| gone())
+}
+
+fn invalid(e: impl std::fmt::Display) -> Fault {
+    Fault::new(Kind::Invalid, e.to_string())
+}
+
+pub async fn control(queue: Queue, call: Call) -> Answer {
+    match answer(&queue, call).await {
+        Ok(answer) => answer,
+        Err(fault) => fault.into(),
+    }
+}
+
+async fn answer(queue: &Queue, call: Call) -> Result<Answer, Fault> {
+    let known = calls::find(&call.method, &call.path);
+    match known.ok_or_else(|| Fault::new(Kind::NoCall, format!("{} {}", call.method, call.path)))? {
+        Known::Beat(id) => {
+            let beat: Beat = serde_json::from_slice(&call.body).map_err(invalid)?;
+            let state = match beat.status.state.as_str() {
+                "ready" => State::Ready,
+                "draining" => State::Draining,
+                other => return Err(invalid(format!("state `{other}`"))),
+            };
+            let note = Note {
+                id,
+                service: beat.info.service,
+                version: beat.info.version,
+                zone: beat.info.zone,
+                address: beat.address,
+                capacity: beat.info.capacity.max(1),
+                state,
+                sequence: beat.status.sequence,
+                warm_left_ms: beat.status.warmup_left_ms.clamp(0.0, 1e9) as u32,
+                age_ms: 0,
+            };
+            through(queue, |done| Command::Beat(note, done)).await?;
+            Ok(Answer::json("{}"))
+        }
+        Known::Deregister(id) => {
+            through(queue, |done| Command::Deregister(id, done)).await?;
+            Ok(Answer::json("{}"))
+        }
+        Known::Replace => {
+            let config = Config::read(&call.body)?;
+            let (version, base) = (config.version, config.base_version);
+            let op = Op::Replace { version, base, body: call.body };
+            order(queue, BOOK, op).await
+        }
+        Known::ShowConfig => {
+            let value = through(queue, |answer| Command::Order(BOOK, Op::Read, answer)).await??;
+            let book: beechcroft_hutbook::Book = postcard::from_bytes(&value.bytes).unwrap_or_default();
+            if book.body.is_empty() {
+                return Err(Fault::new(Kind::NoThing, "no configuration yet"));
+            }
+            Ok(Answer::json(book.body))
+        }
+        Known::BeginRollout => {
+            let begin: Begin = serde_json::from_slice(&call.body).map_err(invalid)?;
+            let ramp_ms = (begin.ramp_s.clamp(0.0, 1e6) * 1000.0) as u64;
+            order(queue, ORDERS, Op::Begin { service: begin.service, target: begin.target_version, ramp_ms }).await
+        }
+        Known::ShowRollout(service) => {
+            let value = through(queue, |answer| Command::Order(ORDERS, Op::Read, answer)).await??;
+            let orders: beechcroft_hutbook::Orders = postcard::from_bytes(&value.bytes).unwrap_or_default();
+            let held = orders.rollouts.get(&service);
+            let held = held.ok_or_else(|| Fault::new(Kind::NoThing, format!("no rollout of {service}")))?;
+            let state = match held.stage {
+                beechcroft_hutbook::Stage::Active(_) => "active",
+                beechcroft_hutbook::Stage::Complete => "complete",
+                beechcroft_hutbook::Stage::Reverted => "reverted",
+            };
+            let body = serde_json::json!({ "state": state, "targetVersion": held.target });
+            Ok(Answer::json(body.to_string()))
+        }
+        Known::BeginEvacuation(zone) => order(queue, ORDERS, Op::Evacuate { zone, begin: true }).await,
+        Known::FinishEvacuation(zone) => order(queue, ORDERS, Op::Evacuate { zone, begin: false }).await,
+        Known::Resolve | Known::Ready => Err(Fault::new(Kind::NoCall, call.path)),
+    }
+}
+
+async fn order(queue: &Queue, register: usize, op: Op) -> Result<Answer, Fault> {
+    through(queue, |answer| Command::Order(register, op, answer)).await??;
+    Ok(Answer::json("{}"))
+}
+
+/// Clients that ask where to go. `ttl_s`: how long an answer holds.
+pub async fn directory(queue: Queue, ttl_s: f64, call: Call) -> Answer {
+    if calls::find(&call.method, &call.path) != Some(Known::Resolve) {
+        return Kind::NoCall.into();
+    }
+    let (region, zone) = (call.query("region").unwrap_or("").to_owned(), call.query("zone").unwrap_or("").to_owned());
+    match through(&queue, |answer| Command::Resolve { region, zone, answer }).await {
+        Ok(found) if !found.is_empty() => {
+            let body = serde_json::json!({ "addresses": found, "ttlS": ttl_s });
+            Answer::json(body.to_string())
+        }
+        _ => Kind::NotYet.into(),
+    }
+}
+
+/// Other relays.
+pub async fn relays(queue: Queue, call: Call) -> Answer {
+    let done = match call.path.as_str() {
+        "/ask" => match postcard::from_bytes(&call.body) {
+            Ok(ask) => through(&queue, |answer| Command::Ask(ask, answer)).await.map(|r| postcard::to_stdvec(&r)),
+            Err(e) => Err(invalid(e)),
+        },
+        "/copy" => {
+            let register = usize::from(call.body.first().copied().unwrap_or(0) & 1);
+            through(&queue, |answer| Command::Copy(register, answer)).await.map(|v| postcard::to_stdvec(&v))
+        }
+        "/unit" => match postcard::from_bytes(&call.body) {
+            Ok(note) => through(&queue, |done| Command::Told(note, done)).await.map(|()| Ok(Vec::new())),
+            Err(e) => Err(invalid(e)),
+        },
+        "/back" => match postcard::from_bytes::<(String, u64)>(&call.body) {
+            Ok((service, begun)) => {
+                let _ = queue.send(Command::Back { service, begun });
+                Ok(Ok(Vec::new()))
+            }
+            Err(e) => Err(invalid(e)),
+        },
+        "/show" => through(&queue, Command::Show).await.map(|text| Ok(text.into_bytes())),
+        _ => Err(Fault::new(Kind::NoCall, call.path)),
+    };
+    match done {
+        Ok(Ok(bytes)) => Answer::bytes(bytes),
+        Ok(Err(e)) => invalid(e).into(),
+        Err(fault) => fault.into(),
+    }
+}
--- /dev/null
+++ b/crates/beechcroft-hut/src/disk.rs
@@ -0,0 +1,48 @@
+//! The thread that owns the disk: it writes what waits together, with one sync, and says when it lasts.
+
+use beechcroft_cache::{Cache, Table};
+use std::io;
+use std::path::PathBuf;
+use std::sync::mpsc;
+use tokio::sync::oneshot;
+
+type Records = Vec<(String, Vec<u8>)>;
+
+/// The queue of the disk's owner.
+#[derive(Clone, Debug)]
+pub struct Disk(mpsc::Sender<(Records, oneshot::Sender<bool>)>);
+
+impl Disk {
+    /// Opens the folder and starts the owner; what the folder held comes back.
+    pub fn open(folder: PathBuf) -> io::Result<(Disk, Table)> {
+        let mut cache = Cache::open(&folder)?;
+        let table = cache.table().clone();
+        let (queue, jobs) = mpsc::channel::<(Records, oneshot::Sender<bool>)>();
+        std::thread::Builder::new().name("disk".into()).spawn(move || {
+            while let Ok((mut records, asked)) = jobs.recv() {
+                let mut waiting = vec![asked];
+                while let Ok((more, asked)) = jobs.try_recv() {
+                    records.extend(more);
+                    waiting.push(asked);
+                }
+                let kept = cache.write(&records);
+                if let Err(e) = &kept {
+                    log::warn!("disk: Writing failed: {e}.");
+                }
+                for asked in waiting {
+                    let _ = asked.send(kept.is_ok());
+                }
+            }
+        })?;
+        Ok((Disk(queue), table))
+    }
+
+    /// Whether the records are on disk to stay.
+    pub async fn keep(&self, records: Records) -> bool {
+        if records.is_empty() {
+            return true;
+        }
+        let (asked, told) = oneshot::channel();
+        self.0.send((records, asked)).is_ok() && told.await.unwrap_or(false)
+    }
+}
--- /dev/null
+++ b/crates/beechcroft-hut/src/keeper.rs
@@ -0,0 +1,505 @@
+//! The owner of a core machine's tables: members, units, the voter, this machine's rounds, what is chosen.
+//! Everything reaches it through one queue of commands; it never waits.
+
+use crate::disk::Disk;
+use beechcroft_cairns::{Action as News, Cairns, Letter, Member, Standing};
+use beechcroft_hutbook::proposer::{Action as Step, Answer, Event, OrderId};
+use beechcroft_hutbook::{Ask, Ballot, Op, Orders, Proposer, Reply, Stage, Value, Voter, BOOK, ORDERS};
+use beechcroft_kinds::{Fault, Kind};
+use beechcroft_map::{Config, Settings};
+use beechcroft_pass::errand::Errands;
+use beechcroft_pass::post::Post;
+use beechcroft_ropes::conduct::{conduct, Next, View};
+use beechcroft_waymarks::{News as UnitNews, Note, State};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+
+pub const ASK_WITHIN: Duration = Duration::from_millis(900);
+const COPY_WITHIN: Duration = Duration::from_millis(1500);
+/// The operator asks another machine after a second of silence.
+pub const ORDER_MS: u64 = 2500;
+const FENCE_EVERY_MS: u64 = 300;
+const CONDUCT_EVERY_MS: u64 = 200;
+/// Since the last new core machine, before the first voters are named.
+const SETTLE_MS: u64 = 1000;
+/// Units of a service are watched for so long before its version is put down.
+const BASE_AFTER_MS: u64 = 1200;
+
+/// What the keeper is asked or told.
+pub enum Command {
+    Letter(SocketAddrV4, Box<Letter>),
+    /// A beat; answered once others know, if it tells of a drain.
+    Beat(Note, oneshot::Sender<()>),
+    Deregister(String, oneshot::Sender<()>),
+    /// Another core machine passes on a drain or an end.
+    Told(Note, oneshot::Sender<()>),
+    Ask(Ask, oneshot::Sender<Reply>),
+    Replied { from: String, register: usize, ballot: Ballot, reply: Reply },
+    Fenced { from: String, life: u64, reply: Reply },
+    VotesAgain,
+    Order(usize, Op, oneshot::Sender<Answer>),
+    Back { service: String, begun: u64 },
+    Copy(usize, oneshot::Sender<Value>),
+    Copied(usize, Value),
+    Resolve { region: String, zone: String, answer: oneshot::Sender<Vec<SocketAddrV4>> },
+    Show(oneshot::Sender<String>),
+    Seeds(Vec<SocketAddrV4>),
+    Leave,
+    Tick,
+}
+
+pub type Queue = mpsc::UnboundedSender<Command>;
+
+pub struct Keeper {
+    settings: Settings,
+    began: Instant,
+    cairns: Cairns,
+    voter: Voter,
+    proposer: Proposer,
+    held: [Value; 2],
+    orders: Orders,
+    services: HashSet<String>,
+    answers: HashMap<OrderId, oneshot::Sender<Answer>>,
+    next_order: OrderId,
+    pulling: [u64; 2],
+    fence_at: u64,
+    conduct_at: u64,
+    /// Core machines known, and since when no other has come.
+    cores: (usize, u64),
+    /// Since when each rollout stands at its stage, as this machine saw it.
+    stages: HashMap<String, (u64, Stage, u64)>,
+    unbased: BTreeMap<String, u64>,
+    read_at: u64,
+    disk: Disk,
+    post: Post,
+    errands: Errands,
+    queue: Queue,
+}
+
+impl Keeper {
+    pub fn new(
+        settings: Settings, voter: Voter, me: Member, salt: u64, disk: Disk, post: Post, errands: Errands, queue: Queue,
+    ) -> Keeper {
+        let cairns = Cairns::new(me, settings.internal_ports[0], settings.seed_nodes.clone(), salt);
+        let mut proposer = Proposer::new(salt ^ 0x5eed);
+        proposer.voters(voter.voters(), voter.highest());
+        Keeper {
+            settings,
+            began: Instant::now(),
+            cairns,
+            voter,
+            proposer,
+            held: Default::default(),
+            orders: Orders::default(),
+            services: HashSet::new(),
+            answers: HashMap::new(),
+            next_order: 0,
+            pulling: [0; 2],
+            fence_at: 0,
+            conduct_at: 0,
+            cores: (0, 0),
+            stages: HashMap::new(),
+            unbased: BTreeMap::new(),
+            read_at: 0,
+            disk,
+            post,
+            errands,
+            queue,
+        }
+    }
+
+    fn now(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64 + 10_000 // ages before the start stay above 0
+    }
+
+    pub fn on(&mut self, command: Command) {
+        let now = self.now();
+        let mut news = Vec::new();
+        match command {
+            Command::Letter(from, letter) => self.cairns.letter(now, from, *letter, &mut news),
+            Command::Beat(note, done) => {
+                let state = note.state;
+                if self.cairns.beat(now, note.clone()) == UnitNews::Change && state == State::Draining {
+                    self.cairns.hurry(now, &mut news);
+                    self.tell_cores(note, done);
+                } else {
+                    let _ = done.send(());
+                }
+            }
+            Command::Deregister(id, done) => {
+                if self.cairns.unit_gone(&id) {
+                    self.cairns.hurry(now, &mut news);
+                    match self.cairns.units.note(now, &id) {
+                        Some(note) => self.tell_cores(note, done),
+                        None => drop(done.send(())),
+                    }
+                } else {
+                    let _ = done.send(());
+                }
+            }
+            Command::Told(note, done) => {
+                if self.cairns.beat(now, note) == UnitNews::Change {
+                    self.cairns.hurry(now, &mut news);
+                }
+                let _ = done.send(());
+            }
+            Command::Ask(ask, answer) => self.ask(ask, answer),
+            Command::Replied { from, register, ballot, reply } => {
+                self.propose(Event::Reply { from, register, ballot, reply });
+            }
+            Command::Fenced { from, life, reply } => self.fenced(&from, life, reply),
+            Command::VotesAgain => self.votes(),
+            Command::Order(register, op, answer) => self.order(register, op, Some(answer)),
+            Command::Back { service, begun } => self.back(&service, begun),
+            Command::Copy(register, answer) => {
+                let _ = answer.send(self.held[register.min(1)].clone());
+            }
+            Command::Copied(register, value) => {
+                self.pulling[register] = 0;
+                self.learn(register, value);
+            }
+            Command::Resolve { region, zone, answer } => {
+                let _ = answer.send(self.resolve(&region, &zone));
+            }
+            Command::Show(answer) => drop(answer.send(self.show())),
+            Command::Seeds(seeds) => self.cairns.seeds(seeds),
+            Command::Leave => {
+                self.cairns.stand(Standing::Leaving);
+                self.cairns.hurry(now, &mut news);
+            }
+            Command::Tick => {
+                self.cairns.tick(now, &mut news);
+                self.tick(now);
+            }
+        }
+        self.carry_out(news);
+    }
+
+    fn carry_out(&mut self, news: Vec<News>) {
+        let now = self.now();
+        for action in news {
+            match action {
+                News::Send { to, letter } => self.post.send(to, &letter),
+                News::Pull { from, register, rev } if now >= self.pulling[register] && rev > self.held[register].rev => {
+                    self.pulling[register] = now + COPY_WITHIN.as_millis() as u64 / 2;
+                    let (errands, queue) = (self.errands.clone(), self.queue.clone());
+                    spawn_local(async move {
+                        let copy = errands.run(from, "/copy", vec![register as u8], COPY_WITHIN).await;
+                        if let Ok(value) = copy.and_then(|b| postcard::from_bytes(&b).map_err(|e| Fault::new(Kind::Malformed, e.to_string()))) {
+                            let _ = queue.send(Command::Copied(register, value));
+                        }
+                    });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Every other core machine is told of a drain before it is acknowledged; one that answers is enough.
+    fn tell_cores(&self, note: Note, done: oneshot::Sender<()>) {
+        let cores: Vec<SocketAddrV4> =
+            self.cairns.alive().filter(|m| m.core).map(|m| self.cairns.address(m)).collect();
+        let Ok(bytes) = postcard::to_stdvec(&note) else { return };
+        let (told, mut heard) = mpsc::unbounded_channel();
+        for to in cores {
+            let (errands, bytes, told) = (self.errands.clone(), bytes.clone(), told.clone());
+            spawn_local(async move {
+                if errands.run(to, "/unit", bytes, Duration::from_millis(600)).await.is_ok() {
+                    let _ = told.send(());
+                }
+            });
+        }
+        drop(told);
+        spawn_local(async move {
+            let _ = tokio::time::timeout(Duration::from_millis(600), heard.recv()).await;
+            let _ = done.send(());
+        });
+    }
+
+    /// This machine's own part as a voter: the reply goes out once what it says is on disk.
+    fn ask(&mut self, ask: Ask, answer: oneshot::Sender<Reply>) {
+        let (reply, records) = self.voter.ask(ask);
+        let disk = self.disk.clone();
+        spawn_local(async move {
+            if disk.keep(records).await {
+                let _ = answer.send(reply);
+            }
+        });
+    }
+
+    fn order(&mut self, register: usize, op: Op, answer: Option<oneshot::Sender<Answer>>) {
+        self.next_order += 1;
+        let id = self.next_order;
+        if let Some(answer) = answer {
+            self.answers.insert(id, answer);
+        }
+        let until = self.now() + ORDER_MS;
+        self.propose(Event::Order { id, register, op, until });
+    }
+
+    fn propose(&mut self, event: Event) {
+        let mut steps = Vec::new();
+        self.proposer.on(self.now(), event, &mut steps);
+        for step in steps {
+            match step {
+                Step::Ask(ask) => self.send_to_voters(&ask),
+                Step::Answer { id, answer } => {
+                    if let Some(asked) = self.answers.remove(&id) {
+                        let _ = asked.send(answer);
+                    }
+                }
+                Step::Chosen { register, value } => self.learn(register, value),
+            }
+        }
+    }
+
+    fn send_to_voters(&mut self, ask: &Ask) {
+        let (register, ballot) = match ask {
+            Ask::Prepare { register, ballot } | Ask::Accept { register, ballot, .. } => (*register, *ballot),
+            Ask::Fence { .. } => return,
+        };
+        let bytes = postcard::to_stdvec(ask).expect("plain data");
+        for from in self.voter.voters().to_vec() {
+            let queue = self.queue.clone();
+            if from == self.cairns.me.name {
+                let (answer, told) = oneshot::channel();
+                self.ask(ask.clone(), answer);
+                spawn_local(async move {
+                    if let Ok(reply) = told.await {
+                        let _ = queue.send(Command::Replied { from, register, ballot, reply });
+                    }
+                });
+            } else if let Some(to) = self.cairns.member(&from).map(|m| self.cairns.address(m)) {
+                let (errands, bytes) = (self.errands.clone(), bytes.clone());
+                spawn_local(async move {
+                    let reply = errands.run(to, "/ask", bytes, ASK_WITHIN).await;
+                    if let Some(reply) = reply.ok().and_then(|bytes| postcard::from_bytes(&bytes).ok()) {
+                        let _ = queue.send(Command::Replied { from, register, ballot, reply });
+                    }
+                });
+            }
+        }
+    }
+
+    /// A chosen value, from a round or from another relay.
+    fn learn(&mut self, register: usize, value: Value) {
+        if value.rev <= self.held[register].rev {
+            return;
+        }
+        if register == BOOK {
+            let book: Option<beechcroft_hutbook::Book> = postcard::from_bytes(&value.bytes).ok();
+            let config = book.and_then(|book| book.config());
+            self.services = config.into_iter().flat_map(|c: Config| c.services).map(|s| s.name).collect();
+        } else {
+            self.orders = postcard::from_bytes(&value.bytes).unwrap_or_default();
+            log::info!("keeper: Orders at {}: {:?}.", value.rev, self.orders);
+        }
+        self.held[register] = value;
+        self.cairns.revs[register] = self.held[register].rev;
+        let (now, mut news) = (self.now(), Vec::new());
+        self.cairns.hurry(now, &mut news);
+        self.carry_out(news);
+    }
+
+    fn tick(&mut self, now: u64) {
+        self.propose(Event::Tick);
+        if self.voter.identity.is_none() {
+            self.settle(now);
+            return;
+        }
+        if self.read_at == 0 && !self.voter.voters().is_empty() {
+            // What was chosen in a former life is known again once a round has confirmed it.
+            self.read_at = now;
+            self.order(BOOK, Op::Read, None);
+            self.order(ORDERS, Op::Read, None);
+        }
+        let quiet = self.read_at != 0 && (self.held[BOOK].rev == 0 || self.held[ORDERS].rev == 0);
+        if quiet && now > self.read_at + ORDER_MS {
+            self.read_at = 0;
+        }
+        if now >= self.conduct_at {
+            self.conduct_at = now + CONDUCT_EVERY_MS;
+            self.put_bases_down(now);
+            self.conduct(now);
+        }
+    }
+
+    /// No identity yet: the first start of the whole system, or a disk that was lost.
+    fn settle(&mut self, now: u64) {
+        if !self.settings.quorum_member {
+            return;
+        }
+        let me = self.cairns.me.name.clone();
+        let mut names: Vec<String> =
+            self.cairns.known().filter(|m| m.core && m.quorum).map(|m| m.name.clone()).collect();
+        if self.settings.bootstrap {
+            names.push(me);
+            names.sort();
+            let need = 2 * self.settings.fault_tolerance.node_losses + 1;
+            if names.len() != self.cores.0 {
+                self.cores = (names.len(), now);
+            }
+            if names.len() >= need && now >= self.cores.1 + SETTLE_MS {
+                names.truncate(need);
+                if !names.contains(&self.cairns.me.name) {
+                    return;
+                }
+                log::info!("keeper: The first voters are {names:?}.");
+                let records = self.voter.found(names);
+                self.keep_identity(records);
+            }
+            return;
+        }
+        if now < self.fence_at {
+            return;
+        }
+        self.fence_at = now + FENCE_EVERY_MS;
+        let Some(ask) = self.voter.fence() else { return };
+        let Ask::Fence { life, .. } = ask else { return };
+        let bytes = postcard::to_stdvec(&ask).expect("plain data");
+        for from in names {
+            let Some(to) = self.cairns.member(&from).map(|m| self.cairns.address(m)) else { continue };
+            let (errands, queue, bytes) = (self.errands.clone(), self.queue.clone(), bytes.clone());
+            spawn_local(async move {
+                let reply = errands.run(to, "/ask", bytes, ASK_WITHIN).await;
+                if let Some(reply) = reply.ok().and_then(|bytes| postcard::from_bytes(&bytes).ok()) {
+                    let _ = queue.send(Command::Fenced { from, life, reply });
+                }
+            });
+        }
+    }
+
+    fn fenced(&mut self, from: &str, life: u64, reply: Reply) {
+        if let Some(records) = self.voter.fenced(from, life, reply) {
+            log::info!("keeper: The lost disk is made good; this machine votes again.");
+            self.keep_identity(records);
+        }
+    }
+
+    /// The voter answers nobody before its identity is on disk: its replies wait behind it in the disk's queue.
+    fn keep_identity(&mut self, records: beechcroft_hutbook::voter::Records) {
+        let (disk, queue) = (self.disk.clone(), self.queue.clone());
+        spawn_local(async move {
+            while !disk.keep(records.clone()).await {
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+            let _ = queue.send(Command::VotesAgain);
+        });
+    }
+
+    fn votes(&mut self) {
+        self.proposer.voters(self.voter.voters(), self.voter.highest());
+    }
+
+    /// The version that a service runs before any rollout: what most of its units ran when they were first seen.
+    fn put_bases_down(&mut self, now: u64) {
+        let mut found: BTreeMap<&str, BTreeMap<&str, usize>> = BTreeMap::new();
+        for unit in self.cairns.units.all().filter(|unit| unit.note.state == State::Ready) {
+            let note = &unit.note;
+            if self.services.contains(&note.service) && !self.orders.bases.contains_key(&note.service) {
+                *found.entry(&note.service).or_default().entry(&note.version).or_default() += 1;
+            }
+        }
+        self.unbased.retain(|service, _| found.contains_key(service.as_str()));
+        let mut due = Vec::new();
+        for (service, versions) in found {
+            let since = *self.unbased.entry(service.to_owned()).or_insert(now);
+            let most = versions.iter().max_by(|a, b| a.1.cmp(b.1).then(b.0.cmp(a.0)));
+            if let Some((version, _)) = most.filter(|_| now >= since + BASE_AFTER_MS) {
+                due.push(Op::Base { service: service.to_owned(), version: (*version).to_owned() });
+            }
+        }
+        if !due.is_empty() {
+            self.unbased.values_mut().for_each(|since| *since = now);
+        }
+        for op in due {
+            self.order(ORDERS, op, None);
+        }
+    }
+
+    /// One of the core machines takes rollouts on; another does once that one is gone.
+    fn conduct(&mut self, now: u64) {
+        let me = self.cairns.me.name.as_str();
+        let first = self.cairns.alive().filter(|m| m.core).all(|m| m.name.as_str() > me);
+        let mut due = Vec::new();
+        for (service, rollout) in &self.orders.rollouts {
+            let Stage::Active(stage) = rollout.stage else { continue };
+            let since = match self.stages.get(service) {
+                Some(&(begun, at, since)) if (begun, at) == (rollout.begun, rollout.stage) => since,
+                _ => {
+                    self.stages.insert(service.clone(), (rollout.begun, rollout.stage, now));
+                    now
+                }
+            };
+            if !first {
+                continue;
+            }
+            let mut view =
+                View { stage, stage_ms: now - since, ramp_ms: rollout.ramp_ms, ..View::default() };
+            let signs = self.cairns.signs(now, service);
+            for sign in signs.filter(|sign| (sign.begun, sign.stage) == (rollout.begun, stage)) {
+                view.trials += sign.trials;
+                view.failures += sign.failures;
+                view.alarm |= sign.alarm;
+                view.old_open += sign.old_open;
+            }
+            for unit in self.cairns.units.all() {
+                let warm = unit.note.state == State::Ready && unit.warm_at <= now && unit.note.service == *service;
+                if warm && unit.note.version == rollout.target {
+                    view.new_slots += u32::from(unit.note.capacity);
+                } else if warm {
+                    view.old_slots += u32::from(unit.note.capacity);
+                }
+            }
+            let to = match conduct(view) {
+                Next::Stay => continue,
+                Next::On(stage) => Stage::Active(stage),
+                Next::Complete => Stage::Complete,
+            };
+            log::info!("keeper: Rollout of {service} goes from {stage} to {to:?}: {view:?}.");
+            due.push(Op::Move { service: service.clone(), begun: rollout.begun, from: rollout.stage, to });
+        }
+        for op in due {
+            self.order(ORDERS, op, None);
+        }
+    }
+
+    /// A proxy relay votes a version back.
+    fn back(&mut self, service: &str, begun: u64) {
+        let held = self.orders.rollouts.get(service).filter(|held| held.begun == begun);
+        let Some(from) = held.map(|held| held.stage).filter(|stage| matches!(stage, Stage::Active(_))) else { return };
+        log::info!("keeper: Rollout of {service} is voted back.");
+        let op = Op::Move { service: service.to_owned(), begun, from, to: Stage::Reverted };
+        self.order(ORDERS, op, None);
+    }
+
+    /// Where a client goes: the ready edges of its region, else all.
+    fn resolve(&self, region: &str, _zone: &str) -> Vec<SocketAddrV4> {
+        let ready = || self.cairns.alive().filter(|m| m.standing == Standing::Ready && m.ingress.is_some());
+        let mut found: Vec<SocketAddrV4> = ready().filter(|m| m.region == region).filter_map(|m| m.ingress).collect();
+        if found.is_empty() {
+            found = ready().filter_map(|m| m.ingress).collect();
+        }
+        found.truncate(64);
+        found
+    }
+
+    fn show(&self) -> String {
+        let now = self.now();
+        let mut text = format!("relay {} voters {:?}\n", self.cairns.me.name, self.voter.voters());
+        for member in self.cairns.known() {
+            text += &format!("member {} {:?} {}\n", member.name, member.standing, member.zone);
+        }
+        for unit in self.cairns.units.all() {
+            let note = &unit.note;
+            let heard = now.saturating_sub(unit.heard_at);
+            text += &format!("unit {} {} {} {} {:?} heard {heard} ms ago\n", note.id, note.service, note.version, note.zone, note.state);
+        }
+        text += &format!("orders {:?}\n", self.orders);
+        text
+    }
+}
--- /dev/null
+++ b/crates/beechcroft-hutbook/src/proposer.rs
@@ -0,0 +1,232 @@
+//! Rounds of ballots: how an order becomes part of a chosen value.
+
+use crate::voter::{Ask, Reply};
+use crate::{Ballot, Book, Op, Orders, Seat, Value, BOOK, ORDERS};
+use beechcroft_kinds::{Fault, Kind};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// A round that has not ended by then is begun anew.
+const ROUND_MS: u64 = 1200;
+
+/// The order, as its caller numbers it.
+pub type OrderId = u64;
+
+#[derive(Debug)]
+pub enum Event {
+    Order { id: OrderId, register: usize, op: Op, until: u64 },
+    Reply { from: String, register: usize, ballot: Ballot, reply: Reply },
+    Tick,
+}
+
+/// How an order ended.
+pub type Answer = Result<Value, Fault>;
+
+#[derive(Debug)]
+pub enum Action {
+    /// To every voter, this machine included.
+    Ask(Ask),
+    Answer { id: OrderId, answer: Answer },
+    /// A value is chosen.
+    Chosen { register: usize, value: Value },
+}
+
+struct Waiting {
+    id: OrderId,
+    op: Op,
+    until: u64,
+}
+
+struct Round {
+    ballot: Ballot,
+    began: u64,
+    promises: BTreeMap<String, u64>,
+    best: Option<(Ballot, Value)>,
+    /// Once promises of a majority are there: the value and who has accepted it.
+    offered: Option<(Value, BTreeSet<String>)>,
+    refusals: BTreeSet<String>,
+    /// The orders it carries, with their outcome if it ends well.
+    carried: Vec<(Waiting, Result<(), Fault>)>,
+}
+
+#[derive(Default)]
+struct Side {
+    queue: VecDeque<Waiting>,
+    round: Option<Round>,
+    not_before: u64,
+    tries: u32,
+    chosen: u64,
+}
+
+/// Runs this machine's rounds, one at a time for each register.
+pub struct Proposer {
+    voters: Vec<String>,
+    nonce: u64,
+    count: u64,
+    rng: Pcg64Mcg,
+    sides: [Side; 2],
+}
+
+impl Proposer {
+    pub fn new(salt: u64) -> Proposer {
+        let mut rng = Pcg64Mcg::seed_from_u64(salt);
+        let nonce = rng.random();
+        Proposer { voters: Vec::new(), nonce, count: 0, rng, sides: Default::default() }
+    }
+
+    pub fn voters(&mut self, voters: &[String], highest: u64) {
+        self.voters = voters.to_vec();
+        self.count = self.count.max(highest);
+    }
+
+    fn majority(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    pub fn on(&mut self, now: u64, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Order { id, register, op, until } => {
+                self.sides[register].queue.push_back(Waiting { id, op, until });
+                self.begin(now, register, out);
+            }
+            Event::Reply { from, register, ballot, reply } => self.reply(now, &from, register, ballot, reply, out),
+            Event::Tick => {
+                for register in [BOOK, ORDERS] {
+                    self.expire(now, register, out);
+                    self.begin(now, register, out);
+                }
+            }
+        }
+    }
+
+    /// Gives up what has waited too long, and rounds that hang.
+    fn expire(&mut self, now: u64, register: usize, out: &mut Vec<Action>) {
+        let side = &mut self.sides[register];
+        if side.round.as_ref().is_some_and(|round| now.saturating_sub(round.began) > ROUND_MS) {
+            self.give_up(now, register);
+        }
+        let side = &mut self.sides[register];
+        side.queue.retain(|waiting| {
+            let keep = waiting.until > now;
+            if !keep {
+                let fault = Fault::new(Kind::NoMajority, "no majority of the core answered in time");
+                out.push(Action::Answer { id: waiting.id, answer: Err(fault) });
+            }
+            keep
+        });
+    }
+
+    /// Ends a round without result; what it carried waits again, in its order.
+    fn give_up(&mut self, now: u64, register: usize) {
+        let side = &mut self.sides[register];
+        if let Some(round) = side.round.take() {
+            for (waiting, _) in round.carried.into_iter().rev() {
+                side.queue.push_front(waiting);
+            }
+        }
+        side.tries += 1;
+        side.not_before = now + self.rng.random_range(5..40 * u64::from(side.tries.min(8)) + 6);
+    }
+
+    fn begin(&mut self, now: u64, register: usize, out: &mut Vec<Action>) {
+        let side = &mut self.sides[register];
+        if self.voters.is_empty() || side.round.is_some() || side.queue.is_empty() || now < side.not_before {
+            return;
+        }
+        self.count += 1;
+        let ballot = Ballot { count: self.count, nonce: self.nonce };
+        side.round = Some(Round {
+            ballot,
+            began: now,
+            promises: BTreeMap::new(),
+            best: None,
+            offered: None,
+            refusals: BTreeSet::new(),
+            carried: Vec::new(),
+        });
+        out.push(Action::Ask(Ask::Prepare { register, ballot }));
+    }
+
+    fn reply(&mut self, now: u64, from: &str, register: usize, ballot: Ballot, reply: Reply, out: &mut Vec<Action>) {
+        if let Reply::Refused { promised } = &reply {
+            self.count = self.count.max(promised.count);
+        }
+        let (majority, all) = (self.majority(), self.voters.len());
+        if !self.voters.iter().any(|voter| voter == from) {
+            return;
+        }
+        let Some(round) = self.sides[register].round.as_mut().filter(|round| round.ballot == ballot) else { return };
+        match (reply, &mut round.offered) {
+            (Reply::Promise { life, accepted }, None) => {
+                round.promises.insert(from.to_owned(), life);
+                if accepted.as_ref().map(|a| a.0) > round.best.as_ref().map(|a| a.0) {
+                    round.best = accepted;
+                }
+                if round.promises.len() >= majority {
+                    self.offer(register, out);
+                }
+            }
+            (Reply::Accepted { .. }, Some((_, accepted))) => {
+                accepted.insert(from.to_owned());
+                if accepted.len() >= majority {
+                    self.choose(register, out);
+                    self.begin(now, register, out);
+                }
+            }
+            (Reply::Refused { .. } | Reply::Learner, _) => {
+                round.refusals.insert(from.to_owned());
+                if round.refusals.len() > all - majority {
+                    self.give_up(now, register);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// A majority has promised: applies the orders to the newest accepted value and offers the result.
+    fn offer(&mut self, register: usize, out: &mut Vec<Action>) {
+        let side = &mut self.sides[register];
+        let Some(round) = side.round.as_mut() else { return };
+        let held = round.best.take().map(|(_, value)| value).unwrap_or_default();
+        let mut changed = false;
+        let bytes = if register == BOOK {
+            let mut book: Book = postcard::from_bytes(&held.bytes).unwrap_or_default();
+            for waiting in side.queue.drain(..) {
+                let outcome = book.apply(&waiting.op);
+                changed |= matches!(outcome, Ok(true));
+                round.carried.push((waiting, outcome.map(drop)));
+            }
+            changed.then(|| postcard::to_stdvec(&book).expect("plain data"))
+        } else {
+            let mut orders: Orders = postcard::from_bytes(&held.bytes).unwrap_or_default();
+            for waiting in side.queue.drain(..) {
+                let outcome = orders.apply(&waiting.op, &mut self.rng);
+                changed |= matches!(outcome, Ok(true));
+                round.carried.push((waiting, outcome.map(drop)));
+            }
+            changed.then(|| postcard::to_stdvec(&orders).expect("plain data"))
+        };
+        let value = match bytes {
+            Some(bytes) => Value { rev: held.rev + 1, bytes },
+            None => held,
+        };
+        let seats: Vec<Seat> = round.promises.iter().map(|(name, &life)| (name.clone(), life)).collect();
+        round.offered = Some((value.clone(), BTreeSet::new()));
+        out.push(Action::Ask(Ask::Accept { register, ballot: round.ballot, value, seats }));
+    }
+
+    /// A majority has accepted.
+    fn choose(&mut self, register: usize, out: &mut Vec<Action>) {
+        let side = &mut self.sides[register];
+        let Some(Round { offered: Some((value, _)), carried, .. }) = side.round.take() else { return };
+        side.tries = 0;
+        if value.rev > side.chosen {
+            side.chosen = value.rev;
+            out.push(Action::Chosen { register, value: value.clone() });
+        }
+        for (waiting, outcome) in carried {
+            out.push(Action::Answer { id: waiting.id, answer: outcome.map(|()| value.clone()) });
+        }
+    }
+}
--- /dev/null
+++ b/crates/beechcroft-map/src/config.rs
@@ -0,0 +1,153 @@
+//! A configuration, as the operator sends it, and the checks it has to pass.
+
+use beechcroft_kinds::{Fault, Kind};
+use garde::Validate;
+use serde::{Deserialize, Deserializer, Serialize};
+use std::collections::HashSet;
+
+#[derive(Clone, Debug, Deserialize, Validate)]
+#[serde(rename_all = "camelCase")]
+#[garde(allow_unvalidated)]
+pub struct Config {
+    #[serde(deserialize_with = "hex")]
+    #[garde(range(min = 1))]
+    pub version: u32,
+    #[serde(deserialize_with = "hex", default)]
+    pub base_version: u32,
+    #[garde(dive)]
+    pub services: Vec<Service>,
+    #[serde(default)]
+    pub limits: Limits,
+    #[garde(dive)]
+    pub virtual_hosts: Vec<Host>,
+}
+
+fn hex<'de, D: Deserializer<'de>>(from: D) -> Result<u32, D::Error> {
+    #[derive(Deserialize)]
+    #[serde(untagged)]
+    enum Either {
+        Text(String),
+        Number(u32),
+    }
+    match Either::deserialize(from)? {
+        Either::Number(number) => Ok(number),
+        Either::Text(text) => u32::from_str_radix(&text, 16)
+            .map_err(|_| serde::de::Error::custom(format!("`{text}` is not eight hexadecimal digits"))),
+    }
+}
+
+#[derive(Clone, Debug, Deserialize, Validate)]
+#[serde(rename_all = "camelCase")]
+#[garde(allow_unvalidated)]
+pub struct Service {
+    #[garde(length(min = 1))]
+    pub name: String,
+    #[serde(default)]
+    pub health_path: String,
+    #[serde(default = "conns")]
+    pub max_conns: u32,
+    #[serde(default)]
+    pub warmup_s: f64,
+    #[serde(default)]
+    pub warmup_rate_s: f64,
+}
+
+fn conns() -> u32 {
+    64
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Limits {
+    pub max_header_bytes: usize,
+    pub max_body_bytes: u64,
+    pub header_timeout_ms: u64,
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { max_header_bytes: 16384, max_body_bytes: 64 << 20, header_timeout_ms: 3000, idle_timeout_ms: 15000 }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize, Validate)]
+#[serde(rename_all = "camelCase")]
+#[garde(allow_unvalidated)]
+pub struct Host {
+    #[garde(length(min = 1))]
+    pub hostname: String,
+    #[garde(dive)]
+    pub path_rules: Vec<Route>,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum RouteType {
+    Idempotent,
+    NonIdempotent,
+    Download,
+}
+
+#[derive(Clone, Debug, Deserialize, Validate)]
+#[serde(rename_all = "camelCase")]
+#[garde(allow_unvalidated)]
+pub struct Route {
+    pub name: String,
+    #[garde(prefix("/"))]
+    pub path_prefix: String,
+    pub route_type: RouteType,
+    #[garde(range(min = 1))]
+    pub timeout_ms: u64,
+    #[serde(default)]
+    pub target_ms: u64,
+    #[serde(default)]
+    pub priority: u8,
+    pub service: Option<String>,
+    #[serde(default)]
+    pub split: Vec<Part>,
+    #[serde(default = "once")]
+    pub retries: u32,
+    #[serde(default)]
+    pub home_regions: Vec<String>,
+}
+
+fn once() -> u32 {
+    1
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Part {
+    pub service: String,
+    pub weight: u32,
+}
+
+impl Config {
+    /// Reads and checks a body; a fault names the route and what is wrong with it.
+    pub fn read(body: &[u8]) -> Result<Config, Fault> {
+        let invalid = |said: String| Fault::new(Kind::Invalid, said);
+        let config: Config = serde_json::from_slice(body).map_err(|e| invalid(e.to_string()))?;
+        let names: HashSet<&str> = config.services.iter().map(|s| s.name.as_str()).collect();
+        for route in config.virtual_hosts.iter().flat_map(|host| &host.path_rules) {
+            let wrong = |said: String| invalid(format!("route `{}`: {said}", route.name));
+            if route.timeout_ms == 0 {
+                return Err(wrong("timeoutMs is 0".into()));
+            }
+            if !route.path_prefix.starts_with('/') {
+                return Err(wrong(format!("pathPrefix `{}` does not start with a slash", route.path_prefix)));
+            }
+            if route.service.is_none() && route.split.iter().map(|p| u64::from(p.weight)).sum::<u64>() == 0 {
+                return Err(wrong("names no service, and the weights of its split sum to 0".into()));
+            }
+            let parts = route.split.iter().map(|part| part.service.as_str());
+            if let Some(name) = route.service.as_deref().into_iter().chain(parts).find(|n| !names.contains(n)) {
+                return Err(wrong(format!("service `{name}` is not known")));
+            }
+        }
+        config.validate().map_err(|report| invalid(report.to_string()))?;
+        if config.version <= config.base_version {
+            return Err(invalid(format!("version {:08x} is not above its base", config.version)));
+        }
+        Ok(config)
+    }
+}
--- /dev/null
+++ b/crates/beechcroft-pace/src/lib.rs
@@ -0,0 +1,8 @@
+//! Limits that hold summed over all relays without asking any: further tries, cold units, the trial's share;
+//! and the yard, which unit a request goes to. No I/O; times are milliseconds of a steady clock.
+
+pub mod bucket;
+pub mod yard;
+
+pub use bucket::{Cold, Share, Tries};
+pub use yard::{Place, Side, Want, Why, Yard};
--- /dev/null
+++ b/crates/beechcroft-pace/src/yard.rs
@@ -0,0 +1,331 @@
+//! Which unit a request goes to. The yard holds every unit that may get any, by service, with what this relay
+//! has open there and what the unit last told of its load. Two random choices, the less loaded one taken:
+//! first among the units of this relay's region, then further off where near ones are full.
+
+use crate::Cold;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+/// A unit's word on its load fades in about this time.
+const FADE_MS: f64 = 400.0;
+/// Requests at a unit for each of its slots above which it gets none, for the highest priority; each rank
+/// below it bears less.
+const MOST: f64 = 3.0;
+const MOST_PER_RANK: f64 = 0.25;
+/// How much emptier a unit of another region must be, in requests for each slot.
+const FAR: f64 = 0.6;
+/// The same for another zone of the region.
+const NEXT_ZONE: f64 = 0.08;
+/// Failures in a row that set a unit aside, and for how long at first and at most.
+const STREAK: u32 = 2;
+const ASIDE_MS: u64 = 500;
+const ASIDE_MOST_MS: u64 = 8000;
+
+/// Which of a service's versions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    Base,
+    Trial,
+    /// Gets nothing.
+    None,
+}
+
+/// A unit as this relay uses it.
+#[derive(Clone, Debug)]
+pub struct Place {
+    pub id: Rc<str>,
+    pub address: SocketAddrV4,
+    pub zone: Rc<str>,
+    pub region: Rc<str>,
+    pub version: Rc<str>,
+    pub capacity: u32,
+    pub side: Side,
+    /// Ready, not draining, its zone not evacuated.
+    pub open_to_all: bool,
+    /// No beat of it has come for long.
+    pub silent: bool,
+    pub warm_at: u64,
+    /// This relay is among the few that may send to it while it is cold, so many a second.
+    pub cold_rate: f64,
+    cold: Cold,
+    /// Requests of this relay that are open there.
+    pub open: u32,
+    /// Running and waiting there by its own word, less this relay's own; when it was told.
+    others: f64,
+    told_at: u64,
+    streak: u32,
+    aside_until: u64,
+    aside_for: u64,
+}
+
+impl Place {
+    pub fn new(id: &str, address: SocketAddrV4, zone: &str, region: &str, version: &str, capacity: u32) -> Place {
+        Place {
+            id: id.into(),
+            address,
+            zone: zone.into(),
+            region: region.into(),
+            version: version.into(),
+            capacity: capacity.max(1),
+            side: Side::None,
+            open_to_all: false,
+            silent: false,
+            warm_at: 0,
+            cold_rate: 0.0,
+            cold: Cold::default(),
+            open: 0,
+            others: 0.0,
+            told_at: 0,
+            streak: 0,
+            aside_until: 0,
+            aside_for: ASIDE_MS,
+        }
+    }
+
+    /// Requests at the unit, as far as this relay can tell.
+    fn at_unit(&self, now: u64) -> f64 {
+        let age = now.saturating_sub(self.told_at) as f64;
+        f64::from(self.open) + self.others * (-age / FADE_MS).exp()
+    }
+
+    fn fullness(&self, now: u64) -> f64 {
+        self.at_unit(now) / f64::from(self.capacity)
+    }
+}
+
+/// What is asked for.
+#[derive(Clone, Debug)]
+pub struct Want<'a> {
+    pub side: Side,
+    /// Regions that the route may be served in; empty for any.
+    pub homes: &'a [String],
+    pub priority: u8,
+    /// Units that this request has been offered to.
+    pub tried: &'a [Rc<str>],
+}
+
+/// Why no unit may take a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    Full,
+    None,
+}
+
+#[derive(Debug)]
+pub struct Yard {
+    region: String,
+    zone: String,
+    services: HashMap<String, Vec<Place>>,
+    rng: Pcg64Mcg,
+}
+
+impl Yard {
+    pub fn new(region: &str, zone: &str, salt: u64) -> Yard {
+        let rng = Pcg64Mcg::seed_from_u64(salt);
+        Yard { region: region.into(), zone: zone.into(), services: HashMap::new(), rng }
+    }
+
+    pub fn places(&self) -> impl Iterator<Item = (&str, &Place)> {
+        self.services.iter().flat_map(|(service, places)| places.iter().map(move |place| (service.as_str(), place)))
+    }
+
+    pub fn service(&mut self, service: &str) -> &mut Vec<Place> {
+        if !self.services.contains_key(service) {
+            self.services.insert(service.to_owned(), Vec::new());
+        }
+        self.services.get_mut(service).expect("put there")
+    }
+
+    pub fn place(&mut self, service: &str, id: &str) -> Option<&mut Place> {
+        self.services.get_mut(service)?.iter_mut().find(|place| &*place.id == id)
+    }
+
+    pub fn draw(&mut self) -> f64 {
+        self.rng.random()
+    }
+
+    /// Chooses a unit; what it takes of a cold unit's bound is taken.
+    pub fn choose(&mut self, now: u64, service: &str, want: &Want) -> Result<(Rc<str>, SocketAddrV4), Why> {
+        let Yard { region, zone, services, rng } = self;
+        let places = services.get_mut(service).ok_or(Why::None)?;
+        let most = (MOST - MOST_PER_RANK * f64::from(want.priority)).max(1.5);
+        let fits = |place: &Place| {
+            place.side == want.side
+                && place.open_to_all
+                && (want.homes.is_empty() || want.homes.iter().any(|home| **home == *place.region))
+                && !want.tried.contains(&place.id)
+        };
+        let all: Vec<usize> = (0..places.len()).filter(|&at| fits(&places[at])).collect();
+        if all.is_empty() {
+            return Err(Why::None);
+        }
+        let warm: Vec<usize> = all.iter().copied().filter(|&at| places[at].warm_at <= now).collect();
+        // Units that are ill or silent are left out as long as there are others.
+        let well = |at: &usize| places[*at].aside_until <= now && !places[*at].silent;
+        let mut usual: Vec<usize> = warm.iter().copied().filter(well).collect();
+        if usual.is_empty() {
+            usual = warm;
+        }
+        let is_near = |at: &usize| *places[*at].region == **region;
+        let (near, far): (Vec<usize>, Vec<usize>) = usual.iter().copied().partition(is_near);
+        let score = |at: usize| {
+            let place = &places[at];
+            place.fullness(now) + if *place.zone == **zone { 0.0 } else { NEXT_ZONE }
+        };
+        let mut two = |of: &[usize]| {
+            let (one, other) = match of {
+                [] => return None,
+                [only] => (*only, *only),
+                _ => {
+                    let one = rng.random_range(0..of.len());
+                    let other = (one + rng.random_range(1..of.len())) % of.len();
+                    (of[one], of[other])
+                }
+            };
+            Some(if score(other) < score(one) { other } else { one })
+        };
+        let mut best = two(&near);
+        let full = |at: usize| (places[at].at_unit(now) + 1.0) / f64::from(places[at].capacity);
+        if best.is_none_or(|at| full(at) > 1.0) {
+            // The near one would wait: look at all near ones, then further off.
+            let emptiest = near.iter().copied().min_by(|&a, &b| score(a).total_cmp(&score(b)));
+            best = emptiest;
+            if let Some(other) = two(&far) {
+                if best.is_none_or(|at| full(at) > 1.0 && full(other) + FAR < full(at)) {
+                    best = Some(other);
+                }
+            }
+        }
+        if best.is_none_or(|at| full(at) > most) {
+            let emptiest = usual.iter().copied().min_by(|&a, &b| full(a).total_cmp(&full(b)));
+            best = emptiest.filter(|&at| full(at) <= most);
+        }
+        if best.is_none_or(|at| full(at) > 1.0) {
+            // Cold ones bear little, but that little helps.
+            let cold = all.iter().copied().filter(|&at| places[at].warm_at > now && places[at].cold_rate > 0.0);
+            for at in cold.collect::<Vec<_>>() {
+                let place = &mut places[at];
+                if place.open == 0 && place.cold.take(now, place.cold_rate) {
+                    best = Some(at);
+                    break;
+                }
+            }
+        }
+        let at = best.ok_or(Why::Full)?;
+        Ok((places[at].id.clone(), places[at].address))
+    }
+
+    /// A request is sent there.
+    pub fn opened(&mut self, service: &str, id: &str) {
+        if let Some(place) = self.place(service, id) {
+            place.open += 1;
+        }
+    }
+
+    /// It has ended. `told`: running and waiting by the unit's own word; `ill`: the end speaks against the unit.
+    pub fn closed(&mut self, now: u64, service: &str, id: &str, told: Option<u32>, ill: Option<bool>) {
+        let Some(place) = self.place(service, id) else { return };
+        if let Some(told) = told {
+            // Its word was given while this request still counted.
+            place.others = (f64::from(told) - f64::from(place.open)).max(0.0);
+            place.told_at = now;
+        }
+        place.open = place.open.saturating_sub(1);
+        match ill {
+            None => {}
+            Some(false) => (place.streak, place.aside_for) = (0, ASIDE_MS),
+            Some(true) => {
+                place.streak += 1;
+                if place.streak >= STREAK && place.aside_until <= now {
+                    place.aside_until = now + place.aside_for;
+                    place.aside_for = (place.aside_for * 2).min(ASIDE_MOST_MS);
+                }
+            }
+        }
+    }
+
+    /// The unit says that it is full.
+    pub fn is_full(&mut self, now: u64, service: &str, id: &str) {
+        if let Some(place) = self.place(service, id) {
+            place.others = place.others.max(f64::from(place.capacity) * MOST);
+            place.told_at = now;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn yard() -> Yard {
+        let mut yard = Yard::new("west", "w1", 7);
+        for (at, (zone, region)) in [("w1", "west"), ("w1", "west"), ("w2", "west"), ("e1", "east")].iter().enumerate() {
+            let mut place =
+                Place::new(&format!("i-{at}"), "10.0.0.1:80".parse().unwrap(), zone, region, "v1", 2);
+            (place.side, place.open_to_all) = (Side::Base, true);
+            yard.service("s").push(place);
+        }
+        yard
+    }
+
+    fn want(homes: &[String]) -> Want<'_> {
+        Want { side: Side::Base, homes, priority: 0, tried: &[] }
+    }
+
+    #[test]
+    fn near_units_first_and_far_ones_once_the_near_are_full() {
+        let mut yard = yard();
+        let mut sent: HashMap<Rc<str>, u32> = HashMap::new();
+        for _ in 0..6 {
+            let (id, _) = yard.choose(0, "s", &want(&[])).unwrap();
+            yard.opened("s", &id);
+            *sent.entry(id).or_default() += 1;
+        }
+        assert!(["i-0", "i-1", "i-2"].iter().all(|&id| sent[id] == 2), "{sent:?}");
+        for _ in 0..4 {
+            let (id, _) = yard.choose(0, "s", &want(&[])).unwrap();
+            yard.opened("s", &id);
+            *sent.entry(id).or_default() += 1;
+        }
+        assert!(sent["i-3"] >= 2, "{sent:?}");
+    }
+
+    #[test]
+    fn homes_bind_and_full_units_refuse() {
+        let mut yard = yard();
+        let homes = ["east".to_owned()];
+        for _ in 0..6 {
+            let (id, _) = yard.choose(0, "s", &want(&homes)).unwrap();
+            assert_eq!(&*id, "i-3");
+            yard.opened("s", &id);
+        }
+        assert_eq!(yard.choose(0, "s", &want(&homes)), Err(Why::Full));
+    }
+
+    #[test]
+    fn a_unit_that_fails_twice_is_left_out_for_a_while() {
+        let mut yard = yard();
+        for _ in 0..2 {
+            yard.opened("s", "i-0");
+            yard.closed(0, "s", "i-0", None, Some(true));
+        }
+        assert!((0..100).all(|_| &*yard.choose(1, "s", &want(&[])).unwrap().0 != "i-0"));
+        assert!((0..100).any(|_| &*yard.choose(ASIDE_MS, "s", &want(&[])).unwrap().0 == "i-0"));
+    }
+
+    #[test]
+    fn cold_units_get_their_part_only() {
+        let mut yard = yard();
+        for place in yard.service("s") {
+            (place.warm_at, place.cold_rate) = (3000, 2.0);
+        }
+        let mut sent = 0;
+        for now in 0..1000 {
+            sent += u32::from(yard.choose(now, "s", &want(&[])).is_ok());
+        }
+        assert!((4..=8).contains(&sent), "{sent}");
+    }
+}
--- /dev/null
+++ b/crates/beechcroft-pass/src/errand.rs
@@ -0,0 +1,74 @@
+//! Calls that this relay makes of another, by async-h1, on a connection kept for each.
+
+use crate::Wire;
+use beechcroft_kinds::{Fault, Kind};
+use futures_lite::io::AsyncReadExt;
+use http_types::{Body, Method, Request, Url};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{timeout, Instant};
+
+/// Younger than any desk's patience with an idle connection.
+const KEEP: Duration = Duration::from_secs(8);
+/// Connections kept to one relay.
+const KEPT: usize = 3;
+
+/// Idle connections to each relay, with when they were last used.
+type Kept = HashMap<SocketAddrV4, Vec<(Wire, Instant)>>;
+
+/// Kept connections to other relays.
+#[derive(Clone, Debug, Default)]
+pub struct Errands(Rc<RefCell<Kept>>);
+
+impl Errands {
+    /// One call; the answer's body, if its status is 200.
+    pub async fn run(&self, to: SocketAddrV4, path: &str, body: Vec<u8>, within: Duration) -> Result<Vec<u8>, Fault> {
+        let lost = |said: String| Fault::new(Kind::Lost, said);
+        match timeout(within, self.call(to, path, body)).await {
+            Err(_) => Err(lost(format!("{to}{path}: no answer within {} ms", within.as_millis()))),
+            Ok(Err(e)) => Err(lost(format!("{to}{path}: {e}"))),
+            Ok(Ok((200, body))) => Ok(body),
+            Ok(Ok((status, _))) => Err(lost(format!("{to}{path}: status {status}"))),
+        }
+    }
+
+    async fn call(&self, to: SocketAddrV4, path: &str, body: Vec<u8>) -> http_types::Result<(u16, Vec<u8>)> {
+        let wire = match self.kept(to) {
+            Some(wire) => wire,
+            None => Wire::new(TcpStream::connect(to).await?),
+        };
+        let mut request = Request::new(Method::Post, Url::parse(&format!("http://{to}{path}"))?);
+        request.set_body(Body::from_bytes(body));
+        let mut answer = async_h1::client::connect(wire.clone(), request).await?;
+        let length = answer.header("content-length").and_then(|v| v.as_str().parse::<usize>().ok());
+        let mut body = Vec::new();
+        answer.take_body().read_to_end(&mut body).await?;
+        // The guard: async-h1 takes a body that breaks off for a whole one.
+        if length != Some(body.len()) {
+            return Err(http_types::format_err!("the answer ends after {} bytes", body.len()));
+        }
+        if wire.clean() {
+            let mut kept = self.0.borrow_mut();
+            let kept = kept.entry(to).or_default();
+            if kept.len() < KEPT {
+                kept.push((wire, Instant::now()));
+            }
+        }
+        Ok((answer.status().into(), body))
+    }
+
+    fn kept(&self, to: SocketAddrV4) -> Option<Wire> {
+        let mut kept = self.0.borrow_mut();
+        let kept = kept.get_mut(&to)?;
+        while let Some((wire, since)) = kept.pop() {
+            if since.elapsed() < KEEP && wire.clean() {
+                return Some(wire);
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/beechcroft-trail/src/guide.rs
@@ -0,0 +1,357 @@
+//! The owner of what this relay is told: members, units, the configuration, rollouts. One queue of commands; it
+//! never waits. What requests use of it, it puts into [`Shared`].
+
+use crate::shared::{Phase, Shared};
+use beechcroft_cairns::letter::Sign;
+use beechcroft_cairns::{Action, Cairns, Letter, Member, Standing};
+use beechcroft_hutbook::state::Admits;
+use beechcroft_hutbook::{Book, Orders, Stage, Value, BOOK, ORDERS};
+use beechcroft_junction::Table;
+use beechcroft_kinds::{Fault, Kind};
+use beechcroft_pace::{Place, Side};
+use beechcroft_pass::errand::Errands;
+use beechcroft_pass::post::Post;
+use beechcroft_ropes::conduct::LAST;
+use beechcroft_ropes::Word;
+use beechcroft_waymarks::State;
+use rapidhash::v3::rapidhash_v3;
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::spawn_local;
+
+const COPY_WITHIN: Duration = Duration::from_millis(1500);
+/// The design's tick.
+const JUDGE_MS: u64 = 100;
+/// How often a sign goes to the peers.
+const SIGN_MS: u64 = 1000;
+const BACK_MS: u64 = 400;
+/// Relays that may send to one cold unit.
+const COLD_RELAYS: usize = 2;
+/// Beats missed before a unit counts as silent.
+const SILENT_BEATS: u64 = 3;
+/// After the first news of units, before this relay says that it is ready.
+const SETTLE_MS: u64 = 500;
+
+pub enum Command {
+    Letter(SocketAddrV4, Box<Letter>),
+    Copied(usize, Value),
+    Copy(usize, oneshot::Sender<Value>),
+    /// A unit answered under another id: the one meant has ended.
+    Ended(Rc<str>),
+    Seeds(Vec<SocketAddrV4>),
+    Leave,
+    Tick,
+}
+
+pub type Queue = mpsc::UnboundedSender<Command>;
+
+/// A unit's zone was taken back: it may be cold until a later beat tells.
+struct Doubt {
+    sequence: u64,
+    until: u64,
+}
+
+pub struct Guide {
+    shared: Rc<Shared>,
+    cairns: Cairns,
+    held: [Value; 2],
+    pulling: [u64; 2],
+    doubts: HashMap<String, Doubt>,
+    units_at: Option<u64>,
+    judge_at: u64,
+    sign_at: u64,
+    back_at: u64,
+    sync_at: u64,
+    count: u32,
+    stands: HashMap<String, beechcroft_ropes::Stand>,
+    post: Post,
+    errands: Errands,
+    queue: Queue,
+}
+
+impl Guide {
+    pub fn new(shared: Rc<Shared>, me: Member, salt: u64, post: Post, errands: Errands, queue: Queue) -> Guide {
+        let settings = &shared.settings;
+        let cairns = Cairns::new(me, settings.internal_ports[0], settings.seed_nodes.clone(), salt);
+        Guide {
+            shared,
+            cairns,
+            held: Default::default(),
+            pulling: [0; 2],
+            doubts: HashMap::new(),
+            units_at: None,
+            judge_at: 0,
+            sign_at: 0,
+            back_at: 0,
+            sync_at: 0,
+            count: 0,
+            stands: HashMap::new(),
+            post,
+            errands,
+            queue,
+        }
+    }
+
+    pub fn on(&mut self, command: Command) {
+        let now = self.shared.now();
+        let mut news = Vec::new();
+        match command {
+            Command::Letter(from, letter) => self.cairns.letter(now, from, *letter, &mut news),
+            Command::Copied(register, value) => {
+                self.pulling[register] = 0;
+                self.learn(now, register, value, &mut news);
+            }
+            Command::Copy(register, answer) => drop(answer.send(self.held[register.min(1)].clone())),
+            Command::Ended(id) => {
+                if self.cairns.unit_gone(&id) {
+                    news.push(Action::Unit(id.to_string()));
+                }
+            }
+            Command::Seeds(seeds) => self.cairns.seeds(seeds),
+            Command::Leave => {
+                self.cairns.stand(Standing::Leaving);
+                self.cairns.hurry(now, &mut news);
+            }
+            Command::Tick => {
+                self.cairns.tick(now, &mut news);
+                self.tick(now, &mut news);
+            }
+        }
+        self.carry_out(now, news);
+    }
+
+    fn carry_out(&mut self, now: u64, news: Vec<Action>) {
+        for action in news {
+            match action {
+                Action::Send { to, letter } => self.post.send(to, &letter),
+                Action::Pull { from, register, rev } if now >= self.pulling[register] && rev > self.held[register].rev => {
+                    self.pulling[register] = now + COPY_WITHIN.as_millis() as u64 / 2;
+                    let (errands, queue) = (self.errands.clone(), self.queue.clone());
+                    spawn_local(async move {
+                        let copy = errands.run(from, "/copy", vec![register as u8], COPY_WITHIN).await;
+                        let read = |bytes: Vec<u8>| {
+                            postcard::from_bytes(&bytes).map_err(|e| Fault::new(Kind::Malformed, e.to_string()))
+                        };
+                        match copy.and_then(read) {
+                            Ok(value) => drop(queue.send(Command::Copied(register, value))),
+                            Err(fault) => log::info!("guide: A copy did not come: {fault}."),
+                        }
+                    });
+                }
+                Action::Unit(id) | Action::Beat(id) => self.sync_unit(now, &id),
+                Action::Members => self.count_edges(now),
+                Action::Pull { .. } | Action::Sign(_) => {}
+            }
+        }
+    }
+
+    /// A chosen value that is newer than the one held; never an older one, and always whole.
+    fn learn(&mut self, now: u64, register: usize, value: Value, news: &mut Vec<Action>) {
+        if value.rev <= self.held[register].rev {
+            return;
+        }
+        if register == BOOK {
+            let book: Option<Book> = postcard::from_bytes(&value.bytes).ok();
+            let Some(config) = book.and_then(|book| book.config()) else { return };
+            log::info!("guide: Configuration {:08x} is in force.", config.version);
+            *self.shared.table.borrow_mut() = Some(Rc::new(Table::new(&config)));
+        } else {
+            let Ok(orders) = postcard::from_bytes::<Orders>(&value.bytes) else { return };
+            log::info!("guide: Orders at {}: {orders:?}.", value.rev);
+            let before = self.shared.orders.replace(orders);
+            self.doubt_returned(now, &before);
+        }
+        self.held[register] = value;
+        self.cairns.revs[register] = self.held[register].rev;
+        self.cairns.hurry(now, news);
+        self.sync_all(now);
+    }
+
+    /// Units of zones that are taken back may have turned cold: only a later beat says otherwise.
+    fn doubt_returned(&mut self, now: u64, before: &Orders) {
+        let orders = self.shared.orders.borrow();
+        let warmup = self.warmup_ms();
+        for unit in self.cairns.units.all() {
+            let zone = &unit.note.zone;
+            if before.evacuated.contains(zone) && !orders.evacuated.contains(zone) {
+                let until = now + warmup + 1000;
+                self.doubts.insert(unit.note.id.clone(), Doubt { sequence: unit.note.sequence + 1, until });
+            }
+        }
+    }
+
+    fn warmup_ms(&self) -> u64 {
+        let table = self.shared.table.borrow();
+        let services = table.iter().flat_map(|table| &table.services);
+        (services.map(|service| service.warmup_s).fold(0.0, f64::max) * 1000.0) as u64
+    }
+
+    fn sync_all(&mut self, now: u64) {
+        let ids: Vec<String> = self.cairns.units.all().map(|unit| unit.note.id.clone()).collect();
+        for id in ids {
+            self.sync_unit(now, &id);
+        }
+    }
+
+    /// Brings what the yard holds of a unit up to what is known of it.
+    fn sync_unit(&mut self, now: u64, id: &str) {
+        let Some(unit) = self.cairns.units.get(id) else { return };
+        let note = &unit.note;
+        self.units_at.get_or_insert(now);
+        let mut yard = self.shared.yard.borrow_mut();
+        if note.state == State::Gone {
+            yard.service(&note.service).retain(|place| *place.id != *id || place.open > 0);
+            if let Some(place) = yard.place(&note.service, id) {
+                place.open_to_all = false;
+            }
+            return;
+        }
+        if yard.place(&note.service, id).is_none() {
+            let region = self.shared.settings.region_of(&note.zone);
+            let place = Place::new(id, note.address, &note.zone, region, &note.version, u32::from(note.capacity));
+            yard.service(&note.service).push(place);
+        }
+        let orders = self.shared.orders.borrow();
+        let table = self.shared.table.borrow();
+        let rate = table.iter().flat_map(|table| &table.services).find(|s| s.name == note.service);
+        let rate = rate.map_or(0.0, |service| service.warmup_rate_s);
+        let cold_mine = unit.warm_at > now && self.is_mine(id);
+        let doubt = self.doubts.get(id).filter(|doubt| note.sequence < doubt.sequence && now < doubt.until);
+        let warm_at = doubt.map_or(unit.warm_at, |doubt| doubt.until.max(unit.warm_at));
+        let side = match orders.admits(&note.service, &note.version) {
+            Admits::Base => Side::Base,
+            Admits::Trial(_) => Side::Trial,
+            Admits::No => Side::None,
+            Admits::Unknown => Side::Base,
+        };
+        let place = yard.place(&note.service, id).expect("put there");
+        place.side = side;
+        place.open_to_all = note.state == State::Ready && !orders.evacuated.contains(&note.zone);
+        place.warm_at = warm_at;
+        // Half of what the unit bears, shared by those that may send.
+        place.cold_rate = if cold_mine { rate * 0.5 / COLD_RELAYS as f64 } else { 0.0 };
+    }
+
+    /// Whether this relay is among the few that may send to a unit while it is cold.
+    fn is_mine(&self, id: &str) -> bool {
+        let weight = |name: &str| rapidhash_v3(format!("{name} warms {id}").as_bytes());
+        let mine = weight(&self.cairns.me.name);
+        self.cairns.alive().filter(|m| !m.core && weight(&m.name) > mine).count() < COLD_RELAYS
+    }
+
+    fn count_edges(&mut self, _now: u64) {
+        self.shared.edges.set(1 + self.cairns.alive().filter(|member| !member.core).count());
+    }
+
+    fn tick(&mut self, now: u64, news: &mut Vec<Action>) {
+        if now >= self.sync_at {
+            self.sync_at = now + 500;
+            self.mark_silent(now);
+            self.sync_all(now);
+            let yard = self.shared.yard.borrow();
+            let used: HashMap<&str, bool> = yard.places().map(|(_, place)| (&*place.id, place.open_to_all)).collect();
+            self.shared.pool.borrow_mut().sweep(now, |unit| used.get(unit).copied().unwrap_or(false));
+        }
+        let told = self.held[BOOK].rev > 0 && self.held[ORDERS].rev > 0;
+        if self.shared.phase.get() == Phase::Coming && told && self.units_at.is_some_and(|at| now >= at + SETTLE_MS) {
+            self.shared.phase.set(Phase::Ready);
+            self.cairns.stand(Standing::Ready);
+            self.cairns.hurry(now, news);
+            log::info!("guide: This relay is ready.");
+        }
+        if now >= self.judge_at {
+            self.judge_at = now + JUDGE_MS;
+            self.judge(now);
+        }
+    }
+
+    /// Units whose beats have stopped, unless most have: then it is this relay that hears nothing.
+    fn mark_silent(&mut self, now: u64) {
+        let patience = SILENT_BEATS * self.shared.settings.heartbeat_ms + 500;
+        let silent = |unit: &beechcroft_waymarks::Unit| now.saturating_sub(unit.heard_at) > patience;
+        let known = || self.cairns.units.all().filter(|unit| unit.note.state == State::Ready);
+        let many = known().filter(|unit| silent(unit)).count() * 2 > known().count();
+        let mut yard = self.shared.yard.borrow_mut();
+        for unit in known() {
+            if let Some(place) = yard.place(&unit.note.service, &unit.note.id) {
+                place.silent = !many && silent(unit);
+            }
+        }
+    }
+
+    /// The design's tick for each service that has a rollout under way, and once a second the sign.
+    fn judge(&mut self, now: u64) {
+        let sign = now >= self.sign_at;
+        if sign {
+            self.sign_at = now + SIGN_MS;
+        }
+        let orders = self.shared.orders.borrow().clone();
+        let mut judges = self.shared.judges.borrow_mut();
+        self.stands.clear();
+        let mut signs = Vec::new();
+        for (service, rollout) in &orders.rollouts {
+            let Some(judge) = judges.get_mut(service) else { continue };
+            let Stage::Active(stage) = rollout.stage else {
+                judge.ends();
+                continue;
+            };
+            judge.stage(rollout.begun, stage);
+            let me = &self.cairns.me.name;
+            let peers = self.cairns.signs(now, service);
+            let peers = peers.filter(|s| s.relay != *me && (s.begun, s.stage) == (rollout.begun, stage));
+            let words: Vec<Word> = peers
+                .map(|s| Word {
+                    alarm: s.alarm,
+                    divergence: f64::from(s.divergence),
+                    count: beechcroft_ropes::Count { trials: s.trials, failures: s.failures },
+                })
+                .collect();
+            let Some(stand) = judge.tick(&words) else { continue };
+            if stand.back && now >= self.back_at {
+                self.back_at = now + BACK_MS;
+                log::info!("guide: Votes {service} back: {stand:?}, peers {words:?}.");
+                self.vote_back(service, rollout.begun);
+            }
+            if sign {
+                self.count += 1;
+                signs.push(Sign {
+                    relay: me.clone(),
+                    life: self.cairns.me.life,
+                    count: self.count,
+                    service: service.clone(),
+                    begun: rollout.begun,
+                    stage,
+                    alarm: stand.bit,
+                    divergence: stand.divergence as f32,
+                    trials: stand.count.trials,
+                    failures: stand.count.failures,
+                    old_open: if stage == LAST { self.old_open(service) } else { 0 },
+                });
+            }
+        }
+        drop(judges);
+        for sign in signs {
+            self.cairns.sign(now, sign);
+        }
+    }
+
+    fn old_open(&self, service: &str) -> u32 {
+        let yard = self.shared.yard.borrow();
+        let old = yard.places().filter(|(of, place)| *of == service && place.side == Side::Base);
+        old.map(|(_, place)| place.open).sum()
+    }
+
+    /// The vote goes to every core machine: whichever reaches a majority carries it out.
+    fn vote_back(&self, service: &str, begun: u64) {
+        let Ok(bytes) = postcard::to_stdvec(&(service, begun)) else { return };
+        for hut in self.cairns.alive().filter(|member| member.core) {
+            let (errands, bytes, to) = (self.errands.clone(), bytes.clone(), self.cairns.address(hut));
+            spawn_local(async move {
+                let _ = errands.run(to, "/back", bytes, Duration::from_millis(800)).await;
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/beechcroft-trail/src/shared.rs
@@ -0,0 +1,83 @@
+//! What requests of this relay use: the routes in force, the yard, limits, judges, kept connections. One thread,
+//! and nothing is held borrowed across a wait.
+
+use crate::pool::Pool;
+use beechcroft_hutbook::Orders;
+use beechcroft_junction::Table;
+use beechcroft_map::Settings;
+use beechcroft_pace::{Share, Tries, Yard};
+use beechcroft_ropes::Judge;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// How this relay stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// No configuration, or no units yet.
+    Coming,
+    Ready,
+    /// SIGTERM has come; requests are still served.
+    Leaving,
+    /// The end is near: new requests are turned away.
+    Closing,
+}
+
+pub struct Shared {
+    pub settings: Settings,
+    began: Instant,
+    pub phase: Cell<Phase>,
+    pub table: RefCell<Option<Rc<Table>>>,
+    pub orders: RefCell<Orders>,
+    pub yard: RefCell<Yard>,
+    pub pool: RefCell<Pool>,
+    pub tries: RefCell<HashMap<String, Tries>>,
+    pub shares: RefCell<HashMap<String, Share>>,
+    pub judges: RefCell<HashMap<String, Judge>>,
+    /// Edge relays that are alive, this one among them.
+    pub edges: Cell<usize>,
+    /// Requests that are being served.
+    pub under_way: Cell<usize>,
+}
+
+impl Shared {
+    pub fn new(settings: Settings, salt: u64) -> Shared {
+        let yard = Yard::new(&settings.region, &settings.zone, salt);
+        Shared {
+            settings,
+            began: Instant::now(),
+            phase: Cell::new(Phase::Coming),
+            table: RefCell::new(None),
+            orders: RefCell::default(),
+            yard: RefCell::new(yard),
+            pool: RefCell::default(),
+            tries: RefCell::default(),
+            shares: RefCell::default(),
+            judges: RefCell::default(),
+            edges: Cell::new(1),
+            under_way: Cell::new(0),
+        }
+    }
+
+    /// Milliseconds of the steady clock; ages before the start stay above 0.
+    pub fn now(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64 + 10_000
+    }
+
+    /// A further try at a service, if the budget has one.
+    pub fn further_try(&self, service: &str) -> bool {
+        self.tries.borrow_mut().get_mut(service).is_some_and(Tries::take)
+    }
+
+    /// A first try at a service.
+    pub fn first_try(&self, service: &str) {
+        let bounds = &self.settings.bounds;
+        let mut tries = self.tries.borrow_mut();
+        if !tries.contains_key(service) {
+            let edges = self.edges.get().max(4);
+            tries.insert(service.to_owned(), Tries::new(bounds.retry_budget, bounds.retry_extra, edges));
+        }
+        tries.get_mut(service).expect("put there").asked();
+    }
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -4,6 +4,7 @@
 //! comes back outwards. [`Relay::permits`] is the one gate of dispatches, [`Relay::close`] the one place of
 //! final answers. `docs/design.md` argues each departure.
 
+use crate::cusum::{self, lateness, log_ratio, LOG_GAMMA, MIN_OUTCOMES, NATS_FLOOR};
 use crate::histogram::{excess, Histogram, Tally, Window};
 use crate::state::*;
 use crate::*;
@@ -15,10 +16,7 @@
 
 // From the design page.
 const TICK: Duration = Duration::from_millis(100);
-const LOG_GAMMA: f64 = 9.21; // ln 10^4 ticks
-const NATS_FLOOR: f64 = 4.0;
 const ALARMS_M: f64 = 1.0; // open in the design; why not 2 is in docs/design.md
-const MIN_OUTCOMES: u32 = 10;
 const TRIAL_SHARE: f64 = 0.8;
 const TELL_EVERY: u64 = 10; // ticks
 const PEER_LAPSE: Duration = Duration::from_secs(3);
@@ -474,7 +472,7 @@
 
     fn blame(&mut self, unit: usize, sum: usize, ratio: f64) {
         let own = &mut self.fleet.units[unit].sums;
-        own.resize(self.judge.sums.len(), Cusum::default());
+        own.resize(self.judge.sums.len(), cusum::Cusum::default());
         own[sum].z += ratio;
         self.judge.sums[sum].z += ratio;
     }
@@ -628,15 +626,14 @@
         let judge = &mut self.judge;
         let units = self.fleet.units.iter_mut().flat_map(|unit| &mut unit.sums);
         for sum in judge.sums.iter_mut().chain(units) {
-            *sum = Cusum { w: sum.w.max(0.0) + sum.z, z: 0.0 };
+            sum.tick();
         }
         judge.tick(busy || judge.ambient > NATS_FLOOR, TICK, 0.97, 0.1); // it fades where none answers
         let rate = if self.fig.fuses { judge.outcome_rate } else { 0.0 }; // the others' is weighed there
         let good = TrackState::good_rate(&self.tracks);
-        let expected = |bad: f64| bad * log_ratio(good, true) + (1.0 - bad) * log_ratio(good, false);
-        self.judge.divergence = rate * expected(bad_rate(good));
+        self.judge.divergence = cusum::divergence(good, rate);
         let weight = self.judge.divergence / self.largest();
-        let threshold = (LOG_GAMMA / ALARMS_M * weight).max(NATS_FLOOR);
+        let threshold = cusum::threshold(weight, ALARMS_M);
         // Departure: the build may slow both; the dearer a good one lost, the longer that is borne.
         let held =
             self.judge.held > HOLD.mul_f64(self.fig.delay_price) && self.news.is_some_and(News::is_on_trial);
@@ -672,7 +669,7 @@
     fn fuse(&self) -> f64 {
         let own = (self.judge.bit, self.judge.divergence);
         let bits = self.live_peers().map(|peer| (peer.bit, peer.divergence)).chain([own]);
-        bits.filter(|(bit, _)| *bit).map(|(_, divergence)| divergence).sum::<f64>() / self.largest()
+        cusum::fuse(bits, self.largest())
     }
 
     /// Departure: each relay tells its outcomes to the first few, which count them as their own and tell all
@@ -789,23 +786,3 @@
         }
     }
 }
-
-fn bad_rate(good: f64) -> f64 {
-    (2.0 * good).max(good + 0.05)
-}
-
-/// The bad-to-good log likelihood ratio of one outcome (the paper prints the inverse; see docs/design.md).
-fn log_ratio(good: f64, failed: bool) -> f64 {
-    let good = good.clamp(0.01, 0.45);
-    nats(good, bad_rate(good), failed)
-}
-
-/// The same of lateness, which comes in bursts: a build must bring so many times as much.
-fn lateness(good: f64, times: f64, late: bool) -> f64 {
-    let good = good.clamp(0.01, 0.9 / times);
-    nats(good, times * good, late)
-}
-
-fn nats(from: f64, to: f64, failed: bool) -> f64 {
-    if failed { to / from } else { (1.0 - to) / (1.0 - from) }.ln()
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 use smol_str::SmolStr;
 use std::time::Duration;
 
+pub mod cusum;
 pub mod decide;
 pub mod histogram;
 pub mod state;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! Plain state: what the settings come down to, and records of units, tasks, builds and votes. No decisions.
 
 use crate::histogram::{Histogram, Tally, Window};
+use crate::cusum::Cusum;
 use crate::*;
 use beechcroft_fleet::held::{Held, Usual};
 use beechcroft_fleet::subset::{Rate, KEPT_PART};
@@ -137,12 +138,6 @@
     pub stream: bool,
 }
 
-#[derive(Clone, Copy, Default)]
-pub struct Cusum {
-    pub w: f64,
-    pub z: f64,
-}
-
 pub struct PeerEntry {
     pub at: Duration,
     pub build: BuildId,
