A voter knows itself again after a restart: identity is read as it was written

Cause: the identity went to disk as an option and was read without one, so every restarted hut settled anew. Ruled out: no route between relays (letters passed), disk (records were there).

--- a/crates/beechcroft-hutbook/src/voter.rs
+++ b/crates/beechcroft-hutbook/src/voter.rs
@@ -63,6 +63,7 @@
 /// What is to be on disk before a reply goes out.
 pub type Records = Vec<(String, Vec<u8>)>;
 
+/// A record of the table. Each name has one type, stated where [`Voter::new`] reads it.
 fn record<T: Serialize>(name: &str, value: &T) -> (String, Vec<u8>) {
     (name.to_owned(), postcard::to_stdvec(value).expect("plain data"))
 }
@@ -100,7 +101,7 @@
     pub fn found(&mut self, voters: Vec<String>) -> Records {
         let lives = voters.iter().map(|name| (name.clone(), 1)).collect();
         self.identity = Some(Identity { life: 1, voters, lives });
-        vec![record("identity", &self.identity)]
+        vec![record("identity", self.identity.as_ref().expect("just set"))]
     }
 
     /// What to ask all others for, while this machine learns.
@@ -144,7 +145,7 @@
         Some(vec![
             record("register-0", &self.registers[0]),
             record("register-1", &self.registers[1]),
-            record("identity", &self.identity),
+            record("identity", self.identity.as_ref().expect("just set")),
         ])
     }
 
@@ -178,7 +179,7 @@
                     *known = life;
                 }
                 let life = *known;
-                records.push(record("identity", &self.identity));
+                records.push(record("identity", self.identity.as_ref().expect("just set")));
                 let identity = self.identity.as_ref().expect("checked above");
                 let reply = Reply::Copy {
                     life,
