News slimmer and nearer, restarts from disk alone, trial evidence by unit

(2) After all processes were killed, edges waited 1.4 s: a round of ballots, then pings, then copies, then half a second. Ruled out for (3): slow answers (only resets and time-outs of the crashed units were counted). Change: a beat that tells nothing new is passed on every fourth time and without what is known; letters carry sums, ranges only where these differ; most go to the own region. A hut puts down what is chosen, members and units, and begins with them.

--- a/crates/beechcroft-cairns/src/letter.rs
+++ b/crates/beechcroft-cairns/src/letter.rs
@@ -70,12 +70,24 @@
     pub failures: u32,
     /// Requests still open at units of the earlier version.
     pub old_open: u32,
+    /// By unit of the version on trial: its short name, trials, failures.
+    pub units: Vec<(u16, u16, u16)>,
+}
+
+/// A later beat of a unit that is known.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Beat {
+    pub id: String,
+    pub sequence: u64,
+    pub warm_left_ms: u32,
+    pub age_ms: u32,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Item {
     Member(Member),
     Unit(Note),
+    Beat(Beat),
     Sign(Sign),
 }
 
@@ -85,23 +97,50 @@
         match self {
             Item::Member(m) => 40 + m.name.len() + m.region.len() + m.zone.len(),
             Item::Unit(n) => 30 + n.id.len() + n.service.len() + n.version.len() + n.zone.len(),
-            Item::Sign(s) => 40 + s.relay.len() + s.service.len(),
+            Item::Beat(b) => 10 + b.id.len(),
+            Item::Sign(s) => 40 + s.relay.len() + s.service.len() + 6 * s.units.len(),
         }
     }
 }
 
+/// Who writes, and how it stands; what else is to be known of it stands in the table of members.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Digests {
+pub struct Who {
+    pub name: String,
+    pub life: u64,
+    pub mark: u32,
+    pub standing: Standing,
+}
+
+/// Digests of whole tables, and how often the registers have changed: what every letter carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sums {
+    pub members: u32,
+    pub units: u32,
+    pub revs: [u64; 2],
+}
+
+/// Digests by range: told where the sums differ.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ranges {
     pub members: [u32; MEMBER_RANGES],
     pub units: [u32; RANGES],
-    pub revs: [u64; 2],
+}
+
+impl Ranges {
+    /// The digests of the whole tables.
+    pub fn sums(&self) -> (u32, u32) {
+        let fold = |ranges: &[u32]| ranges.iter().fold(0u32, |sum, &range| sum.rotate_left(5).wrapping_add(range));
+        (fold(&self.members), fold(&self.units))
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Letter {
-    pub from: Member,
+    pub from: Who,
     /// Whether an answer is asked for.
     pub ask: bool,
-    pub digests: Digests,
+    pub sums: Sums,
+    pub ranges: Option<Ranges>,
     pub items: Vec<Item>,
 }
--- a/crates/beechcroft-cairns/src/lib.rs
+++ b/crates/beechcroft-cairns/src/lib.rs
@@ -7,25 +7,31 @@
 
 pub mod letter;
 
-pub use letter::{Digests, Item, Letter, Member, Standing};
+pub use letter::{Beat, Item, Letter, Member, Ranges, Standing, Sums, Who};
 
 use beechcroft_waymarks::{News, Note, State, Waymarks};
 use letter::MEMBER_RANGES;
-use rand::seq::{IndexedRandom, IteratorRandom};
+use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rapidhash::v3::rapidhash_v3;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddrV4;
 
-/// Relays that watch one.
-const WATCHERS: usize = 3;
+/// Relays of its own region that watch one, and of all others.
+const WATCHERS: [usize; 2] = [2, 1];
 /// Relays that news is passed on to each time.
 const FEW: usize = 3;
 /// How often one who learned something passes it on.
 const TIMES: u8 = 2;
 const FLUSH_MS: u64 = 80;
 const PING_MS: u64 = 400;
+/// Until the first letter has come.
+const KNOCK_MS: u64 = 60;
+/// Part of what goes to relays of other regions, where there are any: bytes between regions cost most.
+const FAR_PART: f64 = 0.3;
+/// A beat that tells nothing new is passed on this often.
+const EVERY_BEAT: u64 = 4;
 /// Without an answer for this long, a watched relay is said to be down.
 const DOWN_MS: u64 = 1300;
 /// Bytes of items in a letter; with the rest it stays under the smallest usual packet.
@@ -53,7 +59,6 @@
     member: Member,
     watched_since: Option<u64>,
     answered_at: u64,
-    changed_at: u64,
 }
 
 /// Something to be passed on, with how often still.
@@ -66,6 +71,7 @@
 enum What {
     Member(String),
     Unit(String),
+    Beat(String),
     Sign(letter::Sign),
 }
 
@@ -103,6 +109,17 @@
         }
     }
 
+    /// What a former life of this relay's process knew: a place to begin, mended by what the others say.
+    pub fn recall(&mut self, now: u64, members: Vec<Member>, notes: Vec<Note>) {
+        for member in members.into_iter().filter(|member| member.name != self.me.name) {
+            let known = Known { member: member.clone(), watched_since: None, answered_at: now };
+            self.members.insert(member.name, known);
+        }
+        for note in notes {
+            self.units.merge(now, note);
+        }
+    }
+
     /// The seeds of a settings file that has changed.
     pub fn seeds(&mut self, seeds: Vec<SocketAddrV4>) {
         self.seeds = seeds;
@@ -143,9 +160,13 @@
     /// A unit's note from its own beat.
     pub fn beat(&mut self, now: u64, note: Note) -> News {
         let id = note.id.clone();
+        let was_warm = self.units.get(&id).is_none_or(|unit| unit.note.warm_left_ms == 0);
+        let tells = note.sequence.is_multiple_of(EVERY_BEAT) || (was_warm && note.warm_left_ms > 0);
         let news = self.units.merge(now, note);
-        if news != News::Old {
-            self.pass_on(What::Unit(id));
+        match news {
+            News::Change => self.pass_on(What::Unit(id)),
+            News::Beat if tells => self.pass_on(What::Beat(id)),
+            News::Beat | News::Old => {}
         }
         news
     }
@@ -172,31 +193,36 @@
     }
 
     fn pass_on(&mut self, item: What) {
-        self.fresh.retain(|fresh| fresh.item != item);
+        let same = |held: &What| match (held, &item) {
+            (What::Sign(held), What::Sign(new)) => (&held.relay, &held.service) == (&new.relay, &new.service),
+            _ => *held == item,
+        };
+        self.fresh.retain(|fresh| !same(&fresh.item));
         self.fresh.push_back(Fresh { item, left: TIMES });
     }
 
     /// Passes what is new on at once, to more than the usual few.
     pub fn hurry(&mut self, now: u64, out: &mut Vec<Action>) {
-        self.flush(now, 2 * FEW, out);
+        self.flush(now, 2 * FEW, true, out);
     }
 
     pub fn tick(&mut self, now: u64, out: &mut Vec<Action>) {
         if now >= self.next_flush {
             self.next_flush = now + FLUSH_MS;
             if !self.fresh.is_empty() {
-                self.flush(now, FEW, out);
+                self.flush(now, FEW, false, out);
             }
         }
         if now >= self.next_ping {
-            self.next_ping = now + PING_MS + self.rng.random_range(0..PING_MS / 8);
+            let wait = if self.heard_at == 0 { KNOCK_MS } else { PING_MS };
+            self.next_ping = now + wait + self.rng.random_range(0..wait / 8);
             self.ping(now, out);
             self.signs.retain(|_, (_, at)| *at + FORGET_MS > now);
             self.units.sweep(now);
         }
     }
 
-    fn flush(&mut self, now: u64, few: usize, out: &mut Vec<Action>) {
+    fn flush(&mut self, now: u64, few: usize, far: bool, out: &mut Vec<Action>) {
         let mut items = Vec::new();
         let fresh = std::mem::take(&mut self.fresh);
         for Fresh { item, left } in fresh {
@@ -205,10 +231,20 @@
                 self.fresh.push_back(Fresh { item, left: left - 1 });
             }
         }
-        let alive: Vec<SocketAddrV4> = self.alive().map(|member| self.address(member)).collect();
-        let to: Vec<SocketAddrV4> = alive.sample(&mut self.rng, few).copied().collect();
-        for to in to {
-            self.send(to, &items, false, out);
+        let mut near: Vec<SocketAddrV4> = Vec::new();
+        let mut others: Vec<SocketAddrV4> = Vec::new();
+        for member in self.alive() {
+            let group = if far || member.region == self.me.region { &mut near } else { &mut others };
+            group.push(self.address(member));
+        }
+        for _ in 0..few {
+            let from_afar = near.is_empty() || self.rng.random_bool(FAR_PART);
+            let group = if from_afar && !others.is_empty() { &mut others } else { &mut near };
+            if group.is_empty() {
+                continue;
+            }
+            let to = group.swap_remove(self.rng.random_range(0..group.len()));
+            self.send(to, &items, false, None, out);
         }
     }
 
@@ -217,44 +253,56 @@
             What::Member(name) if *name == self.me.name => Some(Item::Member(self.me.clone())),
             What::Member(name) => self.members.get(name).map(|known| Item::Member(known.member.clone())),
             What::Unit(id) => self.units.note(now, id).map(Item::Unit),
+            What::Beat(id) => self.units.note(now, id).map(|note| {
+                let Note { id, sequence, warm_left_ms, age_ms, .. } = note;
+                Item::Beat(Beat { id, sequence, warm_left_ms, age_ms })
+            }),
             What::Sign(sign) => Some(Item::Sign(sign.clone())),
         }
     }
 
     /// Sends items in as many letters as they need.
-    fn send(&self, to: SocketAddrV4, items: &[Item], ask: bool, out: &mut Vec<Action>) {
+    fn send(&self, to: SocketAddrV4, items: &[Item], ask: bool, ranges: Option<&Ranges>, out: &mut Vec<Action>) {
         let mut rest = items;
-        let mut ask = ask;
+        let (mut ask, mut ranges) = (ask, ranges);
+        let Member { name, life, mark, standing, .. } = &self.me;
         loop {
             let mut bytes = 0;
             let fit = rest.iter().take_while(|item| {
                 bytes += item.bytes();
                 bytes <= LETTER_BYTES
             });
-            let (now, later) = rest.split_at(fit.count());
-            let letter =
-                Letter { from: self.me.clone(), ask, digests: self.digests(), items: now.to_vec() };
+            let (now, later) = rest.split_at(fit.count().max(1).min(rest.len()));
+            let from = Who { name: name.clone(), life: *life, mark: *mark, standing: *standing };
+            let letter = Letter { from, ask, sums: self.sums(), ranges: ranges.cloned(), items: now.to_vec() };
             out.push(Action::Send { to, letter });
-            (rest, ask) = (later, false);
+            (rest, ask, ranges) = (later, false, None);
             if rest.is_empty() {
                 return;
             }
         }
     }
 
-    fn digests(&self) -> Digests {
+    fn ranges(&self) -> Ranges {
         let mut members = [0; MEMBER_RANGES];
         for member in self.known().chain([&self.me]) {
             members[member.range()] ^= member.digest();
         }
-        Digests { members, units: self.units.digests(), revs: self.revs }
+        Ranges { members, units: self.units.digests() }
     }
 
-    /// Whether this relay is among those that watch another.
+    fn sums(&self) -> Sums {
+        let (members, units) = self.ranges().sums();
+        Sums { members, units, revs: self.revs }
+    }
+
+    /// Whether this relay is among those that watch another: a few of its own region, and one of the others.
     fn watches(&self, other: &Member) -> bool {
         let weight = |name: &str| rapidhash_v3(format!("{name} watches {}", other.name).as_bytes());
         let mine = weight(&self.me.name);
-        self.alive().filter(|m| m.name != other.name && weight(&m.name) > mine).count() < WATCHERS
+        let beside = self.me.region == other.region;
+        let before = self.alive().filter(|m| m.name != other.name && (m.region == other.region) == beside);
+        before.filter(|m| weight(&m.name) > mine).count() < WATCHERS[usize::from(!beside)]
     }
 
     fn ping(&mut self, now: u64, out: &mut Vec<Action>) {
@@ -269,12 +317,11 @@
             let since = *known.watched_since.get_or_insert(now);
             if !cut_off && now.saturating_sub(since.max(known.answered_at)) > DOWN_MS {
                 known.member.standing = Standing::Down;
-                known.changed_at = now;
                 out.push(Action::Members);
                 self.pass_on(What::Member(name.clone()));
                 continue;
             }
-            self.send(*to, &[], true, out);
+            self.send(*to, &[], true, None, out);
         }
         for (name, known) in &mut self.members {
             if !watched.iter().any(|(watched, _)| watched == name) {
@@ -282,65 +329,74 @@
             }
         }
         // One more at random, those that are down among them: so halves that were apart find each other.
-        let any = self.members.values().map(|known| &known.member).choose(&mut self.rng);
+        let far = self.rng.random_bool(FAR_PART);
+        let known = || self.members.values().map(|known| &known.member);
+        let any = known().filter(|member| far || member.region == self.me.region).choose(&mut self.rng);
         if let Some(to) = any.map(|member| self.address(member)) {
-            self.send(to, &[], true, out);
+            self.send(to, &[], true, None, out);
         }
-        // The seeds while no hut is known, and now and then one of them.
+        // Seeds that no member is known for, and all of them while no hut is heard.
         let huts = self.alive().filter(|member| member.core).count();
+        let ranges = self.ranges();
         for seed in self.seeds.clone() {
             let known = self.members.values().any(|known| known.member.ip == *seed.ip());
             if *seed.ip() != self.me.ip && (huts == 0 || !known) {
-                self.send(SocketAddrV4::new(*seed.ip(), self.port), &[], true, out);
+                self.send(SocketAddrV4::new(*seed.ip(), self.port), &[], true, Some(&ranges), out);
             }
         }
     }
 
     pub fn letter(&mut self, now: u64, from: SocketAddrV4, letter: Letter, out: &mut Vec<Action>) {
-        let Letter { from: sender, ask, digests, items } = letter;
+        let Letter { from: sender, ask, sums, ranges, items } = letter;
         if sender.name == self.me.name {
             return;
         }
         self.heard_at = now;
-        let name = sender.name.clone();
-        self.take_member(now, sender, true, out);
-        if let Some(known) = self.members.get_mut(&name) {
+        if let Some(known) = self.members.get_mut(&sender.name) {
             known.answered_at = now;
+            let Who { life, mark, standing, .. } = sender;
+            let member = Member { life, mark, standing, ..known.member.clone() };
+            self.take_member(now, member, out);
         }
         for item in items {
             match item {
-                Item::Member(member) => self.take_member(now, member, false, out),
+                Item::Member(member) => self.take_member(now, member, out),
                 Item::Unit(note) => self.take_unit(now, note, out),
+                Item::Beat(beat) => self.take_beat(now, beat, out),
                 Item::Sign(sign) => self.take_sign(now, sign, out),
             }
         }
-        for (register, (&theirs, &mine)) in digests.revs.iter().zip(&self.revs).enumerate() {
+        for (register, (&theirs, &mine)) in sums.revs.iter().zip(&self.revs).enumerate() {
             if theirs > mine {
                 out.push(Action::Pull { from, register, rev: theirs });
             }
         }
-        let mine = self.digests();
+        let Some(theirs) = ranges else {
+            // Whose tables differ is asked for ranges; the rest of a ping's answer is that it came.
+            let mine = self.sums();
+            if ask && (mine.members, mine.units) != (sums.members, sums.units) {
+                self.send(from, &[], true, Some(&self.ranges()), out);
+            } else if ask {
+                self.send(from, &[], false, None, out);
+            }
+            return;
+        };
+        let mine = self.ranges();
         let mut items: Vec<Item> = Vec::new();
-        if mine.members != digests.members {
-            let differing = |member: &&Member| mine.members[member.range()] != digests.members[member.range()];
-            items.extend(self.known().filter(differing).cloned().map(Item::Member));
-        }
-        if mine.units != digests.units {
-            items.extend(self.units.differing(&digests.units).filter_map(|id| self.units.note(now, id)).map(Item::Unit));
-        }
-        // A plain letter is answered only by what its sender lacks, and no more often than it is asked.
-        if ask || (!items.is_empty() && self.rng.random_bool(0.1)) {
-            self.send(from, &items, false, out);
+        let differing = |member: &&Member| mine.members[member.range()] != theirs.members[member.range()];
+        items.extend(self.known().chain([&self.me]).filter(differing).cloned().map(Item::Member));
+        items.extend(self.units.differing(&theirs.units).filter_map(|id| self.units.note(now, id)).map(Item::Unit));
+        if ask || !items.is_empty() {
+            self.send(from, &items, false, ask.then_some(&mine), out);
         }
     }
 
-    /// `own`: the member speaks of itself.
-    fn take_member(&mut self, now: u64, member: Member, own: bool, out: &mut Vec<Action>) {
+    fn take_member(&mut self, now: u64, member: Member, out: &mut Vec<Action>) {
         if member.name == self.me.name {
             // Somebody believes otherwise: what this relay says of itself must outrank it.
-            if member.life >= self.me.life && member.rank() > self.me.rank() {
+            if member.rank() > self.me.rank() {
                 self.me.life = self.me.life.max(member.life);
-                self.me.mark = member.mark + 1;
+                self.me.mark = self.me.mark.max(member.mark) + 1;
                 self.pass_on(What::Member(self.me.name.clone()));
             }
             return;
@@ -348,19 +404,12 @@
         let name = member.name.clone();
         match self.members.get_mut(&name) {
             None => {
-                self.members.insert(
-                    name.clone(),
-                    Known { member, watched_since: None, answered_at: if own { now } else { 0 }, changed_at: now },
-                );
+                let known = Known { member, watched_since: None, answered_at: now };
+                self.members.insert(name.clone(), known);
             }
             Some(known) if member.rank() > known.member.rank() => {
                 known.member = member;
                 known.watched_since = None;
-                known.changed_at = now;
-            }
-            Some(known) if own && known.member.standing == Standing::Down && member.rank() < known.member.rank() => {
-                // It lives and does not know what is said of it: the answer's digests will tell it.
-                return;
             }
             Some(_) => return,
         }
@@ -372,10 +421,7 @@
         let id = note.id.clone();
         match self.units.merge(now, note) {
             News::Old => {}
-            News::Beat => {
-                self.pass_on(What::Unit(id.clone()));
-                out.push(Action::Beat(id));
-            }
+            News::Beat => out.push(Action::Beat(id)),
             News::Change => {
                 self.pass_on(What::Unit(id.clone()));
                 out.push(Action::Unit(id));
@@ -383,6 +429,16 @@
         }
     }
 
+    fn take_beat(&mut self, now: u64, beat: Beat, out: &mut Vec<Action>) {
+        let Some(unit) = self.units.get(&beat.id) else { return };
+        let Beat { id, sequence, warm_left_ms, age_ms } = beat;
+        let note = Note { sequence, warm_left_ms, age_ms, ..unit.note.clone() };
+        if self.units.merge(now, note) == News::Beat {
+            self.pass_on(What::Beat(id.clone()));
+            out.push(Action::Beat(id));
+        }
+    }
+
     fn take_sign(&mut self, now: u64, sign: letter::Sign, out: &mut Vec<Action>) {
         let key = (sign.relay.clone(), sign.service.clone());
         let news = self.signs.get(&key).is_none_or(|(held, _)| (sign.life, sign.count) > (held.life, held.count));
--- a/crates/beechcroft-hut/src/keeper.rs
+++ b/crates/beechcroft-hut/src/keeper.rs
@@ -2,6 +2,7 @@
 //! Everything reaches it through one queue of commands; it never waits.
 
 use crate::disk::Disk;
+use beechcroft_cache::Table;
 use beechcroft_cairns::{Action as News, Cairns, Letter, Member, Standing};
 use beechcroft_hutbook::proposer::{Action as Step, Answer, Event, OrderId};
 use beechcroft_hutbook::{Ask, Ballot, Op, Orders, Proposer, Reply, Stage, Value, Voter, BOOK, ORDERS};
@@ -18,6 +19,8 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
+/// What was last known to be chosen, by register, on disk.
+const CHOSEN: [&str; 2] = ["chosen-0", "chosen-1"];
 pub const ASK_WITHIN: Duration = Duration::from_millis(900);
 const COPY_WITHIN: Duration = Duration::from_millis(1500);
 /// The operator asks another machine after a second of silence.
@@ -26,6 +29,8 @@
 const CONDUCT_EVERY_MS: u64 = 200;
 /// Since the last new core machine, before the first voters are named.
 const SETTLE_MS: u64 = 1000;
+/// How often at most what is known of units and members is put down for the next life of the process.
+const JOT_EVERY_MS: u64 = 500;
 /// Units of a service are watched for so long before its version is put down.
 const BASE_AFTER_MS: u64 = 1200;
 
@@ -74,6 +79,9 @@
     stages: HashMap<String, (u64, Stage, u64)>,
     unbased: BTreeMap<String, u64>,
     read_at: u64,
+    jot_at: u64,
+    units_new: bool,
+    members_new: bool,
     disk: Disk,
     post: Post,
     errands: Errands,
@@ -82,12 +90,13 @@
 
 impl Keeper {
     pub fn new(
-        settings: Settings, voter: Voter, me: Member, salt: u64, disk: Disk, post: Post, errands: Errands, queue: Queue,
+        settings: Settings, voter: Voter, me: Member, salt: u64, table: &Table, disk: Disk, post: Post,
+        errands: Errands, queue: Queue,
     ) -> Keeper {
         let cairns = Cairns::new(me, settings.internal_ports[0], settings.seed_nodes.clone(), salt);
         let mut proposer = Proposer::new(salt ^ 0x5eed);
         proposer.voters(voter.voters(), voter.highest());
-        Keeper {
+        let mut keeper = Keeper {
             settings,
             began: Instant::now(),
             cairns,
@@ -105,11 +114,52 @@
             stages: HashMap::new(),
             unbased: BTreeMap::new(),
             read_at: 0,
+            jot_at: 0,
+            units_new: false,
+            members_new: false,
             disk,
             post,
             errands,
             queue,
+        };
+        keeper.recall(table);
+        keeper
+    }
+
+    /// Begins where a former life of the process ended: with what it knew to be chosen, its members and units.
+    fn recall(&mut self, table: &Table) {
+        fn read<T: serde::de::DeserializeOwned + Default>(table: &Table, name: &str) -> T {
+            table.get(name).and_then(|bytes| postcard::from_bytes(bytes).ok()).unwrap_or_default()
+        }
+        let now = self.now();
+        self.cairns.recall(now, read(table, "members"), read(table, "units"));
+        for register in [BOOK, ORDERS] {
+            self.learn(register, read(table, CHOSEN[register]));
+        }
+    }
+
+    /// Puts down what spares the next life a wait. Nothing is acknowledged by it.
+    fn jot(&mut self, now: u64) {
+        if now < self.jot_at || !(self.units_new || self.members_new) {
+            return;
+        }
+        self.jot_at = now + JOT_EVERY_MS;
+        let mut records = Vec::new();
+        if std::mem::take(&mut self.units_new) {
+            let units = self.cairns.units.all().map(|unit| unit.note.id.as_str());
+            let notes: Vec<Note> = units.filter_map(|id| self.cairns.units.note(now, id)).collect();
+            records.push(("units".to_owned(), postcard::to_stdvec(&notes).expect("plain data")));
+        }
+        if std::mem::take(&mut self.members_new) {
+            let members: Vec<&Member> = self.cairns.known().collect();
+            records.push(("members".to_owned(), postcard::to_stdvec(&members).expect("plain data")));
         }
+        self.put_down(records);
+    }
+
+    fn put_down(&self, records: Vec<(String, Vec<u8>)>) {
+        let disk = self.disk.clone();
+        spawn_local(async move { disk.keep(records).await });
     }
 
     fn now(&self) -> u64 {
@@ -123,7 +173,9 @@
             Command::Letter(from, letter) => self.cairns.letter(now, from, *letter, &mut news),
             Command::Beat(note, done) => {
                 let state = note.state;
-                if self.cairns.beat(now, note.clone()) == UnitNews::Change && state == State::Draining {
+                let changed = self.cairns.beat(now, note.clone()) == UnitNews::Change;
+                self.units_new |= changed;
+                if changed && state == State::Draining {
                     self.cairns.hurry(now, &mut news);
                     self.tell_cores(note, done);
                 } else {
@@ -132,6 +184,7 @@
             }
             Command::Deregister(id, done) => {
                 if self.cairns.unit_gone(&id) {
+                    self.units_new = true;
                     self.cairns.hurry(now, &mut news);
                     match self.cairns.units.note(now, &id) {
                         Some(note) => self.tell_cores(note, done),
@@ -143,6 +196,7 @@
             }
             Command::Told(note, done) => {
                 if self.cairns.beat(now, note) == UnitNews::Change {
+                    self.units_new = true;
                     self.cairns.hurry(now, &mut news);
                 }
                 let _ = done.send(());
@@ -194,6 +248,8 @@
                         }
                     });
                 }
+                News::Unit(_) => self.units_new = true,
+                News::Members => self.members_new = true,
                 _ => {}
             }
         }
@@ -298,6 +354,7 @@
             self.orders = postcard::from_bytes(&value.bytes).unwrap_or_default();
             log::info!("keeper: Orders at {}: {:?}.", value.rev, self.orders);
         }
+        self.put_down(vec![(CHOSEN[register].to_owned(), postcard::to_stdvec(&value).expect("plain data"))]);
         self.held[register] = value;
         self.cairns.revs[register] = self.held[register].rev;
         let (now, mut news) = (self.now(), Vec::new());
@@ -307,6 +364,7 @@
 
     fn tick(&mut self, now: u64) {
         self.propose(Event::Tick);
+        self.jot(now);
         if self.voter.identity.is_none() {
             self.settle(now);
             return;
--- a/crates/beechcroft-hut/src/main.rs
+++ b/crates/beechcroft-hut/src/main.rs
@@ -121,13 +121,13 @@
         standing: Standing::Ready,
     };
     let voter = Voter::new(&me.name, settings.fault_tolerance.node_losses, salt, &table);
-    drop(table);
     let inside = SocketAddrV4::new(settings.ip, settings.internal_ports[0]);
     let post = Post::open(inside).await.map_err(said)?;
     let (queue, mut commands) = mpsc::unbounded_channel();
     let errands = Errands::default();
     let mut keeper =
-        Keeper::new(settings.clone(), voter, me, salt, disk, post.clone(), errands, queue.clone());
+        Keeper::new(settings.clone(), voter, me, salt, &table, disk, post.clone(), errands, queue.clone());
+    drop(table);
 
     let ttl_s = settings.bounds.ttl_max_s.min(2.0);
     let mut desks = Vec::new();
--- a/crates/beechcroft-ropes/src/conduct.rs
+++ b/crates/beechcroft-ropes/src/conduct.rs
@@ -7,8 +7,8 @@
 pub const LAST: u8 = SHARES.len() as u8 - 1;
 
 /// By when, of the ramp, the trial is over; the steps after it share what is left.
-const TRIAL_PART: f64 = 0.42;
-const STEP_PART: f64 = 0.125;
+const TRIAL_PART: f64 = 0.36;
+const STEP_PART: f64 = 0.1;
 /// Outcomes over the fleet that a trial should bring; it is given half as long again to bring them.
 const ENOUGH: u32 = 60;
 
--- a/crates/beechcroft-trail/src/guide.rs
+++ b/crates/beechcroft-trail/src/guide.rs
@@ -12,7 +12,7 @@
 use beechcroft_pass::errand::Errands;
 use beechcroft_pass::post::Post;
 use beechcroft_ropes::conduct::LAST;
-use beechcroft_ropes::Word;
+use beechcroft_ropes::{Count, Word};
 use beechcroft_waymarks::State;
 use rapidhash::v3::rapidhash_v3;
 use std::collections::HashMap;
@@ -33,7 +33,11 @@
 /// Beats missed before a unit counts as silent.
 const SILENT_BEATS: u64 = 3;
 /// After the first news of units, before this relay says that it is ready.
-const SETTLE_MS: u64 = 500;
+const SETTLE_MS: u64 = 60;
+
+fn count_of(trials: u16, failures: u16) -> Count {
+    Count { trials: trials.into(), failures: failures.into() }
+}
 
 pub enum Command {
     Letter(SocketAddrV4, Box<Letter>),
@@ -66,7 +70,6 @@
     back_at: u64,
     sync_at: u64,
     count: u32,
-    stands: HashMap<String, beechcroft_ropes::Stand>,
     post: Post,
     errands: Errands,
     queue: Queue,
@@ -88,7 +91,6 @@
             back_at: 0,
             sync_at: 0,
             count: 0,
-            stands: HashMap::new(),
             post,
             errands,
             queue,
@@ -290,7 +292,6 @@
         }
         let orders = self.shared.orders.borrow().clone();
         let mut judges = self.shared.judges.borrow_mut();
-        self.stands.clear();
         let mut signs = Vec::new();
         for (service, rollout) in &orders.rollouts {
             let Some(judge) = judges.get_mut(service) else { continue };
@@ -306,10 +307,12 @@
                 .map(|s| Word {
                     alarm: s.alarm,
                     divergence: f64::from(s.divergence),
-                    count: beechcroft_ropes::Count { trials: s.trials, failures: s.failures },
+                    count: Count { trials: s.trials, failures: s.failures },
+                    units: s.units.iter().map(|&(unit, t, f)| (unit, count_of(t, f))).collect(),
                 })
                 .collect();
             let Some(stand) = judge.tick(&words) else { continue };
+            let short = |n: u32| n.min(u32::from(u16::MAX)) as u16;
             if stand.back && now >= self.back_at {
                 self.back_at = now + BACK_MS;
                 log::info!("guide: Votes {service} back: {stand:?}, peers {words:?}.");
@@ -328,6 +331,7 @@
                     divergence: stand.divergence as f32,
                     trials: stand.count.trials,
                     failures: stand.count.failures,
+                    units: stand.units.iter().map(|&(unit, c)| (unit, short(c.trials), short(c.failures))).collect(),
                     old_open: if stage == LAST { self.old_open(service) } else { 0 },
                 });
             }
--- a/crates/beechcroft-trail/src/main.rs
+++ b/crates/beechcroft-trail/src/main.rs
@@ -48,6 +48,9 @@
 /// After SIGTERM, clients may hold an old answer of the directory for so long: two seconds and some.
 const STAY_MS: u64 = 3500;
 
+/// After its start, a relay takes connections once it is ready, or after so long.
+const COMING: Duration = Duration::from_millis(600);
+
 fn main() -> ExitCode {
     let done = match flags::Trail::from_env_or_exit().subcommand {
         flags::TrailCmd::Run(run) => run_program(run.log.as_deref().unwrap_or("warn")),
@@ -116,6 +119,11 @@
         let listener = desk::listen(at).await.map_err(said)?;
         let (shared, queue) = (shared.clone(), queue.clone());
         spawn_local(async move {
+            // Until it can serve, a relay that has just started reads nothing, for a moment.
+            let patience = Instant::now() + COMING;
+            while shared.phase.get() == Phase::Coming && Instant::now() < patience {
+                sleep(Duration::from_millis(10)).await;
+            }
             loop {
                 match listener.accept().await {
                     Ok((stream, _)) => drop(spawn_local(serve::client(shared.clone(), queue.clone(), stream))),
--- a/crates/beechcroft-trail/src/serve.rs
+++ b/crates/beechcroft-trail/src/serve.rs
@@ -221,7 +221,8 @@
         let failed = matches!(end, Some(End::Unclear | End::Slow | End::Failed));
         if failed || end.is_none() {
             let mut judges = shared.judges.borrow_mut();
-            judges.entry(name.to_owned()).or_default().outcome(side == Side::Trial, route as u32, failed, spent);
+            let on_trial = (side == Side::Trial).then(|| beechcroft_ropes::short(&unit));
+            judges.entry(name.to_owned()).or_default().outcome(on_trial, route as u32, failed, spent);
         }
         let Some(end) = end else { return Final::Unit(Box::new(answer.expect("no end, so an answer"))) };
         match end {
