--- a/crates/beechcroft-cache/src/lib.rs
+++ b/crates/beechcroft-cache/src/lib.rs
@@ -160,7 +160,9 @@
 
     fn logs(&self) -> io::Result<Vec<PathBuf>> {
         let entries = fs::read_dir(&self.folder)?.filter_map(Result::ok).map(|entry| entry.path());
-        Ok(entries.filter(|p| p.file_name().is_some_and(|n| n.to_string_lossy().starts_with("wal-"))).collect())
+        Ok(entries
+            .filter(|p| p.file_name().is_some_and(|n| n.to_string_lossy().starts_with("wal-")))
+            .collect())
     }
 
     /// Writes the table as a snapshot and starts an empty log.
@@ -194,7 +196,10 @@
 
 fn config(folder: &Path) -> Configuration {
     // Folding is ours, so okaywal is never to check-point by itself.
-    Configuration::default_for(folder).preallocate_bytes(128 << 10).checkpoint_after_bytes(u64::MAX).buffer_bytes(8 << 10)
+    Configuration::default_for(folder)
+        .preallocate_bytes(128 << 10)
+        .checkpoint_after_bytes(u64::MAX)
+        .buffer_bytes(8 << 10)
 }
 
 fn encode(number: u64, name: &str, value: &[u8]) -> Vec<u8> {
--- a/crates/beechcroft-cairns/src/letter.rs
+++ b/crates/beechcroft-cairns/src/letter.rs
@@ -130,7 +130,8 @@
 impl Ranges {
     /// The digests of the whole tables.
     pub fn sums(&self) -> (u32, u32) {
-        let fold = |ranges: &[u32]| ranges.iter().fold(0u32, |sum, &range| sum.rotate_left(5).wrapping_add(range));
+        let fold =
+            |ranges: &[u32]| ranges.iter().fold(0u32, |sum, &range| sum.rotate_left(5).wrapping_add(range));
         (fold(&self.members), fold(&self.units))
     }
 }
--- a/crates/beechcroft-cairns/src/lib.rs
+++ b/crates/beechcroft-cairns/src/lib.rs
@@ -42,9 +42,16 @@
 /// What a relay's news ask of its owner.
 #[derive(Debug)]
 pub enum Action {
-    Send { to: SocketAddrV4, letter: Letter },
+    Send {
+        to: SocketAddrV4,
+        letter: Letter,
+    },
     /// A peer holds a newer copy of a register.
-    Pull { from: SocketAddrV4, register: usize, rev: u64 },
+    Pull {
+        from: SocketAddrV4,
+        register: usize,
+        rev: u64,
+    },
     /// A unit's state has changed or it is new.
     Unit(String),
     /// A later beat of a unit.
@@ -188,7 +195,8 @@
 
     /// Signs that have not lapsed, this relay's own among them.
     pub fn signs<'a>(&'a self, now: u64, service: &'a str) -> impl Iterator<Item = &'a letter::Sign> {
-        let fresh = self.signs.values().filter(move |(sign, at)| sign.service == service && at + FORGET_MS > now);
+        let fresh =
+            self.signs.values().filter(move |(sign, at)| sign.service == service && at + FORGET_MS > now);
         fresh.map(|(sign, _)| sign)
     }
 
@@ -262,7 +270,9 @@
     }
 
     /// Sends items in as many letters as they need.
-    fn send(&self, to: SocketAddrV4, items: &[Item], ask: bool, ranges: Option<&Ranges>, out: &mut Vec<Action>) {
+    fn send(
+        &self, to: SocketAddrV4, items: &[Item], ask: bool, ranges: Option<&Ranges>, out: &mut Vec<Action>,
+    ) {
         let mut rest = items;
         let (mut ask, mut ranges) = (ask, ranges);
         let Member { name, life, mark, standing, .. } = &self.me;
@@ -274,7 +284,8 @@
             });
             let (now, later) = rest.split_at(fit.count().max(1).min(rest.len()));
             let from = Who { name: name.clone(), life: *life, mark: *mark, standing: *standing };
-            let letter = Letter { from, ask, sums: self.sums(), ranges: ranges.cloned(), items: now.to_vec() };
+            let letter =
+                Letter { from, ask, sums: self.sums(), ranges: ranges.cloned(), items: now.to_vec() };
             out.push(Action::Send { to, letter });
             (rest, ask, ranges) = (later, false, None);
             if rest.is_empty() {
@@ -385,7 +396,9 @@
         let mut items: Vec<Item> = Vec::new();
         let differing = |member: &&Member| mine.members[member.range()] != theirs.members[member.range()];
         items.extend(self.known().chain([&self.me]).filter(differing).cloned().map(Item::Member));
-        items.extend(self.units.differing(&theirs.units).filter_map(|id| self.units.note(now, id)).map(Item::Unit));
+        items.extend(
+            self.units.differing(&theirs.units).filter_map(|id| self.units.note(now, id)).map(Item::Unit),
+        );
         if ask || !items.is_empty() {
             self.send(from, &items, false, ask.then_some(&mine), out);
         }
@@ -441,7 +454,8 @@
 
     fn take_sign(&mut self, now: u64, sign: letter::Sign, out: &mut Vec<Action>) {
         let key = (sign.relay.clone(), sign.service.clone());
-        let news = self.signs.get(&key).is_none_or(|(held, _)| (sign.life, sign.count) > (held.life, held.count));
+        let news =
+            self.signs.get(&key).is_none_or(|(held, _)| (sign.life, sign.count) > (held.life, held.count));
         if news && sign.relay != self.me.name {
             self.signs.insert(key, (sign.clone(), now));
             self.pass_on(What::Sign(sign.clone()));
--- a/crates/beechcroft-crossing/src/lib.rs
+++ b/crates/beechcroft-crossing/src/lib.rs
@@ -99,11 +99,19 @@
 
     /// No unit may take it now.
     pub fn no_unit(&self, why: Kind) -> Kind {
-        if self.maybe_run { Kind::Lost } else { why }
+        if self.maybe_run {
+            Kind::Lost
+        } else {
+            why
+        }
     }
 
     fn refusal(&self) -> Kind {
-        if self.maybe_run { Kind::Lost } else { Kind::Full }
+        if self.maybe_run {
+            Kind::Lost
+        } else {
+            Kind::Full
+        }
     }
 }
 
@@ -149,7 +157,8 @@
     #[test]
     fn a_repeatable_request_that_may_have_run_is_not_promised_either() {
         all(true, |steps| {
-            let ran = steps.iter().any(|(end, _)| !matches!(end, End::NotSent | End::Refused | End::Elsewhere));
+            let ran =
+                steps.iter().any(|(end, _)| !matches!(end, End::NotSent | End::Refused | End::Elsewhere));
             if let (true, Some((_, Next::Answer(kind)))) = (ran, steps.last()) {
                 assert!(!kind.promises(), "{steps:?}");
             }
--- a/crates/beechcroft-hut/src/desks.rs
+++ b/crates/beechcroft-hut/src/desks.rs
@@ -113,7 +113,8 @@
         Known::BeginRollout => {
             let begin: Begin = serde_json::from_slice(&call.body).map_err(invalid)?;
             let ramp_ms = (begin.ramp_s.clamp(0.0, 1e6) * 1000.0) as u64;
-            order(queue, ORDERS, Op::Begin { service: begin.service, target: begin.target_version, ramp_ms }).await
+            order(queue, ORDERS, Op::Begin { service: begin.service, target: begin.target_version, ramp_ms })
+                .await
         }
         Known::ShowRollout(service) => {
             let value = through(queue, |answer| Command::Order(ORDERS, Op::Read, answer)).await??;
@@ -144,7 +145,8 @@
     if calls::find(&call.method, &call.path) != Some(Known::Resolve) {
         return Kind::NoCall.into();
     }
-    let (region, zone) = (call.query("region").unwrap_or("").to_owned(), call.query("zone").unwrap_or("").to_owned());
+    let (region, zone) =
+        (call.query("region").unwrap_or("").to_owned(), call.query("zone").unwrap_or("").to_owned());
     match through(&queue, |answer| Command::Resolve { region, zone, answer }).await {
         Ok(found) if !found.is_empty() => {
             let body = serde_json::json!({ "addresses": found, "ttlS": ttl_s });
@@ -158,7 +160,9 @@
 pub async fn relays(queue: Queue, call: Call) -> Answer {
     let done = match call.path.as_str() {
         "/ask" => match postcard::from_bytes(&call.body) {
-            Ok(ask) => through(&queue, |answer| Command::Ask(ask, answer)).await.map(|r| postcard::to_stdvec(&r)),
+            Ok(ask) => {
+                through(&queue, |answer| Command::Ask(ask, answer)).await.map(|r| postcard::to_stdvec(&r))
+            }
             Err(e) => Err(invalid(e)),
         },
         "/copy" => {
--- a/crates/beechcroft-hut/src/keeper.rs
+++ b/crates/beechcroft-hut/src/keeper.rs
@@ -43,14 +43,30 @@
     /// Another core machine passes on a drain or an end.
     Told(Note, oneshot::Sender<()>),
     Ask(Ask, oneshot::Sender<Reply>),
-    Replied { from: String, register: usize, ballot: Ballot, reply: Reply },
-    Fenced { from: String, life: u64, reply: Reply },
+    Replied {
+        from: String,
+        register: usize,
+        ballot: Ballot,
+        reply: Reply,
+    },
+    Fenced {
+        from: String,
+        life: u64,
+        reply: Reply,
+    },
     VotesAgain,
     Order(usize, Op, oneshot::Sender<Answer>),
-    Back { service: String, begun: u64 },
+    Back {
+        service: String,
+        begun: u64,
+    },
     Copy(usize, oneshot::Sender<Value>),
     Copied(usize, Value),
-    Resolve { region: String, zone: String, answer: oneshot::Sender<Vec<SocketAddrV4>> },
+    Resolve {
+        region: String,
+        zone: String,
+        answer: oneshot::Sender<Vec<SocketAddrV4>>,
+    },
     Show(oneshot::Sender<String>),
     Seeds(Vec<SocketAddrV4>),
     Leave,
@@ -238,12 +254,16 @@
         for action in news {
             match action {
                 News::Send { to, letter } => self.post.send(to, &letter),
-                News::Pull { from, register, rev } if now >= self.pulling[register] && rev > self.held[register].rev => {
+                News::Pull { from, register, rev }
+                    if now >= self.pulling[register] && rev > self.held[register].rev =>
+                {
                     self.pulling[register] = now + COPY_WITHIN.as_millis() as u64 / 2;
                     let (errands, queue) = (self.errands.clone(), self.queue.clone());
                     spawn_local(async move {
                         let copy = errands.run(from, "/copy", vec![register as u8], COPY_WITHIN).await;
-                        if let Ok(value) = copy.and_then(|b| postcard::from_bytes(&b).map_err(|e| Fault::new(Kind::Malformed, e.to_string()))) {
+                        if let Ok(value) = copy.and_then(|b| {
+                            postcard::from_bytes(&b).map_err(|e| Fault::new(Kind::Malformed, e.to_string()))
+                        }) {
                             let _ = queue.send(Command::Copied(register, value));
                         }
                     });
@@ -496,8 +516,7 @@
             if !first {
                 continue;
             }
-            let mut view =
-                View { stage, stage_ms: now - since, ramp_ms: rollout.ramp_ms, ..View::default() };
+            let mut view = View { stage, stage_ms: now - since, ramp_ms: rollout.ramp_ms, ..View::default() };
             let signs = self.cairns.signs(now, service);
             for sign in signs.filter(|sign| (sign.begun, sign.stage) == (rollout.begun, stage)) {
                 view.trials += sign.trials;
@@ -506,7 +525,8 @@
                 view.old_open += sign.old_open;
             }
             for unit in self.cairns.units.all() {
-                let warm = unit.note.state == State::Ready && unit.warm_at <= now && unit.note.service == *service;
+                let warm =
+                    unit.note.state == State::Ready && unit.warm_at <= now && unit.note.service == *service;
                 if warm && unit.note.version == rollout.target {
                     view.new_slots += u32::from(unit.note.capacity);
                 } else if warm {
@@ -529,7 +549,9 @@
     /// A proxy relay votes a version back.
     fn back(&mut self, service: &str, begun: u64) {
         let held = self.orders.rollouts.get(service).filter(|held| held.begun == begun);
-        let Some(from) = held.map(|held| held.stage).filter(|stage| matches!(stage, Stage::Active(_))) else { return };
+        let Some(from) = held.map(|held| held.stage).filter(|stage| matches!(stage, Stage::Active(_))) else {
+            return;
+        };
         log::info!("keeper: Rollout of {service} is voted back.");
         let op = Op::Move { service: service.to_owned(), begun, from, to: Stage::Reverted };
         self.order(ORDERS, op, None);
@@ -538,7 +560,8 @@
     /// Where a client goes: the ready edges of its region, else all.
     fn resolve(&self, region: &str, _zone: &str) -> Vec<SocketAddrV4> {
         let ready = || self.cairns.alive().filter(|m| m.standing == Standing::Ready && m.ingress.is_some());
-        let mut found: Vec<SocketAddrV4> = ready().filter(|m| m.region == region).filter_map(|m| m.ingress).collect();
+        let mut found: Vec<SocketAddrV4> =
+            ready().filter(|m| m.region == region).filter_map(|m| m.ingress).collect();
         if found.is_empty() {
             found = ready().filter_map(|m| m.ingress).collect();
         }
@@ -555,7 +578,10 @@
         for unit in self.cairns.units.all() {
             let note = &unit.note;
             let heard = now.saturating_sub(unit.heard_at);
-            text += &format!("unit {} {} {} {} {:?} heard {heard} ms ago\n", note.id, note.service, note.version, note.zone, note.state);
+            text += &format!(
+                "unit {} {} {} {} {:?} heard {heard} ms ago\n",
+                note.id, note.service, note.version, note.zone, note.state
+            );
         }
         text += &format!("orders {:?}\n", self.orders);
         text
--- a/crates/beechcroft-hut/src/main.rs
+++ b/crates/beechcroft-hut/src/main.rs
@@ -80,7 +80,8 @@
         print!("{}", String::from_utf8_lossy(&text));
         return Ok(());
     }
-    let table = beechcroft_cache::Cache::peek(std::path::Path::new(what)).map_err(|e| format!("{what}: {e}"))?;
+    let table =
+        beechcroft_cache::Cache::peek(std::path::Path::new(what)).map_err(|e| format!("{what}: {e}"))?;
     let voter = Voter::new("", 0, 0, &table);
     println!("identity {:?}", voter.identity);
     for register in [beechcroft_hutbook::BOOK, beechcroft_hutbook::ORDERS] {
@@ -103,7 +104,9 @@
 
 async fn serve(settings: Settings) -> Result<(), String> {
     let said = |e: std::io::Error| e.to_string();
-    let life = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+    let life = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64);
     let salt: u64 = life.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ u64::from(u32::from(settings.ip)) << 20;
     let folder = settings.data_dir.clone().ok_or("dataDir: a hut needs a folder for its state")?;
     let (disk, table) = disk::Disk::open(folder).map_err(said)?;
@@ -133,14 +136,20 @@
     let mut desks = Vec::new();
     if let Some(at) = settings.listen.control {
         let queue = queue.clone();
-        desks.push(spawn_local(desk::serve(at, Bounds::default(), move |call| desks::control(queue.clone(), call))));
+        desks.push(spawn_local(desk::serve(at, Bounds::default(), move |call| {
+            desks::control(queue.clone(), call)
+        })));
     }
     if let Some(at) = settings.listen.directory {
         let queue = queue.clone();
-        desks.push(spawn_local(desk::serve(at, Bounds::default(), move |call| desks::directory(queue.clone(), ttl_s, call))));
+        desks.push(spawn_local(desk::serve(at, Bounds::default(), move |call| {
+            desks::directory(queue.clone(), ttl_s, call)
+        })));
     }
     let inner = queue.clone();
-    desks.push(spawn_local(desk::serve(inside, Bounds::default(), move |call| desks::relays(inner.clone(), call))));
+    desks.push(spawn_local(desk::serve(inside, Bounds::default(), move |call| {
+        desks::relays(inner.clone(), call)
+    })));
 
     let letters = queue.clone();
     spawn_local(async move {
--- a/crates/beechcroft-hutbook/src/proposer.rs
+++ b/crates/beechcroft-hutbook/src/proposer.rs
@@ -27,9 +27,15 @@
 pub enum Action {
     /// To every voter, this machine included.
     Ask(Ask),
-    Answer { id: OrderId, answer: Answer },
+    Answer {
+        id: OrderId,
+        answer: Answer,
+    },
     /// A value is chosen.
-    Chosen { register: usize, value: Value },
+    Chosen {
+        register: usize,
+        value: Value,
+    },
 }
 
 struct Waiting {
@@ -90,7 +96,9 @@
                 self.sides[register].queue.push_back(Waiting { id, op, until });
                 self.begin(now, register, out);
             }
-            Event::Reply { from, register, ballot, reply } => self.reply(now, &from, register, ballot, reply, out),
+            Event::Reply { from, register, ballot, reply } => {
+                self.reply(now, &from, register, ballot, reply, out)
+            }
             Event::Tick => {
                 for register in [BOOK, ORDERS] {
                     self.expire(now, register, out);
@@ -148,7 +156,9 @@
         out.push(Action::Ask(Ask::Prepare { register, ballot }));
     }
 
-    fn reply(&mut self, now: u64, from: &str, register: usize, ballot: Ballot, reply: Reply, out: &mut Vec<Action>) {
+    fn reply(
+        &mut self, now: u64, from: &str, register: usize, ballot: Ballot, reply: Reply, out: &mut Vec<Action>,
+    ) {
         if let Reply::Refused { promised } = &reply {
             self.count = self.count.max(promised.count);
         }
@@ -156,7 +166,9 @@
         if !self.voters.iter().any(|voter| voter == from) {
             return;
         }
-        let Some(round) = self.sides[register].round.as_mut().filter(|round| round.ballot == ballot) else { return };
+        let Some(round) = self.sides[register].round.as_mut().filter(|round| round.ballot == ballot) else {
+            return;
+        };
         match (reply, &mut round.offered) {
             (Reply::Promise { life, accepted }, None) => {
                 round.promises.insert(from.to_owned(), life);
--- a/crates/beechcroft-hutbook/src/state.rs
+++ b/crates/beechcroft-hutbook/src/state.rs
@@ -55,21 +55,45 @@
 pub enum Op {
     /// Only confirms the value.
     Read,
-    Replace { version: u32, base: u32, body: Vec<u8> },
-    Begin { service: String, target: String, ramp_ms: u64 },
-    Move { service: String, begun: u64, from: Stage, to: Stage },
-    Evacuate { zone: String, begin: bool },
-    Base { service: String, version: String },
+    Replace {
+        version: u32,
+        base: u32,
+        body: Vec<u8>,
+    },
+    Begin {
+        service: String,
+        target: String,
+        ramp_ms: u64,
+    },
+    Move {
+        service: String,
+        begun: u64,
+        from: Stage,
+        to: Stage,
+    },
+    Evacuate {
+        zone: String,
+        begin: bool,
+    },
+    Base {
+        service: String,
+        version: String,
+    },
 }
 
 impl Op {
     pub fn register(&self) -> usize {
-        if matches!(self, Op::Replace { .. }) { crate::BOOK } else { crate::ORDERS }
+        if matches!(self, Op::Replace { .. }) {
+            crate::BOOK
+        } else {
+            crate::ORDERS
+        }
     }
 }
 
 fn digest(body: &[u8]) -> u64 {
-    body.iter().fold(0xcbf2_9ce4_8422_2325, |sum: u64, &b| (sum ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+    body.iter()
+        .fold(0xcbf2_9ce4_8422_2325, |sum: u64, &b| (sum ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
 }
 
 impl Book {
@@ -110,7 +134,10 @@
                     return Ok(false); // a repeat
                 }
                 if let Some(Rollout { stage: Stage::Active(_), target, .. }) = self.rollouts.get(service) {
-                    return Err(Fault::new(Kind::UnderWay, format!("a rollout of {service} to {target} is active")));
+                    return Err(Fault::new(
+                        Kind::UnderWay,
+                        format!("a rollout of {service} to {target} is active"),
+                    ));
                 }
                 if let Some(withdrawn) = self.withdrawn.get_mut(service) {
                     withdrawn.remove(target);
@@ -122,7 +149,8 @@
                 Ok(true)
             }
             Op::Move { service, begun, from, to } => {
-                let held = self.rollouts.get_mut(service).filter(|held| held.begun == *begun && held.stage == *from);
+                let held =
+                    self.rollouts.get_mut(service).filter(|held| held.begun == *begun && held.stage == *from);
                 let Some(held) = held else { return Ok(false) };
                 held.stage = *to;
                 match to {
--- a/crates/beechcroft-hutbook/src/voter.rs
+++ b/crates/beechcroft-hutbook/src/voter.rs
@@ -17,12 +17,24 @@
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Reply {
-    Promise { life: u64, accepted: Option<(Ballot, Value)> },
-    Accepted { life: u64 },
+    Promise {
+        life: u64,
+        accepted: Option<(Ballot, Value)>,
+    },
+    Accepted {
+        life: u64,
+    },
     /// A later ballot has been promised, or the round stands on a lost disk.
-    Refused { promised: Ballot },
+    Refused {
+        promised: Ballot,
+    },
     /// All that a voter holds; `life` is the highest one known of the machine that asked.
-    Copy { life: u64, voters: Vec<String>, lives: BTreeMap<String, u64>, registers: [Register; 2] },
+    Copy {
+        life: u64,
+        voters: Vec<String>,
+        lives: BTreeMap<String, u64>,
+        registers: [Register; 2],
+    },
     /// Not a voter, or not yet again.
     Learner,
 }
@@ -164,7 +176,8 @@
             }
             Ask::Accept { register, ballot, value, seats } => {
                 let held = &mut self.registers[register];
-                let lost = seats.iter().any(|(name, life)| identity.lives.get(name).is_some_and(|l| l > life));
+                let lost =
+                    seats.iter().any(|(name, life)| identity.lives.get(name).is_some_and(|l| l > life));
                 if ballot < held.promised || lost {
                     return (Reply::Refused { promised: held.promised }, Vec::new());
                 }
--- /dev/null
+++ b/crates/beechcroft-hutbook/tests/agreement.rs
@@ -0,0 +1,402 @@
+//! Agreement under faults. A core of voters in one process: every message, sync and restart is a numbered
+//! point, and a fault is injected at each in turn; then seeds draw many faults at once. No clock but the
+//! test's own, no socket, no disk.
+
+use beechcroft_hutbook::proposer::{Action, Event, OrderId};
+use beechcroft_hutbook::{Ask, Ballot, Book, Op, Proposer, Reply, Value, Voter, BOOK};
+use beechcroft_kinds::Kind;
+use std::collections::{BTreeMap, VecDeque};
+
+type Table = BTreeMap<String, Vec<u8>>;
+
+/// What happens at a point instead of what should.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    /// The message is lost.
+    Lost,
+    /// It comes twice.
+    Twice,
+    /// It comes after all others that are on the way.
+    Late,
+    /// The machine that would take it loses power just before; what was not synced is gone.
+    CrashBefore,
+    /// The same, just after it took it, before anything it wrote was synced.
+    CrashAfter,
+    /// Its disk is lost as well.
+    Wipe,
+}
+
+const FAULTS: [Fault; 6] =
+    [Fault::Lost, Fault::Twice, Fault::Late, Fault::CrashBefore, Fault::CrashAfter, Fault::Wipe];
+
+#[derive(Clone, Debug)]
+enum Message {
+    Ask {
+        to: usize,
+        from: usize,
+        ask: Ask,
+    },
+    Reply {
+        to: usize,
+        from: usize,
+        ballot: Ballot,
+        register: usize,
+        reply: Reply,
+    },
+    FenceReply {
+        to: usize,
+        from: usize,
+        life: u64,
+        reply: Reply,
+    },
+    /// Records reach the disk; only then does what waits for them go out.
+    Synced {
+        at: usize,
+        life: u64,
+        records: Vec<(String, Vec<u8>)>,
+        then: Option<Box<Message>>,
+    },
+}
+
+struct Machine {
+    voter: Voter,
+    proposer: Proposer,
+    disk: Table,
+    /// Rises with each start of its process.
+    life: u64,
+}
+
+struct Core {
+    machines: Vec<Machine>,
+    losses: usize,
+    on_the_way: VecDeque<Message>,
+    now: u64,
+    points: usize,
+    fault: Option<(usize, Fault)>,
+    draw: u64,
+    /// Faults drawn at this many points in a thousand; at most so many wiped in all.
+    wild: u64,
+    wiped: Vec<usize>,
+    chosen: BTreeMap<u64, Vec<u8>>,
+    answers: BTreeMap<OrderId, Result<Value, Kind>>,
+    /// The order that each answered 200 stands for.
+    acked: Vec<u32>,
+    versions: BTreeMap<OrderId, u32>,
+}
+
+fn name(at: usize) -> String {
+    format!("hut-{at}")
+}
+
+impl Core {
+    fn new(count: usize, seed: u64) -> Core {
+        let names: Vec<String> = (0..count).map(name).collect();
+        let losses = count / 2;
+        let machines = (0..count)
+            .map(|at| {
+                let mut voter = Voter::new(&name(at), losses, 1, &Table::new());
+                let disk: Table = voter.found(names.clone()).into_iter().collect();
+                let mut proposer = Proposer::new(seed * 31 + at as u64);
+                proposer.voters(&names, 0);
+                Machine { voter, proposer, disk, life: 0 }
+            })
+            .collect();
+        Core {
+            machines,
+            losses,
+            on_the_way: VecDeque::new(),
+            now: 0,
+            points: 0,
+            fault: None,
+            draw: seed,
+            wild: 0,
+            wiped: Vec::new(),
+            chosen: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            acked: Vec::new(),
+            versions: BTreeMap::new(),
+        }
+    }
+
+    fn random(&mut self, below: u64) -> u64 {
+        self.draw = self.draw.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.draw >> 33) % below
+    }
+
+    fn act(&mut self, at: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Ask(ask) => {
+                    for to in 0..self.machines.len() {
+                        self.on_the_way.push_back(Message::Ask { to, from: at, ask: ask.clone() });
+                    }
+                }
+                Action::Answer { id, answer } => {
+                    if answer.is_ok() {
+                        self.acked.extend(self.versions.get(&id));
+                    }
+                    self.answers.insert(id, answer.map_err(|fault| fault.kind));
+                }
+                Action::Chosen { register: BOOK, value } => {
+                    // The one thing that may never happen: two values chosen as the same change.
+                    let held = self.chosen.entry(value.rev).or_insert_with(|| value.bytes.clone());
+                    assert_eq!(*held, value.bytes, "two values are chosen as change {}", value.rev);
+                }
+                Action::Chosen { .. } => {}
+            }
+        }
+    }
+
+    fn order(&mut self, at: usize, id: OrderId, version: u32, base: u32) {
+        let op = Op::Replace { version, base, body: format!("version {version} by {id}").into_bytes() };
+        self.versions.insert(id, version);
+        let mut out = Vec::new();
+        let until = self.now + 60_000;
+        self.machines[at].proposer.on(self.now, Event::Order { id, register: BOOK, op, until }, &mut out);
+        self.act(at, out);
+    }
+
+    fn restart(&mut self, at: usize, wiped: bool) {
+        let (now, losses, salt) = (self.now, self.losses, self.random(1 << 30) + 2);
+        let machine = &mut self.machines[at];
+        machine.life += 1;
+        if wiped {
+            machine.disk.clear();
+        }
+        machine.voter = Voter::new(&name(at), losses, salt, &machine.disk);
+        machine.proposer = Proposer::new(salt * 977 + at as u64);
+        machine.proposer.voters(machine.voter.voters(), machine.voter.highest());
+        let _ = now;
+        self.on_the_way.retain(|message| !matches!(message, Message::Synced { at: of, .. } if *of == at));
+        if wiped {
+            self.wiped.push(at);
+        }
+    }
+
+    /// One message arrives, or what the fault says.
+    fn step(&mut self) -> bool {
+        let Some(message) = self.on_the_way.pop_front() else { return false };
+        let point = self.points;
+        self.points += 1;
+        let mut fault = self.fault.filter(|(at, _)| *at == point).map(|(_, fault)| fault);
+        if self.wild > 0 && self.random(1000) < self.wild {
+            fault = Some(FAULTS[self.random(FAULTS.len() as u64) as usize]);
+        }
+        let to = match &message {
+            Message::Ask { to, .. } | Message::Reply { to, .. } | Message::FenceReply { to, .. } => *to,
+            Message::Synced { at, .. } => *at,
+        };
+        let disk = matches!(message, Message::Synced { .. });
+        match fault {
+            None => self.take(message),
+            // A disk loses nothing by itself and writes nothing twice.
+            Some(Fault::Lost | Fault::Twice | Fault::Late) if disk => self.take(message),
+            Some(Fault::Lost) => {}
+            Some(Fault::Twice) => {
+                self.on_the_way.push_back(message.clone());
+                self.take(message);
+            }
+            Some(Fault::Late) => self.on_the_way.push_back(message),
+            Some(Fault::CrashBefore) => self.restart(to, false),
+            Some(Fault::CrashAfter) => {
+                self.take(message);
+                self.restart(to, false);
+            }
+            Some(Fault::Wipe) => {
+                // No more at once than are to be borne: those wiped before must vote again.
+                let learning = self.machines.iter().filter(|m| m.voter.identity.is_none()).count();
+                let wiped = learning < self.losses || self.machines[to].voter.identity.is_none();
+                self.restart(to, wiped);
+            }
+        }
+        true
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Ask { to, from, ask } => {
+                let (reply, records) = self.machines[to].voter.ask(ask.clone());
+                let back = match ask {
+                    Ask::Prepare { register, ballot } | Ask::Accept { register, ballot, .. } => {
+                        Message::Reply { to: from, from: to, ballot, register, reply }
+                    }
+                    Ask::Fence { life, .. } => Message::FenceReply { to: from, from: to, life, reply },
+                };
+                let life = self.machines[to].life;
+                let then = Some(Box::new(back));
+                self.on_the_way.push_back(Message::Synced { at: to, life, records, then });
+            }
+            Message::Reply { to, from, ballot, register, reply } => {
+                let mut out = Vec::new();
+                let event = Event::Reply { from: name(from), register, ballot, reply };
+                self.machines[to].proposer.on(self.now, event, &mut out);
+                self.act(to, out);
+            }
+            Message::FenceReply { to, from, life, reply } => {
+                if let Some(records) = self.machines[to].voter.fenced(&name(from), life, reply) {
+                    let machine = &mut self.machines[to];
+                    machine.proposer.voters(machine.voter.voters(), machine.voter.highest());
+                    let life = machine.life;
+                    self.on_the_way.push_back(Message::Synced { at: to, life, records, then: None });
+                }
+            }
+            Message::Synced { at, life, records, then } => {
+                if self.machines[at].life == life {
+                    self.machines[at].disk.extend(records);
+                    self.on_the_way.extend(then.map(|then| *then));
+                }
+            }
+        }
+    }
+
+    /// Lets time pass until all is quiet.
+    fn settle(&mut self, rounds: usize) {
+        for _ in 0..rounds {
+            let mut steps = 0;
+            while self.step() {
+                steps += 1;
+                assert!(steps < 100_000, "it does not come to rest");
+            }
+            self.now += 300;
+            for at in 0..self.machines.len() {
+                let mut out = Vec::new();
+                self.machines[at].proposer.on(self.now, Event::Tick, &mut out);
+                self.act(at, out);
+                if let Some(ask) = self.machines[at].voter.fence() {
+                    let others = (0..self.machines.len()).filter(|&to| to != at);
+                    let asks: Vec<Message> =
+                        others.map(|to| Message::Ask { to, from: at, ask: ask.clone() }).collect();
+                    self.on_the_way.extend(asks);
+                }
+            }
+        }
+    }
+
+    /// What a read at a machine gives in the end.
+    fn read(&mut self, at: usize) -> Book {
+        self.wild = 0;
+        self.fault = None;
+        self.settle(20);
+        let id = 1_000_000 + at as u64;
+        let mut out = Vec::new();
+        let event = Event::Order { id, register: BOOK, op: Op::Read, until: u64::MAX };
+        self.machines[at].proposer.on(self.now, event, &mut out);
+        self.act(at, out);
+        self.settle(20);
+        let value = self.answers[&id].clone().expect("a read with all machines up");
+        postcard::from_bytes(&value.bytes).unwrap_or_default()
+    }
+
+    /// Everything acknowledged is there, on every machine.
+    fn check(&mut self, said: &str) {
+        for at in 0..self.machines.len() {
+            let book = self.read(at);
+            for version in self.acked.clone() {
+                assert!(
+                    book.version >= version,
+                    "{said}: version {version} was acknowledged, {at} has {}",
+                    book.version
+                );
+            }
+        }
+    }
+}
+
+/// Two versions one after the other, at different machines, with a race for the second.
+fn run(count: usize, seed: u64, fault: Option<(usize, Fault)>) -> Core {
+    let mut core = Core::new(count, seed);
+    core.fault = fault;
+    core.order(0, 1, 5, 0);
+    core.settle(12);
+    core.order(1, 2, 9, 5);
+    core.order(2, 3, 8, 5);
+    core.settle(12);
+    core
+}
+
+#[test]
+fn of_two_orders_on_one_base_one_wins_and_the_other_hears_of_it() {
+    let mut core = run(3, 1, None);
+    assert!(core.answers[&1].is_ok());
+    let both = [&core.answers[&2], &core.answers[&3]];
+    assert_eq!(both.iter().filter(|answer| answer.is_ok()).count(), 1, "{both:?}");
+    assert!(both.iter().any(|answer| **answer == Err(Kind::OtherVersion)), "{both:?}");
+    core.check("no fault");
+}
+
+#[test]
+fn the_same_order_again_is_acknowledged_even_after_a_later_one() {
+    let mut core = run(3, 1, None);
+    let book = core.read(0);
+    let base = book.version;
+    core.order(2, 1, 5, 0); // as it was sent at first, now to another machine
+    core.settle(5);
+    assert!(core.answers[&1].is_ok());
+    assert_eq!(core.read(1).version, base);
+}
+
+#[test]
+fn each_fault_at_each_point_loses_nothing_and_chooses_nothing_twice() {
+    for count in [3, 5] {
+        let points = run(count, 1, None).points;
+        assert!(points > 50);
+        for point in 0..points {
+            for fault in FAULTS {
+                let mut core = run(count, 1, Some((point, fault)));
+                core.check(&format!("{count} machines, {fault:?} at point {point}"));
+            }
+        }
+    }
+}
+
+#[test]
+fn many_faults_at_once_lose_nothing_whatever_the_seed() {
+    for seed in 0..400 {
+        let mut core = Core::new(if seed % 2 == 0 { 3 } else { 5 }, seed);
+        core.wild = 10 + seed % 90;
+        let mut base = 0;
+        for id in 1..7u64 {
+            let at = core.random(3) as usize;
+            core.order(at, id, base + 2, base);
+            core.order((at + 1) % 3, 100 + id, base + 3, base);
+            core.settle(3);
+            base = core.acked.iter().copied().max().unwrap_or(0).max(base);
+        }
+        core.check(&format!("seed {seed}"));
+    }
+}
+
+#[test]
+fn a_round_that_stands_on_a_lost_disks_promise_is_refused() {
+    // hut-0 promises ballot 7 to a proposer, loses its disk, and is fenced by the others.
+    let mut core = Core::new(3, 1);
+    let ballot = Ballot { count: 7, nonce: 1 };
+    let (promise, _) = core.machines[0].voter.ask(Ask::Prepare { register: BOOK, ballot });
+    assert!(matches!(promise, Reply::Promise { life: 1, .. }));
+    core.restart(0, true);
+    core.settle(3);
+    assert!(core.machines[0].voter.identity.is_some(), "it votes again");
+    let seats = vec![(name(0), 1), (name(1), 1)];
+    let value = Value { rev: 1, bytes: vec![1] };
+    let (reply, _) = core.machines[1].voter.ask(Ask::Accept { register: BOOK, ballot, value, seats });
+    assert!(matches!(reply, Reply::Refused { .. }), "{reply:?}");
+}
+
+#[test]
+fn a_learner_is_no_voter_until_enough_whole_disks_have_answered_it() {
+    let mut core = Core::new(5, 1);
+    core.restart(0, true);
+    core.restart(1, true);
+    // Two of the five are learners: three whole disks are needed, and only two answer.
+    let ask = core.machines[0].voter.fence().unwrap();
+    let Ask::Fence { life, .. } = ask.clone() else { panic!() };
+    for from in [2, 3] {
+        let (reply, _) = core.machines[from].voter.ask(ask.clone());
+        assert!(core.machines[0].voter.fenced(&name(from), life, reply).is_none());
+    }
+    let (reply, _) = core.machines[1].voter.ask(ask.clone());
+    assert_eq!(reply, Reply::Learner);
+    assert!(core.machines[0].voter.fenced(&name(1), life, reply).is_none());
+    let (reply, _) = core.machines[4].voter.ask(ask);
+    assert!(core.machines[0].voter.fenced(&name(4), life, reply).is_some());
+}
--- a/crates/beechcroft-junction/src/lib.rs
+++ b/crates/beechcroft-junction/src/lib.rs
@@ -128,7 +128,8 @@
     use super::*;
 
     fn table() -> Table {
-        let body = br#"{"version":"0000000a","baseVersion":0,"services":[{"name":"a"},{"name":"b"}],"virtualHosts":[
+        let body =
+            br#"{"version":"0000000a","baseVersion":0,"services":[{"name":"a"},{"name":"b"}],"virtualHosts":[
             {"hostname":"h.example","pathRules":[
             {"name":"r1","pathPrefix":"/x/","routeType":"idempotent","timeoutMs":9,"service":"a"},
             {"name":"r2","pathPrefix":"/x/y/","routeType":"non_idempotent","timeoutMs":9,
--- a/crates/beechcroft-map/src/config.rs
+++ b/crates/beechcroft-map/src/config.rs
@@ -67,7 +67,12 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { max_header_bytes: 16384, max_body_bytes: 64 << 20, header_timeout_ms: 3000, idle_timeout_ms: 15000 }
+        Limits {
+            max_header_bytes: 16384,
+            max_body_bytes: 64 << 20,
+            header_timeout_ms: 3000,
+            idle_timeout_ms: 15000,
+        }
     }
 }
 
@@ -140,7 +145,8 @@
                 return Err(wrong("names no service, and the weights of its split sum to 0".into()));
             }
             let parts = route.split.iter().map(|part| part.service.as_str());
-            if let Some(name) = route.service.as_deref().into_iter().chain(parts).find(|n| !names.contains(n)) {
+            if let Some(name) = route.service.as_deref().into_iter().chain(parts).find(|n| !names.contains(n))
+            {
                 return Err(wrong(format!("service `{name}` is not known")));
             }
         }
--- a/crates/beechcroft-pace/src/yard.rs
+++ b/crates/beechcroft-pace/src/yard.rs
@@ -62,7 +62,9 @@
 }
 
 impl Place {
-    pub fn new(id: &str, address: SocketAddrV4, zone: &str, region: &str, version: &str, capacity: u32) -> Place {
+    pub fn new(
+        id: &str, address: SocketAddrV4, zone: &str, region: &str, version: &str, capacity: u32,
+    ) -> Place {
         Place {
             id: id.into(),
             address,
@@ -129,7 +131,9 @@
     }
 
     pub fn places(&self) -> impl Iterator<Item = (&str, &Place)> {
-        self.services.iter().flat_map(|(service, places)| places.iter().map(move |place| (service.as_str(), place)))
+        self.services
+            .iter()
+            .flat_map(|(service, places)| places.iter().map(move |place| (service.as_str(), place)))
     }
 
     pub fn service(&mut self, service: &str) -> &mut Vec<Place> {
@@ -205,7 +209,8 @@
         }
         if best.is_none_or(|at| full(at) > 1.0) {
             // Cold ones bear little, but that little helps.
-            let cold = all.iter().copied().filter(|&at| places[at].warm_at > now && places[at].cold_rate > 0.0);
+            let cold =
+                all.iter().copied().filter(|&at| places[at].warm_at > now && places[at].cold_rate > 0.0);
             for at in cold.collect::<Vec<_>>() {
                 let place = &mut places[at];
                 if place.open == 0 && place.cold.take(now, place.cold_rate) {
@@ -262,7 +267,9 @@
 
     fn yard() -> Yard {
         let mut yard = Yard::new("west", "w1", 7);
-        for (at, (zone, region)) in [("w1", "west"), ("w1", "west"), ("w2", "west"), ("e1", "east")].iter().enumerate() {
+        for (at, (zone, region)) in
+            [("w1", "west"), ("w1", "west"), ("w2", "west"), ("e1", "east")].iter().enumerate()
+        {
             let mut place =
                 Place::new(&format!("i-{at}"), "10.0.0.1:80".parse().unwrap(), zone, region, "v1", 2);
             (place.side, place.open_to_all) = (Side::Base, true);
--- a/crates/beechcroft-pass/src/desk.rs
+++ b/crates/beechcroft-pass/src/desk.rs
@@ -28,7 +28,11 @@
 
 impl Call {
     pub fn query(&self, name: &str) -> Option<&str> {
-        self.query.split('&').filter_map(|pair| pair.split_once('=')).find(|pair| pair.0 == name).map(|pair| pair.1)
+        self.query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find(|pair| pair.0 == name)
+            .map(|pair| pair.1)
     }
 }
 
@@ -53,8 +57,17 @@
 
 impl From<Fault> for Answer {
     fn from(fault: Fault) -> Answer {
-        let said: String = fault.to_string().chars().map(|c| if matches!(c, '"' | '\\') || c < ' ' { '\'' } else { c }).collect();
-        Answer { status: fault.kind.status(), json: true, location: None, body: format!("{{\"error\":\"{said}\"}}").into() }
+        let said: String = fault
+            .to_string()
+            .chars()
+            .map(|c| if matches!(c, '"' | '\\') || c < ' ' { '\'' } else { c })
+            .collect();
+        Answer {
+            status: fault.kind.status(),
+            json: true,
+            location: None,
+            body: format!("{{\"error\":\"{said}\"}}").into(),
+        }
     }
 }
 
@@ -124,7 +137,9 @@
 }
 
 /// One call; whether another may follow on the connection.
-async fn one<H, F>(wire: &Wire, from: std::net::SocketAddr, bounds: Bounds, handler: &H) -> http_types::Result<bool>
+async fn one<H, F>(
+    wire: &Wire, from: std::net::SocketAddr, bounds: Bounds, handler: &H,
+) -> http_types::Result<bool>
 where
     H: Fn(Call) -> F,
     F: Future<Output = Answer>,
@@ -193,11 +208,16 @@
     }
 }
 
-async fn reply(wire: &Wire, method: http_types::Method, answer: Answer, close: bool) -> http_types::Result<()> {
+async fn reply(
+    wire: &Wire, method: http_types::Method, answer: Answer, close: bool,
+) -> http_types::Result<()> {
     let status = StatusCode::try_from(answer.status).unwrap_or(StatusCode::InternalServerError);
     let mut response = Response::new(status);
     response.set_body(Body::from_bytes(answer.body));
-    response.insert_header("content-type", if answer.json { "application/json" } else { "application/octet-stream" });
+    response.insert_header(
+        "content-type",
+        if answer.json { "application/json" } else { "application/octet-stream" },
+    );
     if let Some(location) = answer.location {
         response.insert_header("location", location);
     }
--- a/crates/beechcroft-pass/src/errand.rs
+++ b/crates/beechcroft-pass/src/errand.rs
@@ -26,7 +26,9 @@
 
 impl Errands {
     /// One call; the answer's body, if its status is 200.
-    pub async fn run(&self, to: SocketAddrV4, path: &str, body: Vec<u8>, within: Duration) -> Result<Vec<u8>, Fault> {
+    pub async fn run(
+        &self, to: SocketAddrV4, path: &str, body: Vec<u8>, within: Duration,
+    ) -> Result<Vec<u8>, Fault> {
         let lost = |said: String| Fault::new(Kind::Lost, said);
         match timeout(within, self.call(to, path, body)).await {
             Err(_) => Err(lost(format!("{to}{path}: no answer within {} ms", within.as_millis()))),
--- a/crates/beechcroft-pass/src/guard.rs
+++ b/crates/beechcroft-pass/src/guard.rs
@@ -122,7 +122,8 @@
 }
 
 fn passes(name: &str, named: &[String]) -> bool {
-    !HOPS.iter().any(|hop| name.eq_ignore_ascii_case(hop)) && !named.iter().any(|hop| name.eq_ignore_ascii_case(hop))
+    !HOPS.iter().any(|hop| name.eq_ignore_ascii_case(hop))
+        && !named.iter().any(|hop| name.eq_ignore_ascii_case(hop))
 }
 
 fn push_line(lines: &mut Vec<u8>, header: &httparse::Header) {
@@ -170,7 +171,8 @@
             }
             ask.id = text(header.value);
         } else if is("beechcroft-time-budget") {
-            ask.budget_ms = text(header.value).and_then(|text| text.parse::<f64>().ok()).map(|ms| ms.max(0.0) as u64);
+            ask.budget_ms =
+                text(header.value).and_then(|text| text.parse::<f64>().ok()).map(|ms| ms.max(0.0) as u64);
         } else if is("expect") {
             ask.expects = header.value.eq_ignore_ascii_case(b"100-continue");
         }
@@ -221,10 +223,16 @@
         } else if is("beechcroft-unit-load") {
             reply.load = text(header.value).and_then(|text| load(&text));
         } else if is("beechcroft-warmup-remaining") {
-            reply.warm_left_ms = text(header.value).and_then(|text| text.parse::<f64>().ok()).map(|ms| ms as u64);
+            reply.warm_left_ms =
+                text(header.value).and_then(|text| text.parse::<f64>().ok()).map(|ms| ms as u64);
         } else if is("keep-alive") {
             let timeout = text(header.value).and_then(|text| {
-                text.split(',').filter_map(|part| part.trim().split_once('=')).find(|p| p.0 == "timeout")?.1.parse().ok()
+                text.split(',')
+                    .filter_map(|part| part.trim().split_once('='))
+                    .find(|p| p.0 == "timeout")?
+                    .1
+                    .parse()
+                    .ok()
             });
             reply.keep_alive_s = timeout;
         }
--- a/crates/beechcroft-ropes/src/conduct.rs
+++ b/crates/beechcroft-ropes/src/conduct.rs
@@ -50,12 +50,26 @@
     match view.stage {
         0 => {
             let enough = view.trials >= ENOUGH || passed >= TRIAL_PART * 1.25;
-            if passed >= TRIAL_PART && enough && view.trials > 0 { Next::On(1) } else { Next::Stay }
+            if passed >= TRIAL_PART && enough && view.trials > 0 {
+                Next::On(1)
+            } else {
+                Next::Stay
+            }
         }
         LAST => {
             let ended = view.old_open == 0 && view.stage_ms >= 1200;
-            if ended || view.stage_ms >= 3500 { Next::Complete } else { Next::Stay }
+            if ended || view.stage_ms >= 3500 {
+                Next::Complete
+            } else {
+                Next::Stay
+            }
+        }
+        stage => {
+            if passed >= STEP_PART {
+                Next::On(stage + 1)
+            } else {
+                Next::Stay
+            }
         }
-        stage => if passed >= STEP_PART { Next::On(stage + 1) } else { Next::Stay },
     }
 }
--- a/crates/beechcroft-ropes/src/lib.rs
+++ b/crates/beechcroft-ropes/src/lib.rs
@@ -196,12 +196,14 @@
         trial.divergence = cusum::divergence(good, trial.rate);
         let largest = peers.iter().map(|peer| peer.divergence).fold(trial.divergence.max(1e-9), f64::max);
         // Only relays that see trial outcomes can set a bit: with fewer than M of them, those must suffice.
-        let seeing = peers.iter().filter(|peer| peer.count.trials > 0).count() + usize::from(trial.count.trials > 0);
+        let seeing =
+            peers.iter().filter(|peer| peer.count.trials > 0).count() + usize::from(trial.count.trials > 0);
         let alarms_m = ALARMS_M.min(seeing.max(1) as f64);
         let worst = trial.sums.values().map(Sum::w).fold(0.0, f64::max);
         let threshold = cusum::threshold(trial.divergence / largest, alarms_m);
         trial.bit = trial.count.trials >= MIN_OUTCOMES && worst > threshold;
-        let bits = peers.iter().map(|peer| (peer.alarm, peer.divergence)).chain([(trial.bit, trial.divergence)]);
+        let bits =
+            peers.iter().map(|peer| (peer.alarm, peer.divergence)).chain([(trial.bit, trial.divergence)]);
         let fused = cusum::fuse(bits, largest);
         let together = trial.together(good, peers);
         // A little is lost in weighing: M bits of nearly equal weight are M.
@@ -227,7 +229,8 @@
                 + f64::from(fine) * cusum::log_ratio(good, false);
             self.fleet.add(unit, ratio);
             // A peer that lapsed is not counted again when it is heard again.
-            *told = Count { trials: count.trials.max(told.trials), failures: count.failures.max(told.failures) };
+            *told =
+                Count { trials: count.trials.max(told.trials), failures: count.failures.max(told.failures) };
         }
         self.fleet.tick();
         let trials: u32 = all.values().map(|count| count.trials).sum();
@@ -237,7 +240,8 @@
 
 /// A unit's short name in signs.
 pub fn short(id: &str) -> u16 {
-    id.bytes().fold(0xcbf2_9ce4_8422_2325, |sum: u64, b| (sum ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)) as u16
+    id.bytes().fold(0xcbf2_9ce4_8422_2325, |sum: u64, b| (sum ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+        as u16
 }
 
 #[cfg(test)]
@@ -258,7 +262,8 @@
             let mut fleet = Fleet { judges: Vec::new(), told: vec![Word::default(); relays], drawn: 7 };
             for _ in 0..relays {
                 let mut judge = Judge::default();
-                (0..200).for_each(|n| judge.outcome(None, 0, n % 100 == 0, Duration::from_millis(60 + n % 40)));
+                (0..200)
+                    .for_each(|n| judge.outcome(None, 0, n % 100 == 0, Duration::from_millis(60 + n % 40)));
                 judge.stage(1, 0);
                 fleet.judges.push(judge);
             }
@@ -266,7 +271,8 @@
         }
 
         fn draw(&mut self) -> f64 {
-            self.drawn = self.drawn.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            self.drawn =
+                self.drawn.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
             (self.drawn >> 40) as f64 / (1u64 << 24) as f64
         }
 
@@ -279,8 +285,10 @@
                         let failed = self.draw() < fails(unit);
                         self.judges[at].outcome(Some(unit), 0, failed, Duration::from_millis(70));
                     }
-                    let peers: Vec<Word> =
-                        (0..self.told.len()).filter(|&peer| peer != at).map(|peer| self.told[peer].clone()).collect();
+                    let peers: Vec<Word> = (0..self.told.len())
+                        .filter(|&peer| peer != at)
+                        .map(|peer| self.told[peer].clone())
+                        .collect();
                     let stand = self.judges[at].tick(&peers).unwrap();
                     if stand.back {
                         return Some(tick);
--- a/crates/beechcroft-trail/src/guide.rs
+++ b/crates/beechcroft-trail/src/guide.rs
@@ -76,7 +76,9 @@
 }
 
 impl Guide {
-    pub fn new(shared: Rc<Shared>, me: Member, salt: u64, post: Post, errands: Errands, queue: Queue) -> Guide {
+    pub fn new(
+        shared: Rc<Shared>, me: Member, salt: u64, post: Post, errands: Errands, queue: Queue,
+    ) -> Guide {
         let settings = &shared.settings;
         let cairns = Cairns::new(me, settings.internal_ports[0], settings.seed_nodes.clone(), salt);
         Guide {
@@ -129,13 +131,16 @@
         for action in news {
             match action {
                 Action::Send { to, letter } => self.post.send(to, &letter),
-                Action::Pull { from, register, rev } if now >= self.pulling[register] && rev > self.held[register].rev => {
+                Action::Pull { from, register, rev }
+                    if now >= self.pulling[register] && rev > self.held[register].rev =>
+                {
                     self.pulling[register] = now + COPY_WITHIN.as_millis() as u64 / 2;
                     let (errands, queue) = (self.errands.clone(), self.queue.clone());
                     spawn_local(async move {
                         let copy = errands.run(from, "/copy", vec![register as u8], COPY_WITHIN).await;
                         let read = |bytes: Vec<u8>| {
-                            postcard::from_bytes(&bytes).map_err(|e| Fault::new(Kind::Malformed, e.to_string()))
+                            postcard::from_bytes(&bytes)
+                                .map_err(|e| Fault::new(Kind::Malformed, e.to_string()))
                         };
                         match copy.and_then(read) {
                             Ok(value) => drop(queue.send(Command::Copied(register, value))),
@@ -213,7 +218,8 @@
         }
         if yard.place(&note.service, id).is_none() {
             let region = self.shared.settings.region_of(&note.zone);
-            let place = Place::new(id, note.address, &note.zone, region, &note.version, u32::from(note.capacity));
+            let place =
+                Place::new(id, note.address, &note.zone, region, &note.version, u32::from(note.capacity));
             yard.service(&note.service).push(place);
         }
         let orders = self.shared.orders.borrow();
@@ -254,11 +260,15 @@
             self.mark_silent(now);
             self.sync_all(now);
             let yard = self.shared.yard.borrow();
-            let used: HashMap<&str, bool> = yard.places().map(|(_, place)| (&*place.id, place.open_to_all)).collect();
+            let used: HashMap<&str, bool> =
+                yard.places().map(|(_, place)| (&*place.id, place.open_to_all)).collect();
             self.shared.pool.borrow_mut().sweep(now, |unit| used.get(unit).copied().unwrap_or(false));
         }
         let told = self.held[BOOK].rev > 0 && self.held[ORDERS].rev > 0;
-        if self.shared.phase.get() == Phase::Coming && told && self.units_at.is_some_and(|at| now >= at + SETTLE_MS) {
+        if self.shared.phase.get() == Phase::Coming
+            && told
+            && self.units_at.is_some_and(|at| now >= at + SETTLE_MS)
+        {
             self.shared.phase.set(Phase::Ready);
             self.cairns.stand(Standing::Ready);
             self.cairns.hurry(now, news);
@@ -331,7 +341,11 @@
                     divergence: stand.divergence as f32,
                     trials: stand.count.trials,
                     failures: stand.count.failures,
-                    units: stand.units.iter().map(|&(unit, c)| (unit, short(c.trials), short(c.failures))).collect(),
+                    units: stand
+                        .units
+                        .iter()
+                        .map(|&(unit, c)| (unit, short(c.trials), short(c.failures)))
+                        .collect(),
                     old_open: if stage == LAST { self.old_open(service) } else { 0 },
                 });
             }
--- a/crates/beechcroft-trail/src/main.rs
+++ b/crates/beechcroft-trail/src/main.rs
@@ -82,13 +82,16 @@
         .and_then(|logger| logger.log_to_stderr().start())
         .map_err(|e| e.to_string())?;
     let settings = Settings::load()?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
     runtime.block_on(tokio::task::LocalSet::new().run_until(serve(settings)))
 }
 
 async fn serve(settings: Settings) -> Result<(), String> {
     let said = |e: std::io::Error| e.to_string();
-    let life = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+    let life = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64);
     let salt: u64 = life.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ u64::from(u32::from(settings.ip)) << 20;
     let me = Member {
         name: settings.node_name.clone(),
@@ -126,7 +129,9 @@
             }
             loop {
                 match listener.accept().await {
-                    Ok((stream, _)) => drop(spawn_local(serve::client(shared.clone(), queue.clone(), stream))),
+                    Ok((stream, _)) => {
+                        drop(spawn_local(serve::client(shared.clone(), queue.clone(), stream)))
+                    }
                     Err(e) => {
                         log::warn!("serve: Accepting failed: {e}.");
                         sleep(Duration::from_millis(20)).await;
--- a/crates/beechcroft-trail/src/offer.rs
+++ b/crates/beechcroft-trail/src/offer.rs
@@ -146,7 +146,9 @@
     bytes.extend(ask.target.as_bytes());
     bytes.extend(b" HTTP/1.1\r\n");
     bytes.extend(&ask.lines);
-    bytes.extend(format!("Beechcroft-Time-Budget: {left}\r\nBeechcroft-Target-Unit: {}\r\n", offer.unit).as_bytes());
+    bytes.extend(
+        format!("Beechcroft-Time-Budget: {left}\r\nBeechcroft-Target-Unit: {}\r\n", offer.unit).as_bytes(),
+    );
     let whole = offer.more.is_none();
     match ask.framing {
         None => {}
--- a/crates/beechcroft-trail/src/serve.rs
+++ b/crates/beechcroft-trail/src/serve.rs
@@ -99,7 +99,11 @@
     }
     let budget = ask.budget_ms.unwrap_or(BUDGET_MS).min(way.timeout_ms);
     let until = began + Duration::from_millis(budget);
-    if ask.expects && has_body && line.unread().is_empty() && !write_within(line, b"HTTP/1.1 100 Continue\r\n\r\n", Duration::from_secs(1)).await {
+    if ask.expects
+        && has_body
+        && line.unread().is_empty()
+        && !write_within(line, b"HTTP/1.1 100 Continue\r\n\r\n", Duration::from_secs(1)).await
+    {
         return false;
     }
     let mut body = Body::new(ask.framing);
@@ -129,7 +133,11 @@
     match done {
         Final::Gone => false,
         Final::Own(kind, back_ms) => {
-            log::debug!("serve: {} {} at {name} ends as {kind:?}.", ask.id.as_deref().unwrap_or("-"), ask.target);
+            log::debug!(
+                "serve: {} {} at {name} ends as {kind:?}.",
+                ask.id.as_deref().unwrap_or("-"),
+                ask.target
+            );
             answer_own(line, kind, back_ms, keep).await && keep
         }
         Final::Unit(answer) => pass_on(line, *answer, keep, until).await && keep,
@@ -138,8 +146,9 @@
 
 /// Offers a request to units until it has an answer.
 async fn carry(
-    shared: &Rc<Shared>, guide: &Queue, line: &mut Line, table: &Table, (route, way, service): (usize, &Way, usize),
-    ask: &Ask, held: &[u8], more: Option<&mut Body>, until: Instant,
+    shared: &Rc<Shared>, guide: &Queue, line: &mut Line, table: &Table,
+    (route, way, service): (usize, &Way, usize), ask: &Ask, held: &[u8], more: Option<&mut Body>,
+    until: Instant,
 ) -> Final {
     let service = &table.services[service];
     let name = service.name.as_str();
@@ -179,8 +188,10 @@
             }
         };
         let now = Instant::now();
-        let patience = Duration::from_millis((way.target_ms as f64 * PATIENCE) as u64).max(Duration::from_millis(100));
-        let offer_until = if crossing.has_more() && way.target_ms > 0 { until.min(now + patience) } else { until };
+        let patience =
+            Duration::from_millis((way.target_ms as f64 * PATIENCE) as u64).max(Duration::from_millis(100));
+        let offer_until =
+            if crossing.has_more() && way.target_ms > 0 { until.min(now + patience) } else { until };
         crossing.offered();
         let mut told = None;
         let mut offer = Offer {
@@ -208,7 +219,9 @@
         let spent = now.elapsed();
         let (end, answer) = match done {
             None => return Final::Gone,
-            Some(Ok(answer)) if answer.reply.status >= 500 && answer.rest.is_none() => (Some(End::Failed), Some(answer)),
+            Some(Ok(answer)) if answer.reply.status >= 500 && answer.rest.is_none() => {
+                (Some(End::Failed), Some(answer))
+            }
             Some(Ok(answer)) => (None, Some(answer)),
             Some(Err(end)) => (Some(end), None),
         };
@@ -233,7 +246,9 @@
         let time = Instant::now() + Duration::from_millis(5) < until;
         match crossing.ended(end, time, || shared.further_try(name)) {
             Next::Again => {}
-            Next::PassOn => return Final::Unit(Box::new(answer.expect("a failure that is passed on is an answer"))),
+            Next::PassOn => {
+                return Final::Unit(Box::new(answer.expect("a failure that is passed on is an answer")))
+            }
             Next::Answer(kind) => return Final::Own(kind, back_ms),
         }
         tried.push(unit);
@@ -271,7 +286,11 @@
         Some(Stage::Active(stage)) => {
             let share = SHARES[usize::from(stage).min(SHARES.len() - 1)];
             let mut shares = shared.shares.borrow_mut();
-            if shares.entry(service.to_owned()).or_default().take(share) { Side::Trial } else { Side::Base }
+            if shares.entry(service.to_owned()).or_default().take(share) {
+                Side::Trial
+            } else {
+                Side::Base
+            }
         }
         _ => Side::Base,
     }
@@ -303,7 +322,9 @@
     let chunked = rest.is_some() && !matches!(reply.framing, Some(Framing::Length(_)));
     match (reply.framing, &rest) {
         _ if matches!(reply.status, 204 | 304) => {}
-        (Some(Framing::Length(length)), Some(_)) => bytes.extend(format!("Content-Length: {length}\r\n").as_bytes()),
+        (Some(Framing::Length(length)), Some(_)) => {
+            bytes.extend(format!("Content-Length: {length}\r\n").as_bytes())
+        }
         (_, Some(_)) => bytes.extend(b"Transfer-Encoding: chunked\r\n"),
         (_, None) => bytes.extend(format!("Content-Length: {}\r\n", body.len()).as_bytes()),
     }
@@ -335,7 +356,11 @@
 /// An answer of the system's own.
 async fn answer_own(line: &mut Line, kind: Kind, back_ms: u64, keep: bool) -> bool {
     let (status, body) = (kind.status(), format!("{kind}\n"));
-    let mut text = format!("HTTP/1.1 {status} {}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n", reason(status), body.len());
+    let mut text = format!(
+        "HTTP/1.1 {status} {}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n",
+        reason(status),
+        body.len()
+    );
     if kind.promises() && back_ms > 0 {
         text += &format!("Retry-After: {:.3}\r\n", back_ms as f64 / 1000.0);
     }
--- a/crates/beechcroft-waymarks/src/lib.rs
+++ b/crates/beechcroft-waymarks/src/lib.rs
@@ -4,8 +4,8 @@
 //! of which turns back) and then by the sequence of its beats. A note says how long ago the beat was heard, so
 //! that no two machines need the same clock. All times are milliseconds of the holder's own steady clock.
 
-use rapidhash::RapidHashMap;
 use rapidhash::v3::rapidhash_v3;
+use rapidhash::RapidHashMap;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
 
@@ -96,14 +96,20 @@
                     unit.note.state = told.0;
                     return News::Change;
                 }
-                if told.1 > held.1 { News::Beat } else { News::Old }
+                if told.1 > held.1 {
+                    News::Beat
+                } else {
+                    News::Old
+                }
             }
         }
     }
 
     /// Takes a word that a unit has ended; its beats are not counted any more.
     pub fn gone(&mut self, id: &str) -> bool {
-        let Some(unit) = self.units.get_mut(id).filter(|unit| unit.note.state != State::Gone) else { return false };
+        let Some(unit) = self.units.get_mut(id).filter(|unit| unit.note.state != State::Gone) else {
+            return false;
+        };
         self.ranges[range_of(id)] ^= mark_of(id, unit.note.state) ^ mark_of(id, State::Gone);
         unit.note.state = State::Gone;
         true
@@ -185,7 +191,10 @@
         let notes: Vec<Note> = (0..40)
             .flat_map(|i| {
                 let id = format!("i-{}", i % 20);
-                [note(&id, State::Ready, 1), note(&id, if i % 3 == 0 { State::Draining } else { State::Ready }, 2)]
+                [
+                    note(&id, State::Ready, 1),
+                    note(&id, if i % 3 == 0 { State::Draining } else { State::Ready }, 2),
+                ]
             })
             .collect();
         let (mut one, mut two) = (Waymarks::default(), Waymarks::default());
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! Plain state: what the settings come down to, and records of units, tasks, builds and votes. No decisions.
 
-use crate::histogram::{Histogram, Tally, Window};
 use crate::cusum::Cusum;
+use crate::histogram::{Histogram, Tally, Window};
 use crate::*;
 use beechcroft_fleet::held::{Held, Usual};
 use beechcroft_fleet::subset::{Rate, KEPT_PART};
