--- a/crates/beechcroft-pace/src/yard.rs
+++ b/crates/beechcroft-pace/src/yard.rs
@@ -15,10 +15,11 @@
 /// below it bears less.
 const MOST: f64 = 3.0;
 const MOST_PER_RANK: f64 = 0.25;
-/// How much emptier a unit of another region must be, in requests for each slot.
-const FAR: f64 = 0.6;
+/// How much emptier a unit of another region must be, in requests for each slot; for large answers, whose bytes
+/// cost more than a short wait.
+const FAR: [f64; 2] = [0.6, 2.0];
 /// The same for another zone of the region.
-const NEXT_ZONE: f64 = 0.08;
+const NEXT_ZONE: [f64; 2] = [0.1, 0.7];
 /// Failures in a row that set a unit aside, and for how long at first and at most.
 const STREAK: u32 = 2;
 const ASIDE_MS: u64 = 500;
@@ -121,6 +122,8 @@
     /// Regions that the route may be served in; empty for any.
     pub homes: &'a [String],
     pub priority: u8,
+    /// Its answers are large.
+    pub bulk: bool,
     /// Units that this request has been offered to.
     pub tried: &'a [Rc<str>],
 }
@@ -198,7 +201,7 @@
         let (near, far): (Vec<usize>, Vec<usize>) = usual.iter().copied().partition(is_near);
         let score = |at: usize| {
             let place = &places[at];
-            place.fullness(now) + if *place.zone == **zone { 0.0 } else { NEXT_ZONE }
+            place.fullness(now) + if *place.zone == **zone { 0.0 } else { NEXT_ZONE[usize::from(want.bulk)] }
         };
         let mut two = |of: &[usize]| {
             let (one, other) = match of {
@@ -219,7 +222,9 @@
             let emptiest = near.iter().copied().min_by(|&a, &b| score(a).total_cmp(&score(b)));
             best = emptiest;
             if let Some(other) = two(&far) {
-                if best.is_none_or(|at| full(at) > 1.0 && full(other) + FAR < full(at)) {
+                if best
+                    .is_none_or(|at| full(at) > 1.0 && full(other) + FAR[usize::from(want.bulk)] < full(at))
+                {
                     best = Some(other);
                 }
             }
@@ -306,7 +311,7 @@
     }
 
     fn want(homes: &[String]) -> Want<'_> {
-        Want { side: Side::Base, homes, priority: 0, tried: &[] }
+        Want { side: Side::Base, homes, priority: 0, bulk: false, tried: &[] }
     }
 
     #[test]
--- a/crates/beechcroft-ropes/src/conduct.rs
+++ b/crates/beechcroft-ropes/src/conduct.rs
@@ -7,10 +7,10 @@
 pub const LAST: u8 = SHARES.len() as u8 - 1;
 
 /// By when, of the ramp, the trial is over; the steps after it share what is left.
-const TRIAL_PART: f64 = 0.36;
+const TRIAL_PART: f64 = 0.33;
 const STEP_PART: f64 = 0.1;
-/// Outcomes over the fleet that a trial should bring; it is given half as long again to bring them.
-const ENOUGH: u32 = 60;
+/// Outcomes over the fleet that a trial should bring; it is given a fifth longer to bring them.
+const ENOUGH: u32 = 40;
 
 /// What is known of a rollout over all relays.
 #[derive(Clone, Copy, Debug, Default)]
@@ -49,7 +49,7 @@
     }
     match view.stage {
         0 => {
-            let enough = view.trials >= ENOUGH || passed >= TRIAL_PART * 1.25;
+            let enough = view.trials >= ENOUGH || passed >= TRIAL_PART * 1.2;
             if passed >= TRIAL_PART && enough && view.trials > 0 {
                 Next::On(1)
             } else {
@@ -58,7 +58,7 @@
         }
         LAST => {
             let ended = view.old_open == 0 && view.stage_ms >= 1200;
-            if ended || view.stage_ms >= 3500 {
+            if ended || view.stage_ms >= 2200 {
                 Next::Complete
             } else {
                 Next::Stay
--- a/crates/beechcroft-trail/src/carry.rs
+++ b/crates/beechcroft-trail/src/carry.rs
@@ -8,6 +8,7 @@
 use beechcroft_hutbook::Stage;
 use beechcroft_junction::{Table, Way};
 use beechcroft_kinds::Kind;
+use beechcroft_map::config::RouteType;
 use beechcroft_pace::{Choice, Side, Want, Why};
 use beechcroft_pass::guard::Ask;
 use beechcroft_pass::line::{Body, Line};
@@ -177,12 +178,9 @@
     }
 
     fn want(&self) -> Want<'_> {
-        Want {
-            side: self.side,
-            homes: &self.task.way.homes,
-            priority: self.task.way.priority,
-            tried: &self.tried,
-        }
+        let Way { homes, priority, kind, .. } = self.task.way;
+        let bulk = *kind == RouteType::Download;
+        Want { side: self.side, homes, priority: *priority, bulk, tried: &self.tried }
     }
 
     /// The unit for the next offer, or why there is none.
