A request's way tested at each point; the second offer beside a slow one runs

Cause: has_more was asked after the offer had been counted, so no request of two sends ever got a second offer; found by the test of a silent unit (504 after the whole budget). Ruled out: the budget (5 held), no free unit (one idle).

--- a/crates/beechcroft-crossing/src/lib.rs
+++ b/crates/beechcroft-crossing/src/lib.rs
@@ -50,9 +50,9 @@
         Crossing { repeatable, sends: sends.max(1), vain: 4, maybe_run: false }
     }
 
-    /// Whether another unit may be tried should this offer fail.
+    /// Whether another unit may be asked beside the one that is at work on it.
     pub fn has_more(&self) -> bool {
-        self.repeatable && self.sends > 1
+        self.repeatable && self.sends > 0
     }
 
     /// The request is about to be sent to a unit.
--- a/crates/beechcroft-fleet/src/turns.rs
+++ b/crates/beechcroft-fleet/src/turns.rs
@@ -39,6 +39,22 @@
         Turns { place, relays, per_s: per_s.max(0.1), needed }
     }
 
+    /// Whether the service takes a call of every relay at once. Then nobody needs a turn: a wish is called as it comes
+    /// up, is taken back as it goes, and calls of one relay keep a round's distance, so that none is refused.
+    fn is_small(&self) -> bool {
+        f64::from(self.relays) <= self.per_s * BURST_S
+    }
+
+    /// The least time between two calls of one relay, of which so many call.
+    pub fn gap(&self, voices: u32, least: Duration) -> Duration {
+        let round = Duration::from_secs_f64(f64::from(voices.min(self.relays)) / self.per_s);
+        if self.is_small() {
+            round.max(least)
+        } else {
+            least
+        }
+    }
+
     /// Places from this one on speak last: without them the needed voices are not there.
     fn first_last(&self) -> u32 {
         self.needed.saturating_sub((self.per_s * RESERVE_S).ceil() as u32)
@@ -46,7 +62,7 @@
 
     /// Whether this relay may speak before the matter is settled: a round takes long, and those who speak last decide.
     pub fn is_early(&self) -> bool {
-        self.place < self.first_last()
+        !self.is_small() && self.place < self.first_last()
     }
 
     fn line(&self, place: f64, pace: f64) -> Duration {
@@ -69,6 +85,9 @@
     /// matter is settled since a further time, or not yet. Where that is past the life of the round's first calls, a fresh
     /// one begins with the settling: what was said before is then said again.
     pub fn forward(&self, began: Duration, behind: bool, settled: Option<Duration>, life: Duration) -> Turn {
+        if self.is_small() {
+            return Turn { at: settled.unwrap_or(began), anew: Duration::ZERO };
+        }
         let began = if behind { began + self.rest(life) } else { began };
         let in_line = self.line(f64::from(self.place) - self.per_s * BURST_S, PACE);
         let Some(settled) = settled else { return Turn { at: began + in_line, anew: Duration::ZERO } };
@@ -92,13 +111,20 @@
     /// When a call is taken back that is wished no more. Those who spoke early let theirs stand, as nothing comes of them
     /// alone; the others go in line, so that a matter that wavers costs no call.
     pub fn back(&self, wished: Duration) -> Turn {
+        if self.is_small() {
+            return Turn { at: wished, anew: Duration::ZERO };
+        }
         let at = if self.is_early() { Duration::MAX } else { wished + self.behind_early().max(SETTLE) };
         Turn { at, anew: Duration::ZERO }
     }
 
     /// How long a relay waits that was refused so many times in a row; `draw` is from 0 to 1. A round of all is enough.
     pub fn again(&self, refused: u32, draw: f64) -> Duration {
-        let round = Duration::from_secs_f64(f64::from(self.relays) / self.per_s).max(AGAIN);
+        let round = Duration::from_secs_f64(f64::from(self.relays) / self.per_s);
+        if self.is_small() {
+            return round;
+        }
+        let round = round.max(AGAIN);
         let most = (AGAIN * (1 << refused.saturating_sub(1).min(8))).min(round);
         most.mul_f64(draw.clamp(0.0, 1.0))
     }
@@ -106,6 +132,9 @@
     /// After which time a call that stands for `life` is renewed: by `part` of it, but not before a round is through. Where
     /// a round takes longer than a call stands, the needed ones all stand only at the end of each.
     pub fn renew(&self, life: Duration, part: f64) -> Duration {
+        if self.is_small() {
+            return life.mul_f64(part);
+        }
         let voices = if self.needed > 0 { self.needed } else { self.relays };
         life.mul_f64(part).max(Duration::from_secs_f64(f64::from(voices) / self.per_s))
     }
--- /dev/null
+++ b/crates/beechcroft-trail/src/lib.rs
@@ -0,0 +1,8 @@
+//! The parts of trail, the program of the edge machines: `main.rs` puts them together.
+
+pub mod carry;
+pub mod guide;
+pub mod offer;
+pub mod pool;
+pub mod serve;
+pub mod shared;
--- a/crates/beechcroft-trail/src/main.rs
+++ b/crates/beechcroft-trail/src/main.rs
@@ -1,12 +1,5 @@
 //! trail: the program of the edge machines. It carries requests to units and judges new versions by them.
 
-mod carry;
-mod guide;
-mod offer;
-mod pool;
-mod serve;
-mod shared;
-
 use beechcroft_cairns::{Member, Standing};
 use beechcroft_hutbook::Value;
 use beechcroft_kinds::Kind;
@@ -15,8 +8,9 @@
 use beechcroft_pass::desk::{self, Answer, Bounds};
 use beechcroft_pass::errand::Errands;
 use beechcroft_pass::post::Post;
-use guide::{Command, Guide};
-use shared::{Phase, Shared};
+use beechcroft_trail::guide::{self, Command, Guide};
+use beechcroft_trail::serve;
+use beechcroft_trail::shared::{Phase, Shared};
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -85,10 +79,10 @@
     let settings = Settings::load()?;
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
-    runtime.block_on(tokio::task::LocalSet::new().run_until(serve(settings)))
+    runtime.block_on(tokio::task::LocalSet::new().run_until(run(settings)))
 }
 
-async fn serve(settings: Settings) -> Result<(), String> {
+async fn run(settings: Settings) -> Result<(), String> {
     let said = |e: std::io::Error| e.to_string();
     let life = std::time::SystemTime::now()
         .duration_since(std::time::UNIX_EPOCH)
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -198,7 +198,7 @@
         let part = (new / places.max(new)).clamp(0.0, 1.0);
         let width = |part: f64| subset::width(self.meter.rate.per_s() * part, self.fig.kept);
         able.retain(|&at| on_trial(at) == to_trial);
-        // Where it keeps to a part of them, its own tasks there are the fewest: what units tell that they hold counts.
+        // Where it keeps to a part of them, its own tasks there are the fewest: what units tell counts.
         let kept = width(if to_trial { part } else { 1.0 - part });
         let (thin, usual) = (kept < able.len(), self.meter.usual.value());
         if thin {
@@ -695,7 +695,7 @@
         !self.judge.busy_before && self.meter.shed_within(BUSY_FOR, self.now)
     }
 
-    /// Which vote this relay stands for, and whether the evidence is in: else a vote to go on is one ahead of it.
+    /// Which vote this relay stands for, and whether the evidence is in: else it is one ahead of it.
     fn stance(&mut self, news: News, fused: f64) -> (Vote, bool) {
         self.judge.on = self.may_go_on(news, fused);
         match news.phase {
@@ -709,7 +709,7 @@
         let vote = match self.fig.gate {
             GateMode::Automatic if self.judge.bit => Vote::Hold,
             GateMode::FirstVoice if on && self.fig.me.0 < PROCEED_VOICES => Vote::On,
-            // Departure: a round of votes takes long, so those without whom it is not one vote ahead of the evidence.
+            // Departure: a round of votes takes long: those without whom it is not one vote ahead of it.
             GateMode::ByCount if on || self.fig.turns.is_early() && self.is_unharmed(fused) => Vote::On,
             _ => Vote::Nothing,
         };
@@ -763,7 +763,9 @@
         let ahead = vote == Vote::On && settled.is_none();
         let renew = if ahead { Duration::MAX } else { turns.renew(life, RENEW) };
         let wait = self.fig.answer_wait + TICK;
-        if self.fig.me.0 >= voices || !self.voice.is_due(turn, self.now, wait, TICK * 2, renew) {
+        if self.fig.me.0 >= voices
+            || !self.voice.is_due(turn, self.now, wait, turns.gap(voices, TICK * 2), renew)
+        {
             return;
         }
         if self.voice.said().unwrap_or(Vote::Nothing) != vote && self.fig.fuses {
