--- a/crates/beechcroft-cairns/src/lib.rs
+++ b/crates/beechcroft-cairns/src/lib.rs
@@ -33,7 +33,7 @@
 /// So long a relay waits for a copy to come near, before it fetches one from another region.
 const FETCH_MS: u64 = 350;
 /// A beat that tells nothing new is passed on this often.
-const EVERY_BEAT: u64 = 4;
+pub const EVERY_BEAT: u64 = 4;
 /// Without an answer for this long, a watched relay is said to be down.
 const DOWN_MS: u64 = 1300;
 /// Bytes of items in a letter; with the rest it stays under the smallest usual packet.
--- a/crates/beechcroft-trail/src/guide.rs
+++ b/crates/beechcroft-trail/src/guide.rs
@@ -3,7 +3,7 @@
 
 use crate::shared::{Phase, Shared};
 use beechcroft_cairns::letter::Sign;
-use beechcroft_cairns::{Action, Cairns, Letter, Member, Standing};
+use beechcroft_cairns::{Action, Cairns, Letter, Member, Standing, EVERY_BEAT};
 use beechcroft_hutbook::state::Admits;
 use beechcroft_hutbook::{Book, Orders, Stage, Value, BOOK, ORDERS};
 use beechcroft_junction::Table;
@@ -282,7 +282,8 @@
 
     /// Units whose beats have stopped, unless most have: then it is this relay that hears nothing.
     fn mark_silent(&mut self, now: u64) {
-        let patience = SILENT_BEATS * self.shared.settings.heartbeat_ms + 500;
+        // Only every few beats are passed on.
+        let patience = (EVERY_BEAT + SILENT_BEATS) * self.shared.settings.heartbeat_ms + 500;
         let silent = |unit: &beechcroft_waymarks::Unit| now.saturating_sub(unit.heard_at) > patience;
         let known = || self.cairns.units.all().filter(|unit| unit.note.state == State::Ready);
         let many = known().filter(|unit| silent(unit)).count() * 2 > known().count();
