--- a/crates/beechcroft-cairns/src/lib.rs
+++ b/crates/beechcroft-cairns/src/lib.rs
@@ -97,6 +97,9 @@
     rng: Pcg64Mcg,
     next_flush: u64,
     next_ping: u64,
+    /// Digests of the table of members, this relay among them, by range.
+    ranges: [u32; MEMBER_RANGES],
+    watched: Option<Vec<(String, SocketAddrV4)>>,
     /// Of each register, the first change that is known of and missed, and since when.
     missed: [(u64, u64); 2],
     heard_at: u64,
@@ -104,8 +107,8 @@
 
 impl Cairns {
     pub fn new(me: Member, port: u16, seeds: Vec<SocketAddrV4>, salt: u64) -> Cairns {
-        Cairns {
-            me,
+        let mut cairns = Cairns {
+            me: me.clone(),
             port,
             seeds,
             members: BTreeMap::new(),
@@ -116,16 +119,22 @@
             rng: Pcg64Mcg::seed_from_u64(salt),
             next_flush: 0,
             missed: [(0, 0); 2],
+            ranges: [0; MEMBER_RANGES],
+            watched: None,
             next_ping: 0,
             heard_at: 0,
-        }
+        };
+        cairns.count_in(None, &me);
+        cairns
     }
 
     /// What a former life of this relay's process knew: a place to begin, mended by what the others say.
     pub fn recall(&mut self, now: u64, members: Vec<Member>, notes: Vec<Note>) {
-        for member in members.into_iter().filter(|member| member.name != self.me.name) {
+        let me = self.me.name.clone();
+        for member in members.into_iter().filter(|member| member.name != me) {
             let known = Known { member: member.clone(), watched_since: None, answered_at: now };
-            self.members.insert(member.name, known);
+            self.members.insert(member.name.clone(), known);
+            self.count_in(None, &member);
         }
         for note in notes {
             self.units.merge(now, note);
@@ -163,9 +172,7 @@
     /// What this relay says of itself has changed.
     pub fn stand(&mut self, standing: Standing) {
         if self.me.standing != standing {
-            self.me.standing = standing;
-            self.me.mark += 1;
-            self.pass_on(What::Member(self.me.name.clone()));
+            self.say(|me| (me.standing, me.mark) = (standing, me.mark + 1));
         }
     }
 
@@ -300,11 +307,36 @@
     }
 
     fn ranges(&self) -> Ranges {
-        let mut members = [0; MEMBER_RANGES];
-        for member in self.known().chain([&self.me]) {
-            members[member.range()] ^= member.digest();
+        Ranges { members: self.ranges, units: self.units.digests() }
+    }
+
+    /// The digests follow a change of a member, this relay among them.
+    fn count_in(&mut self, before: Option<&Member>, after: &Member) {
+        if let Some(before) = before {
+            self.ranges[before.range()] ^= before.digest();
         }
-        Ranges { members, units: self.units.digests() }
+        self.ranges[after.range()] ^= after.digest();
+        self.watched = None;
+    }
+
+    /// What this relay says of itself changes.
+    fn say(&mut self, change: impl FnOnce(&mut Member)) {
+        let before = self.me.clone();
+        change(&mut self.me);
+        let after = self.me.clone();
+        self.count_in(Some(&before), &after);
+        self.pass_on(What::Member(after.name));
+    }
+
+    /// The relays that this one watches: worked out anew only once members have changed.
+    fn watched(&mut self) -> Vec<(String, SocketAddrV4)> {
+        if let Some(watched) = &self.watched {
+            return watched.clone();
+        }
+        let mine = self.alive().filter(|member| self.watches(member));
+        let watched: Vec<_> = mine.map(|member| (member.name.clone(), self.address(member))).collect();
+        self.watched = Some(watched.clone());
+        watched
     }
 
     fn sums(&self) -> Sums {
@@ -322,17 +354,16 @@
     }
 
     fn ping(&mut self, now: u64, out: &mut Vec<Action>) {
-        let watched: Vec<(String, SocketAddrV4)> = self
-            .alive()
-            .filter(|member| self.watches(member))
-            .map(|member| (member.name.clone(), self.address(member)))
-            .collect();
+        let watched = self.watched();
         let cut_off = now.saturating_sub(self.heard_at) > DOWN_MS / 2;
         for (name, to) in &watched {
             let known = self.members.get_mut(name).expect("taken from the table");
             let since = *known.watched_since.get_or_insert(now);
             if !cut_off && now.saturating_sub(since.max(known.answered_at)) > DOWN_MS {
+                let before = known.member.clone();
                 known.member.standing = Standing::Down;
+                let after = known.member.clone();
+                self.count_in(Some(&before), &after);
                 out.push(Action::Members);
                 self.pass_on(What::Member(name.clone()));
                 continue;
@@ -430,24 +461,25 @@
         if member.name == self.me.name {
             // Somebody believes otherwise: what this relay says of itself must outrank it.
             if member.rank() > self.me.rank() {
-                self.me.life = self.me.life.max(member.life);
-                self.me.mark = self.me.mark.max(member.mark) + 1;
-                self.pass_on(What::Member(self.me.name.clone()));
+                let (life, mark) = (member.life, member.mark);
+                self.say(|me| (me.life, me.mark) = (me.life.max(life), me.mark.max(mark) + 1));
             }
             return;
         }
         let name = member.name.clone();
-        match self.members.get_mut(&name) {
+        let before = match self.members.get_mut(&name) {
             None => {
-                let known = Known { member, watched_since: None, answered_at: now };
+                let known = Known { member: member.clone(), watched_since: None, answered_at: now };
                 self.members.insert(name.clone(), known);
+                None
             }
             Some(known) if member.rank() > known.member.rank() => {
-                known.member = member;
                 known.watched_since = None;
+                Some(std::mem::replace(&mut known.member, member.clone()))
             }
             Some(_) => return,
-        }
+        };
+        self.count_in(before.as_ref(), &member);
         self.pass_on(What::Member(name));
         out.push(Action::Members);
     }
