--- a/src/cusum.rs
+++ b/src/cusum.rs
@@ -1,13 +1,9 @@
-//! The mechanism itself, as the paper has it: log likelihood ratios, the running sum, the alarm's threshold and
-//! the fusion of weighted bits. [`crate::decide`] uses it in the relay in service, `beechcroft-ropes` in the
-//! system; neither holds a copy.
+//! The mechanism itself, as the paper has it: ratios, the running sum, the threshold, the fusion of bits. Used by
+//! [`crate::decide`] in the relay in service and by `beechcroft-ropes` in the system; neither holds a copy.
 
-/// ln 10^4 ticks: the mean time between false alarms that the threshold asks for.
-pub const LOG_GAMMA: f64 = 9.21;
-/// No bit is set on less.
-pub const NATS_FLOOR: f64 = 4.0;
-/// No bit is set on fewer outcomes of a stage.
-pub const MIN_OUTCOMES: u32 = 10;
+pub const LOG_GAMMA: f64 = 9.21; // ln 10^4 ticks, the mean time between false alarms
+pub const NATS_FLOOR: f64 = 4.0; // no bit is set on less
+pub const MIN_OUTCOMES: u32 = 10; // nor on fewer outcomes of a stage
 
 /// W, and Z of the tick that is under way, in nats.
 #[derive(Clone, Copy, Debug, Default)]
@@ -17,13 +13,11 @@
 }
 
 impl Cusum {
-    /// The tick ends: W = max(0, W) + Z.
     pub fn tick(&mut self) {
         *self = Cusum { w: self.w.max(0.0) + self.z, z: 0.0 };
     }
 }
 
-/// The rate of failures of a bad build, from the good one's.
 pub fn bad_rate(good: f64) -> f64 {
     (2.0 * good).max(good + 0.05)
 }
@@ -55,7 +49,6 @@
     (LOG_GAMMA / alarms_m * weight).max(NATS_FLOOR)
 }
 
-/// The weighted sum of the bits that are set, each with its I.
 pub fn fuse(bits: impl Iterator<Item = (bool, f64)>, largest: f64) -> f64 {
     bits.filter(|(bit, _)| *bit).map(|(_, divergence)| divergence).sum::<f64>() / largest
 }
