--- a/crates/beechcroft-cairns/src/lib.rs
+++ b/crates/beechcroft-cairns/src/lib.rs
@@ -454,7 +454,9 @@
         let weight = |name: &str| rapidhash_v3(format!("{name} fetches").as_bytes());
         let mine = weight(&self.me.name);
         let mut beside = self.alive().filter(|member| member.region == self.me.region);
-        near || now >= since + FETCH_MS || beside.all(|member| weight(&member.name) < mine)
+        // A relay that has none yet serves nobody: it takes it from whoever has it.
+        let none = self.revs[register] == 0;
+        near || none || now >= since + FETCH_MS || beside.all(|member| weight(&member.name) < mine)
     }
 
     fn take_member(&mut self, now: u64, member: Member, out: &mut Vec<Action>) {
--- /dev/null
+++ b/crates/beechcroft-trail/examples/small_system.rs
@@ -0,0 +1,157 @@
+//! A small system on loopback: three huts, one trail, four stand-in units, and a configuration. Ends after ten
+//! minutes, or with Ctrl-C. Needs the two programs beside it: `cargo build --release` puts them there.
+//!
+//!     cargo run --release -p beechcroft-trail --example small_system
+//!     curl -i -H 'Host: boards.example' -H 'Beechcroft-Attempt-Id: 1' http://127.0.0.1:8548/board/today
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
+use std::time::{Duration, Instant};
+
+const CONFIG: &str = r#"{"version":"00000001","baseVersion":"00000000",
+"services":[{"name":"board","healthPath":"/health","maxConns":100,"warmupS":1.0,"warmupRateS":10.0}],
+"virtualHosts":[{"hostname":"boards.example","pathRules":[{"name":"board","pathPrefix":"/board/",
+"routeType":"idempotent","timeoutMs":2000,"targetMs":300,"priority":1,"service":"board","retries":2}]}]}"#;
+
+/// The settings of one machine; each has a loopback address of its own.
+fn settings(folder: &Path, name: &str, ip: &str, listen: &str, hut: bool) -> PathBuf {
+    let data = folder.join(name);
+    let text = format!(
+        r#"nodeName = "{name}"
+ip = "{ip}"
+zone = "here"
+region = "home"
+internalPorts = [7540, 7555]
+seedNodes = ["127.0.0.1:8544", "127.0.0.2:8544", "127.0.0.3:8544"]
+bootstrap = true
+quorumMember = {hut}
+dataDir = "{}"
+[zones]
+here = "home"
+[listen]
+{listen}
+"#,
+        data.display()
+    );
+    let path = folder.join(format!("{name}.toml"));
+    std::fs::write(&path, text).expect("the folder was just made");
+    path
+}
+
+fn start(program: &str, settings: &Path) -> Child {
+    let beside = std::env::current_exe().expect("a program has a path");
+    let folder = beside.parent().and_then(Path::parent).expect("target/PROFILE/examples/NAME");
+    let path = folder.join(program);
+    let child =
+        Command::new(&path).args(["run", "--log", "info"]).env("BEECHCROFT_SETTINGS", settings).spawn();
+    child.unwrap_or_else(|e| panic!("{}: {e}; build it first", path.display()))
+}
+
+fn call(to: &str, method: &str, path: &str, body: &str) -> std::io::Result<u16> {
+    let mut stream = TcpStream::connect(to)?;
+    stream.set_read_timeout(Some(Duration::from_secs(3)))?;
+    write!(
+        stream,
+        "{method} {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer)?;
+    Ok(answer.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0))
+}
+
+/// A unit: beats to a hut and answers every request.
+fn unit(number: u16) {
+    let (id, address) = (format!("unit-{number}"), format!("127.0.0.1:{}", 9000 + number));
+    let listener = TcpListener::bind(&address).expect("the address is free");
+    let me = id.clone();
+    std::thread::spawn(move || {
+        for sequence in 1u64.. {
+            let body = format!(
+                r#"{{"address":"{address}","info":{{"service":"board","version":"v1","zone":"here","capacity":4}},"status":{{"state":"ready","sequence":{sequence},"warmupLeftMs":0}}}}"#
+            );
+            let hut = format!("127.0.0.{}:8544", sequence % 3 + 1);
+            let _ = call(&hut, "POST", &format!("/units/{id}/heartbeat"), &body);
+            std::thread::sleep(Duration::from_millis(1500));
+        }
+    });
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let me = me.clone();
+            std::thread::spawn(move || serve(stream, &me));
+        }
+    });
+}
+
+fn serve(stream: TcpStream, me: &str) {
+    let mut lines = BufReader::new(stream);
+    loop {
+        let (mut first, mut attempt) = (String::new(), String::new());
+        loop {
+            let mut line = String::new();
+            if lines.read_line(&mut line).unwrap_or(0) == 0 {
+                return;
+            }
+            if let Some(id) = line.strip_prefix("Beechcroft-Attempt-Id: ") {
+                attempt = id.trim().to_owned();
+            }
+            if line == "\r\n" {
+                break;
+            }
+            if first.is_empty() {
+                first = line.trim().to_owned();
+            }
+        }
+        let body = format!("{me} answers {first}\n");
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nBeechcroft-Attempt-Id: {attempt}\r\nBeechcroft-Server-Seal: example\r\n\
+             Beechcroft-Unit-Load: 0,0,4\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        if lines.get_mut().write_all((head + &body).as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+fn main() {
+    let folder = std::env::temp_dir().join(format!("beechcroft-small-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder of its own");
+    let mut children = Vec::new();
+    for number in 1..=3 {
+        let ip = format!("127.0.0.{number}");
+        let listen = format!("control = \"{ip}:8544\"\ndirectory = \"{ip}:8546\"");
+        children
+            .push(start("beechcroft-hut", &settings(&folder, &format!("hut-{number}"), &ip, &listen, true)));
+    }
+    let listen = "ingress = \"127.0.0.1:8548\"\nreadiness = \"127.0.0.1:8542\"";
+    children.push(start("beechcroft-trail", &settings(&folder, "trail-1", "127.0.0.1", listen, false)));
+    (1..=4).for_each(unit);
+    let end = Instant::now() + Duration::from_secs(600);
+    let wait = |what: &str, done: &dyn Fn() -> bool| {
+        while !done() {
+            assert!(Instant::now() < end, "{what} never came");
+            std::thread::sleep(Duration::from_millis(200));
+        }
+        println!("small system: {what}");
+    };
+    wait("the configuration is agreed", &|| {
+        call("127.0.0.2:8544", "POST", "/config/replace", CONFIG).is_ok_and(|status| status == 200)
+    });
+    wait("the relay is ready", &|| {
+        call("127.0.0.1:8542", "GET", "/ready", "").is_ok_and(|status| status == 200)
+    });
+    println!(
+        "curl -i -H 'Host: boards.example' -H 'Beechcroft-Attempt-Id: 1' http://127.0.0.1:8548/board/today"
+    );
+    while Instant::now() < end && children.iter_mut().all(|child| matches!(child.try_wait(), Ok(None))) {
+        std::thread::sleep(Duration::from_millis(300));
+    }
+    for child in &mut children {
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+    let _ = std::fs::remove_dir_all(&folder);
+}
