--- a/crates/beechcroft-cairns/src/letter.rs
+++ b/crates/beechcroft-cairns/src/letter.rs
@@ -1,5 +1,6 @@
 //! What relays tell each other in datagrams.
 
+use beechcroft_saddle::Word;
 use beechcroft_waymarks::{Note, RANGES};
 use rapidhash::v3::rapidhash_v3;
 use serde::{Deserialize, Serialize};
@@ -91,6 +92,17 @@
     Unit(Note),
     Beat(Beat),
     Sign(Sign),
+    Crowd(Crowded),
+}
+
+/// What a relay tells of a service's keys.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Crowded {
+    pub relay: String,
+    pub life: u64,
+    pub count: u32,
+    pub service: String,
+    pub word: Word,
 }
 
 impl Item {
@@ -100,6 +112,7 @@
             Item::Member(m) => 40 + m.name.len() + m.region.len() + m.zone.len(),
             Item::Unit(n) => 30 + n.id.len() + n.service.len() + n.version.len() + n.zone.len(),
             Item::Beat(b) => 10 + b.id.len(),
+            Item::Crowd(c) => 24 + c.relay.len() + c.service.len() + 14 * c.word.keys.len(),
             Item::Sign(s) => 40 + s.relay.len() + s.service.len() + 6 * s.units.len(),
         }
     }
--- a/crates/beechcroft-cairns/src/lib.rs
+++ b/crates/beechcroft-cairns/src/lib.rs
@@ -62,6 +62,8 @@
     Members,
     /// Another relay's sign.
     Sign(letter::Sign),
+    /// Another relay of the region tells of keys.
+    Crowd(letter::Crowded),
 }
 
 struct Known {
@@ -82,6 +84,7 @@
     Unit(String),
     Beat(String),
     Sign(letter::Sign),
+    Crowd(letter::Crowded),
 }
 
 pub struct Cairns {
@@ -93,6 +96,8 @@
     pub units: Waymarks,
     pub revs: [u64; 2],
     signs: BTreeMap<(String, String), (letter::Sign, u64)>,
+    /// The latest word taken from each relay on each service's keys.
+    crowds: BTreeMap<(String, String), (u64, u32)>,
     fresh: VecDeque<Fresh>,
     rng: Pcg64Mcg,
     next_flush: u64,
@@ -115,6 +120,7 @@
             units: Waymarks::default(),
             revs: [0; 2],
             signs: BTreeMap::new(),
+            crowds: BTreeMap::new(),
             fresh: VecDeque::new(),
             rng: Pcg64Mcg::seed_from_u64(salt),
             next_flush: 0,
@@ -215,6 +221,9 @@
     fn pass_on(&mut self, item: What) {
         let same = |held: &What| match (held, &item) {
             (What::Sign(held), What::Sign(new)) => (&held.relay, &held.service) == (&new.relay, &new.service),
+            (What::Crowd(held), What::Crowd(new)) => {
+                (&held.relay, &held.service) == (&new.relay, &new.service)
+            }
             _ => *held == item,
         };
         self.fresh.retain(|fresh| !same(&fresh.item));
@@ -264,7 +273,16 @@
                 continue;
             }
             let to = group.swap_remove(self.rng.random_range(0..group.len()));
-            self.send(to, &items, false, None, out);
+            if from_afar && !far {
+                // Words on keys are for the region.
+                let items: Vec<Item> =
+                    items.iter().filter(|i| !matches!(i, Item::Crowd(_))).cloned().collect();
+                if !items.is_empty() {
+                    self.send(to, &items, false, None, out);
+                }
+            } else {
+                self.send(to, &items, false, None, out);
+            }
         }
     }
 
@@ -278,6 +296,7 @@
                 Item::Beat(Beat { id, sequence, warm_left_ms, age_ms })
             }),
             What::Sign(sign) => Some(Item::Sign(sign.clone())),
+            What::Crowd(crowd) => Some(Item::Crowd(crowd.clone())),
         }
     }
 
@@ -412,6 +431,7 @@
                 Item::Unit(note) => self.take_unit(now, note, out),
                 Item::Beat(beat) => self.take_beat(now, beat, out),
                 Item::Sign(sign) => self.take_sign(now, sign, out),
+                Item::Crowd(crowd) => self.take_crowd(crowd, out),
             }
         }
         for (register, &rev) in sums.revs.iter().enumerate() {
@@ -508,6 +528,23 @@
         }
     }
 
+    /// This relay's own word on a service's keys, for its region.
+    pub fn crowd(&mut self, crowd: letter::Crowded) {
+        self.pass_on(What::Crowd(crowd));
+    }
+
+    fn take_crowd(&mut self, crowd: letter::Crowded, out: &mut Vec<Action>) {
+        let near = self.members.get(&crowd.relay).is_some_and(|known| known.member.region == self.me.region);
+        let key = (crowd.relay.clone(), crowd.service.clone());
+        let number = (crowd.life, crowd.count);
+        let newer = self.crowds.get(&key).is_none_or(|&held| held < number);
+        if near && newer {
+            self.crowds.insert(key, number);
+            self.pass_on(What::Crowd(crowd.clone()));
+            out.push(Action::Crowd(crowd));
+        }
+    }
+
     fn take_sign(&mut self, now: u64, sign: letter::Sign, out: &mut Vec<Action>) {
         let key = (sign.relay.clone(), sign.service.clone());
         let news =
--- a/crates/beechcroft-junction/src/lib.rs
+++ b/crates/beechcroft-junction/src/lib.rs
@@ -1,6 +1,6 @@
 //! From host and path to a route, by version. A table is made once from a configuration and never changed.
 
-use beechcroft_map::config::{Config, Limits, Route, RouteType, Service};
+use beechcroft_map::config::{Config, KeyPart, Limits, Route, RouteType, Service};
 use std::collections::HashMap;
 
 /// A route as requests use it.
@@ -16,6 +16,7 @@
     pub parts: Vec<(usize, u32)>,
     pub tries: u32,
     pub homes: Vec<String>,
+    pub key: Option<KeyPart>,
 }
 
 impl Way {
@@ -24,6 +25,17 @@
         self.kind != RouteType::NonIdempotent
     }
 
+    /// The key of a request: what the operator names, else the path below the prefix. `header` finds a value.
+    pub fn key<'a>(&self, target: &'a str, header: impl FnOnce(&str) -> Option<&'a str>) -> &'a str {
+        let path = target.split('?').next().unwrap_or(target);
+        let below = path.get(self.prefix.len()..).unwrap_or("");
+        match &self.key {
+            None => below,
+            Some(KeyPart { segment: Some(at), .. }) => below.split('/').nth(at - 1).unwrap_or(""),
+            Some(KeyPart { header: name, .. }) => name.as_deref().and_then(header).unwrap_or(""),
+        }
+    }
+
     /// The service for a draw from 0 up to 1.
     pub fn service(&self, draw: f64) -> usize {
         let all = self.parts.last().map_or(0, |&(_, sum)| sum);
@@ -120,6 +132,7 @@
         parts,
         tries: route.retries.max(1),
         homes: route.home_regions.clone(),
+        key: route.key.clone(),
     }
 }
 
--- a/crates/beechcroft-map/src/config.rs
+++ b/crates/beechcroft-map/src/config.rs
@@ -50,6 +50,14 @@
     pub warmup_s: f64,
     #[serde(default)]
     pub warmup_rate_s: f64,
+    /// Units that a key is usually answered by in each region; 0: keys are not looked at.
+    #[serde(default)]
+    #[garde(range(max = 64))]
+    pub usual_places: usize,
+    /// Within so long all units hold what one of them has acknowledged.
+    #[serde(default)]
+    #[garde(range(max = 600_000))]
+    pub fresh_ms: u64,
 }
 
 fn conns() -> u32 {
@@ -115,6 +123,22 @@
     pub retries: u32,
     #[serde(default)]
     pub home_regions: Vec<String>,
+    /// What a request's key is; the path below the prefix, if this is not there.
+    #[garde(dive)]
+    pub key: Option<KeyPart>,
+}
+
+/// The part of a request that is its key.
+#[derive(Clone, Debug, Deserialize, Validate)]
+#[serde(rename_all = "camelCase")]
+#[garde(allow_unvalidated)]
+pub struct KeyPart {
+    /// A segment of the path below the prefix, counted from 1.
+    #[garde(inner(range(min = 1, max = 32)))]
+    pub segment: Option<usize>,
+    /// A header's value.
+    #[garde(inner(length(min = 1)))]
+    pub header: Option<String>,
 }
 
 fn once() -> u32 {
@@ -144,6 +168,9 @@
             if route.service.is_none() && route.split.iter().map(|p| u64::from(p.weight)).sum::<u64>() == 0 {
                 return Err(wrong("names no service, and the weights of its split sum to 0".into()));
             }
+            if route.key.as_ref().is_some_and(|key| key.segment.is_some() == key.header.is_some()) {
+                return Err(wrong("key names neither or both of segment and header".into()));
+            }
             let parts = route.split.iter().map(|part| part.service.as_str());
             if let Some(name) = route.service.as_deref().into_iter().chain(parts).find(|n| !names.contains(n))
             {
--- a/crates/beechcroft-pace/src/lib.rs
+++ b/crates/beechcroft-pace/src/lib.rs
@@ -5,4 +5,4 @@
 pub mod yard;
 
 pub use bucket::{Cold, Share, Tries};
-pub use yard::{Choice, Place, Side, Want, Why, Yard};
+pub use yard::{Choice, Keyed, Place, Side, Want, Why, Yard};
--- a/crates/beechcroft-pace/src/yard.rs
+++ b/crates/beechcroft-pace/src/yard.rs
@@ -3,6 +3,7 @@
 //! first among the units of this relay's region, then further off where near ones are full.
 
 use crate::Cold;
+use beechcroft_saddle::{rank, Near, PART};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::HashMap;
@@ -124,10 +125,26 @@
     pub priority: u8,
     /// Its answers are large.
     pub bulk: bool,
+    /// Where the service's operator wants keys to have places.
+    pub keyed: Option<Keyed>,
     /// Units that this request has been offered to.
     pub tried: &'a [Rc<str>],
 }
 
+/// A request's key, and what is known of it.
+#[derive(Clone, Debug, Default)]
+pub struct Keyed {
+    pub key: u64,
+    /// Units over which lookups of it are spread.
+    pub places: usize,
+    /// More than the usual places: it may have a part of each unit only.
+    pub crowded: bool,
+    /// The unit that the client's connection is bound to.
+    pub bound: Option<Rc<str>>,
+    /// It must not run twice: every relay sends it to the same one place.
+    pub sole: bool,
+}
+
 /// The unit that a request goes to.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -146,6 +163,40 @@
     None,
 }
 
+/// The unit among `usual` ones that a key's request goes to; none if its places, and those after them, are full.
+fn placed(
+    places: &[Place], usual: &[usize], keyed: &Keyed, now: u64, region: &str, zone: &str, most: f64,
+    rng: &mut Pcg64Mcg,
+) -> Option<usize> {
+    let full = |at: usize| (places[at].at_unit(now) + 1.0) / f64::from(places[at].capacity);
+    if let Some(bound) = &keyed.bound {
+        let at = usual.iter().copied().find(|&at| places[at].id == *bound);
+        if let Some(at) = at.filter(|&at| full(at) <= most) {
+            return Some(at);
+        }
+    }
+    let near = |place: &Place| match () {
+        () if keyed.sole => Near::Region, // the same for every relay
+        () if *place.region != *region => Near::Far,
+        () if *place.zone != *zone => Near::Region,
+        () => Near::Zone,
+    };
+    let ranked = rank(keyed.key, usual.iter().map(|&at| (at, &*places[at].id, near(&places[at]))));
+    if keyed.sole {
+        return ranked.into_iter().find(|&at| full(at) <= most);
+    }
+    // A crowded key has a part of each unit's slots, and one at least.
+    let limit = |at: usize| if keyed.crowded { PART.max(1.0 / f64::from(places[at].capacity)) } else { 1.0 };
+    let set = &ranked[..keyed.places.clamp(1, ranked.len())];
+    let (one, other) = (set[rng.random_range(0..set.len())], set[rng.random_range(0..set.len())]);
+    let best = if full(other) < full(one) { other } else { one };
+    if full(best) <= limit(best) {
+        return Some(best);
+    }
+    // Bounded load: the first in the order of its places that has room.
+    ranked.iter().copied().find(|&at| full(at) <= limit(at)).or(Some(best).filter(|&at| full(at) <= most))
+}
+
 #[derive(Debug)]
 pub struct Yard {
     region: String,
@@ -197,6 +248,11 @@
         if usual.is_empty() {
             usual = warm;
         }
+        if let Some(keyed) = &want.keyed {
+            if let Some(at) = placed(places, &usual, keyed, now, region, zone, most, rng) {
+                return Ok(places[at].choice(now, region));
+            }
+        }
         let is_near = |at: &usize| *places[*at].region == **region;
         let (near, far): (Vec<usize>, Vec<usize>) = usual.iter().copied().partition(is_near);
         let score = |at: usize| {
@@ -311,7 +367,7 @@
     }
 
     fn want(homes: &[String]) -> Want<'_> {
-        Want { side: Side::Base, homes, priority: 0, bulk: false, tried: &[] }
+        Want { side: Side::Base, homes, priority: 0, bulk: false, keyed: None, tried: &[] }
     }
 
     #[test]
--- a/crates/beechcroft-pass/src/guard.rs
+++ b/crates/beechcroft-pass/src/guard.rs
@@ -45,6 +45,15 @@
     pub lines: Vec<u8>,
 }
 
+impl Ask {
+    /// The value of a header that is passed on.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let lines = self.lines.split(|&byte| byte == b'\n').filter_map(|line| std::str::from_utf8(line).ok());
+        let mut pairs = lines.filter_map(|line| line.split_once(':'));
+        pairs.find(|(of, _)| of.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim())
+    }
+}
+
 /// The head of a unit's answer.
 #[derive(Clone, Debug, Default)]
 pub struct Reply {
--- a/crates/beechcroft-trail/src/carry.rs
+++ b/crates/beechcroft-trail/src/carry.rs
@@ -9,13 +9,14 @@
 use beechcroft_junction::{Table, Way};
 use beechcroft_kinds::Kind;
 use beechcroft_map::config::RouteType;
-use beechcroft_pace::{Choice, Side, Want, Why};
+use beechcroft_pace::{Choice, Keyed, Side, Want, Why};
 use beechcroft_pass::guard::Ask;
 use beechcroft_pass::line::{Body, Line};
 use beechcroft_ropes::conduct::SHARES;
 use beechcroft_ropes::Outcome;
+use beechcroft_saddle::Pins;
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
@@ -46,6 +47,10 @@
     pub ask: &'a Ask,
     pub held: &'a [u8],
     pub until: Instant,
+    /// The request's key, where its service has places for keys.
+    pub key: Option<u64>,
+    /// What this client's connection has seen.
+    pub pins: &'a RefCell<Pins>,
 }
 
 impl Task<'_> {
@@ -177,10 +182,20 @@
         Run { shared, guide, task, crossing, tried: Vec::new(), side }
     }
 
+    /// Where the key's requests go: its usual places, or more if it is crowded.
+    fn keyed(&self) -> Option<Keyed> {
+        let key = self.task.key?;
+        let service = &self.task.table.services[self.task.service];
+        let spread = self.shared.crowds.borrow().get(&service.name).and_then(|crowd| crowd.places(key));
+        let bound = self.task.pins.borrow().unit(self.shared.now(), key);
+        let (crowded, sole) = (spread.is_some(), !self.task.way.repeatable());
+        Some(Keyed { key, places: spread.unwrap_or(service.usual_places), crowded, bound, sole })
+    }
+
     fn want(&self) -> Want<'_> {
         let Way { homes, priority, kind, .. } = self.task.way;
         let bulk = *kind == RouteType::Download;
-        Want { side: self.side, homes, priority: *priority, bulk, tried: &self.tried }
+        Want { side: self.side, homes, priority: *priority, bulk, keyed: self.keyed(), tried: &self.tried }
     }
 
     /// The unit for the next offer, or why there is none.
@@ -288,6 +303,13 @@
         Some(End::Unclear | End::Failed) => Some(true),
         Some(End::Slow) | None => Some(false),
     };
+    if end.is_none() {
+        shared.took(task.service(), open.began.elapsed());
+        if let Some(key) = task.key {
+            let fresh_ms = task.table.services[task.service].fresh_ms;
+            task.pins.borrow_mut().answered(shared.now(), key, &unit, fresh_ms);
+        }
+    }
     open.free = free && told.is_none_or(|(at_unit, slots)| at_unit <= slots);
     drop(open);
     if end == Some(End::Refused) {
--- a/crates/beechcroft-trail/src/guide.rs
+++ b/crates/beechcroft-trail/src/guide.rs
@@ -2,7 +2,7 @@
 //! never waits. What requests use of it, it puts into [`Shared`].
 
 use crate::shared::{Phase, Shared};
-use beechcroft_cairns::letter::Sign;
+use beechcroft_cairns::letter::{Crowded, Sign};
 use beechcroft_cairns::{Action, Cairns, Letter, Member, Standing, EVERY_BEAT};
 use beechcroft_hutbook::state::Admits;
 use beechcroft_hutbook::{Book, Orders, Stage, Value, BOOK, ORDERS};
@@ -150,6 +150,12 @@
                 }
                 Action::Unit(id) | Action::Beat(id) => self.sync_unit(now, &id),
                 Action::Members => self.count_edges(now),
+                Action::Crowd(crowd) => {
+                    let mut crowds = self.shared.crowds.borrow_mut();
+                    if let Some(held) = crowds.get_mut(&crowd.service) {
+                        held.hear(now, &crowd.relay, crowd.life, crowd.count, crowd.word);
+                    }
+                }
                 Action::Pull { .. } | Action::Sign(_) => {}
             }
         }
@@ -276,6 +282,7 @@
         }
         if now >= self.judge_at {
             self.judge_at = now + JUDGE_MS;
+            self.crowds(now, now >= self.sign_at);
             self.judge(now);
         }
     }
@@ -358,6 +365,32 @@
         }
     }
 
+    /// Keys of services that have places for them: how wide each is spread, and once a second what is told.
+    fn crowds(&mut self, now: u64, tell: bool) {
+        let table = self.shared.table.borrow().clone();
+        let Some(table) = table else { return };
+        let mut crowds = self.shared.crowds.borrow_mut();
+        crowds.retain(|name, _| table.services.iter().any(|s| s.name == *name && s.usual_places > 0));
+        let mut words = Vec::new();
+        for service in table.services.iter().filter(|service| service.usual_places > 0) {
+            let crowd = crowds.entry(service.name.clone()).or_default();
+            let yard = self.shared.yard.borrow();
+            let places = yard.places().filter(|(of, place)| *of == service.name && place.open_to_all);
+            let (units, slots) =
+                places.fold((0, 0), |(units, slots), (_, p)| (units + 1, slots + p.capacity));
+            let took = self.shared.took_ms.borrow().get(&service.name).copied().unwrap_or(100.0);
+            let bears = f64::from(slots) / f64::max(units as f64, 1.0) / took.max(1.0) * 1000.0;
+            crowd.tick(now, service.usual_places, bears, units);
+            if let Some(word) = crowd.word().filter(|_| tell) {
+                self.count += 1;
+                let (relay, life) = (self.cairns.me.name.clone(), self.cairns.me.life);
+                words.push(Crowded { relay, life, count: self.count, service: service.name.clone(), word });
+            }
+        }
+        drop(crowds);
+        words.into_iter().for_each(|word| self.cairns.crowd(word));
+    }
+
     fn old_open(&self, service: &str) -> u32 {
         let yard = self.shared.yard.borrow();
         let old = yard.places().filter(|(of, place)| *of == service && place.side == Side::Base);
--- a/crates/beechcroft-trail/src/serve.rs
+++ b/crates/beechcroft-trail/src/serve.rs
@@ -8,6 +8,8 @@
 use beechcroft_kinds::Kind;
 use beechcroft_pass::guard::{self, Ask, Framing, Read};
 use beechcroft_pass::line::{Body, Line};
+use beechcroft_saddle::{key_of, Pins};
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{timeout, timeout_at, Instant};
@@ -19,13 +21,14 @@
 /// Serves one client's connection until it ends.
 pub async fn client(shared: Rc<Shared>, guide: Queue, stream: tokio::net::TcpStream) {
     let mut line = Line::new(stream);
-    while one(&shared, &guide, &mut line).await {
+    let pins = RefCell::default();
+    while one(&shared, &guide, &mut line, &pins).await {
         line.rest();
     }
 }
 
 /// One request; whether another may follow.
-async fn one(shared: &Rc<Shared>, guide: &Queue, line: &mut Line) -> bool {
+async fn one(shared: &Rc<Shared>, guide: &Queue, line: &mut Line, pins: &RefCell<Pins>) -> bool {
     let limits = shared.table.borrow().as_ref().map(|table| table.limits.clone()).unwrap_or_default();
     let idle = Duration::from_millis(limits.idle_timeout_ms);
     if line.unread().is_empty() && !matches!(timeout(idle, line.fill()).await, Ok(Ok(1..))) {
@@ -54,13 +57,14 @@
         }
     };
     shared.under_way.set(shared.under_way.get() + 1);
-    let again = request(shared, guide, line, ask, began, limits.max_body_bytes).await;
+    let again = request(shared, guide, line, ask, began, limits.max_body_bytes, pins).await;
     shared.under_way.set(shared.under_way.get() - 1);
     again
 }
 
 async fn request(
     shared: &Rc<Shared>, guide: &Queue, line: &mut Line, ask: Ask, began: Instant, max_body: u64,
+    pins: &RefCell<Pins>,
 ) -> bool {
     let keep = ask.keep && shared.phase.get() == Phase::Ready;
     let has_body = !matches!(ask.framing, None | Some(Framing::Length(0)));
@@ -110,7 +114,16 @@
         let draw = shared.yard.borrow_mut().draw();
         way.service(draw)
     };
-    let task = Task { table: &table, route, way, service, ask: &ask, held: &held, until };
+    let key = (table.services[service].usual_places > 0).then(|| {
+        let key =
+            key_of(&table.services[service].name, way.key(&ask.target, |name| ask.header(name)).as_bytes());
+        if way.repeatable() {
+            let mut crowds = shared.crowds.borrow_mut();
+            crowds.entry(table.services[service].name.clone()).or_default().saw(key);
+        }
+        key
+    });
+    let task = Task { table: &table, route, way, service, ask: &ask, held: &held, until, key, pins };
     let done = match more {
         Some(body) => carry::streamed(shared, guide, &task, (line, body)).await,
         None => carry::held(shared, guide, &task, line).await,
--- a/crates/beechcroft-trail/src/shared.rs
+++ b/crates/beechcroft-trail/src/shared.rs
@@ -7,6 +7,7 @@
 use beechcroft_map::Settings;
 use beechcroft_pace::{Share, Tries, Yard};
 use beechcroft_ropes::Judge;
+use beechcroft_saddle::Crowd;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -35,6 +36,10 @@
     pub tries: RefCell<HashMap<String, Tries>>,
     pub shares: RefCell<HashMap<String, Share>>,
     pub judges: RefCell<HashMap<String, Judge>>,
+    /// Keys of the services whose operator wants places for them.
+    pub crowds: RefCell<HashMap<String, Crowd>>,
+    /// What a request takes at a service's units, in ms, lately.
+    pub took_ms: RefCell<HashMap<String, f64>>,
     /// Edge relays that are alive, this one among them.
     pub edges: Cell<usize>,
     /// Requests that are being served.
@@ -55,6 +60,8 @@
             tries: RefCell::default(),
             shares: RefCell::default(),
             judges: RefCell::default(),
+            crowds: RefCell::default(),
+            took_ms: RefCell::default(),
             edges: Cell::new(1),
             under_way: Cell::new(0),
         }
@@ -65,6 +72,16 @@
         self.began.elapsed().as_millis() as u64 + 10_000
     }
 
+    /// A request took so long at a unit of a service.
+    pub fn took(&self, service: &str, spent: std::time::Duration) {
+        let ms = spent.as_secs_f64() * 1000.0;
+        let mut took = self.took_ms.borrow_mut();
+        match took.get_mut(service) {
+            Some(held) => *held += (ms - *held) * 0.02,
+            None => drop(took.insert(service.to_owned(), ms)),
+        }
+    }
+
     /// A further try at a service, if the budget has one.
     pub fn further_try(&self, service: &str) -> bool {
         self.tries.borrow_mut().get_mut(service).is_some_and(Tries::take)
