The range: a busy night of crowded keys; news: the accused is told, changes on their way do not count

Change: tables that changed within 0.3 s (units 0.08 s) are not compared; one that is said to be down and writes is told so.

--- a/crates/beechcroft-cairns/src/letter.rs
+++ b/crates/beechcroft-cairns/src/letter.rs
@@ -133,6 +133,8 @@
     pub members: u32,
     pub units: u32,
     pub revs: [u64; 2],
+    /// The tables of members and of units have not changed for a moment: what differs is not just on its way.
+    pub settled: [bool; 2],
 }
 
 /// Digests by range: told where the sums differ.
--- a/crates/beechcroft-cairns/src/lib.rs
+++ b/crates/beechcroft-cairns/src/lib.rs
@@ -24,6 +24,8 @@
 const FEW: usize = 3;
 /// How often one who learned something passes it on.
 const TIMES: u8 = 2;
+/// The same for a change of a unit, which is rare and must be everywhere soon.
+const TIMES_URGENT: u8 = 4;
 const FLUSH_MS: u64 = 80;
 const PING_MS: u64 = 400;
 /// Until the first letter has come.
@@ -32,6 +34,9 @@
 const FAR_PART: f64 = 0.3;
 /// So long a relay waits for a copy to come near, before it fetches one from another region.
 const FETCH_MS: u64 = 350;
+/// Tables that changed less long ago are not compared: the change is still on its way to others.
+/// Members may wait; a unit's drain may not.
+const SETTLED_MS: [u64; 2] = [300, 80];
 /// A beat that tells nothing new is passed on this often.
 pub const EVERY_BEAT: u64 = 4;
 /// Without an answer for this long, a watched relay is said to be down.
@@ -105,6 +110,9 @@
     /// Digests of the table of members, this relay among them, by range.
     ranges: [u32; MEMBER_RANGES],
     watched: Option<Vec<(String, SocketAddrV4)>>,
+    clock: u64,
+    /// When members and when units last changed.
+    changed_at: [u64; 2],
     /// Of each register, the first change that is known of and missed, and since when.
     missed: [(u64, u64); 2],
     heard_at: u64,
@@ -127,6 +135,8 @@
             missed: [(0, 0); 2],
             ranges: [0; MEMBER_RANGES],
             watched: None,
+            clock: 0,
+            changed_at: [0; 2],
             next_ping: 0,
             heard_at: 0,
         };
@@ -227,7 +237,8 @@
             _ => *held == item,
         };
         self.fresh.retain(|fresh| !same(&fresh.item));
-        self.fresh.push_back(Fresh { item, left: TIMES });
+        let left = if matches!(item, What::Unit(_)) { TIMES_URGENT } else { TIMES };
+        self.fresh.push_back(Fresh { item, left });
     }
 
     /// Passes what is new on at once, to more than the usual few.
@@ -236,6 +247,7 @@
     }
 
     pub fn tick(&mut self, now: u64, out: &mut Vec<Action>) {
+        self.clock = now;
         if now >= self.next_flush {
             self.next_flush = now + FLUSH_MS;
             if !self.fresh.is_empty() {
@@ -335,6 +347,7 @@
             self.ranges[before.range()] ^= before.digest();
         }
         self.ranges[after.range()] ^= after.digest();
+        self.changed_at[0] = self.clock;
         self.watched = None;
     }
 
@@ -360,7 +373,9 @@
 
     fn sums(&self) -> Sums {
         let (members, units) = self.ranges().sums();
-        Sums { members, units, revs: self.revs }
+        let [members_at, units_at] = self.changed_at;
+        let settled = [self.clock >= members_at + SETTLED_MS[0], self.clock >= units_at + SETTLED_MS[1]];
+        Sums { members, units, revs: self.revs, settled }
     }
 
     /// Whether this relay is among those that watch another: a few of its own region, and one of the others.
@@ -417,13 +432,19 @@
         if sender.name == self.me.name {
             return;
         }
-        self.heard_at = now;
+        (self.heard_at, self.clock) = (now, now);
         let name = sender.name.clone();
         if let Some(known) = self.members.get_mut(&sender.name) {
             known.answered_at = now;
             let Who { life, mark, standing, .. } = sender;
             let member = Member { life, mark, standing, ..known.member.clone() };
             self.take_member(now, member, out);
+            // One that is said to be down and writes is told so at once: its next word outranks that.
+            let known = &self.members[&name].member;
+            if known.standing == Standing::Down {
+                let said = [Item::Member(known.clone())];
+                self.send(from, &said, false, None, out);
+            }
         }
         for item in items {
             match item {
@@ -442,7 +463,9 @@
         let Some(theirs) = ranges else {
             // Whose tables differ is asked for ranges; the rest of a ping's answer is that it came.
             let mine = self.sums();
-            if ask && (mine.members, mine.units) != (sums.members, sums.units) {
+            let settled = |table: usize| mine.settled[table] && sums.settled[table];
+            let members = mine.members != sums.members && settled(0);
+            if ask && (members || mine.units != sums.units && settled(1)) {
                 self.send(from, &[], true, Some(&self.ranges()), out);
             } else if ask {
                 self.send(from, &[], false, None, out);
@@ -512,6 +535,7 @@
             News::Old => {}
             News::Beat => out.push(Action::Beat(id)),
             News::Change => {
+                self.changed_at[1] = now;
                 self.pass_on(What::Unit(id.clone()));
                 out.push(Action::Unit(id));
             }
--- /dev/null
+++ b/crates/beechcroft-range/src/crowd.rs
@@ -0,0 +1,707 @@
+//! A busy night: several regions, a Zipf of keys, one key that a part of all lookups ask for, writes for it all
+//! along, and troubles in turn. Choice, counting and spreading are `pace`, `crossing` and `saddle` as they run.
+
+use crate::agenda::Agenda;
+use crate::units::{Taken, Unit};
+use beechcroft_crossing::{Crossing, End, Next};
+use beechcroft_pace::{Keyed, Place, Side, Want, Yard};
+use beechcroft_saddle::{key_of, Crowd, Pins};
+use hdrhistogram::Histogram;
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Exp1, Zipf};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+const REGIONS: usize = 3;
+const ZONES: usize = 2;
+const SERVICE: &str = "s";
+const SLOTS: usize = 4;
+const QUEUE: usize = 24;
+const WORK_US: f64 = 20_000.0;
+/// One way, inside a region and between regions.
+const NEAR_US: u64 = 500;
+const FAR_US: u64 = 20_000;
+/// Until every unit holds what one has acknowledged; the operator's `freshMs` is above it.
+const REPLICATE_US: u64 = 80_000;
+pub const FRESH_MS: u64 = 200;
+pub const USUAL: usize = 2;
+const KEYS: f64 = 100_000.0;
+/// Of connections, that are new with a request.
+const NEW_CONNECTION: f64 = 0.02;
+
+/// How keys are used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// Choice without keys.
+    Plain,
+    /// Usual places, never more.
+    Usual,
+    Spread,
+}
+
+/// What goes wrong while the crowd is there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    None,
+    /// A unit of the key's set crashes and comes back under another id 4 s later.
+    Crash,
+    /// A region is cut off from the others for 4 s.
+    Cut,
+    /// A third of the relays start anew.
+    Restart,
+    /// A tenth of the units runs a version on trial, and gets a part of the requests.
+    Rollout,
+    /// A zone is evacuated.
+    Evacuate,
+    /// A second key rises as the first falls.
+    SecondKey,
+    /// The crowd moves from one region to another.
+    Moves,
+}
+
+pub const TROUBLES: [Trouble; 8] = [
+    Trouble::None,
+    Trouble::Crash,
+    Trouble::Cut,
+    Trouble::Restart,
+    Trouble::Rollout,
+    Trouble::Evacuate,
+    Trouble::SecondKey,
+    Trouble::Moves,
+];
+
+/// One night.
+#[derive(Clone, Copy, Debug)]
+pub struct Night {
+    pub relays: usize,
+    pub units: usize,
+    pub rate: f64,
+    /// Part of all lookups that ask for the one key, while the crowd is there.
+    pub share: f64,
+    pub mode: Mode,
+    pub trouble: Trouble,
+    pub seed: u64,
+}
+
+impl Night {
+    /// As large as its relays need.
+    pub fn new(relays: usize, share: f64, mode: Mode, trouble: Trouble, seed: u64) -> Night {
+        let (units, rate) = if relays <= 12 { (36, 2400.0) } else { (120, 8000.0) };
+        Night { relays, units, rate, share, mode, trouble, seed }
+    }
+}
+
+const CROWD_FROM_S: f64 = 3.0;
+const CROWD_TO_S: f64 = 13.0;
+const TROUBLE_FROM_S: f64 = 7.0;
+const TROUBLE_FOR_S: f64 = 4.0;
+const END_S: f64 = 25.0;
+
+/// What was seen.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// Milliseconds of lookups of the crowded key while it is crowded, and of all other keys at that time.
+    pub hot: Histogram<u64>,
+    pub rest: Histogram<u64>,
+    pub failed: u64,
+    pub lookups: u64,
+    /// From the crowd's beginning until some relay spreads the key; none if none does.
+    pub noticed_s: Option<f64>,
+    pub widest: usize,
+    /// From the crowd's end until every relay is back at the usual places.
+    pub returned_s: Option<f64>,
+    pub writes_acked: u64,
+    pub writes_twice: u64,
+    pub writes_lost: u64,
+    /// Lookups older than the connection's own acknowledged write, and than what it had been shown.
+    pub stale: u64,
+    pub back: u64,
+    /// The same where the connection was bound to a unit that is gone or cannot be reached.
+    pub unbound: u64,
+    /// Units that answered one ordinary key, at most.
+    pub spread_of_rest: usize,
+}
+
+struct Relay {
+    region: usize,
+    yard: Yard,
+    crowd: Crowd,
+    life: u64,
+    count: u32,
+    trial_due: f64,
+}
+
+#[derive(Default)]
+struct Connection {
+    relay: usize,
+    /// One request at a time, as on any such connection.
+    busy: bool,
+    pins: Pins,
+    wrote: BTreeMap<u64, u64>,
+    shown: BTreeMap<u64, u64>,
+}
+
+struct Request {
+    connection: usize,
+    relay: usize,
+    key: u64,
+    write: bool,
+    began: u64,
+    crossing: Crossing,
+    tried: Vec<Rc<str>>,
+    /// The unit that it is at, and whether that is the one its connection was bound to.
+    unit: usize,
+    bound: Option<Rc<str>>,
+    side: Side,
+}
+
+enum Event {
+    Client,
+    Write,
+    /// A request comes to a unit.
+    Comes(u64),
+    Ran(u64, usize),
+    /// An answer, or a failure, comes back to the relay.
+    Back(u64, Result<u64, End>, u32),
+    Replicated {
+        key: u64,
+        version: u64,
+    },
+    Tick,
+    Tell,
+    Told {
+        relay: usize,
+        from: usize,
+        life: u64,
+        count: u32,
+        word: beechcroft_saddle::Word,
+    },
+    TroubleBegins,
+    TroubleEnds,
+}
+
+/// Plays one night.
+pub fn play(night: Night) -> Seen {
+    let mut world = World::new(night);
+    world.run();
+    world.seen
+}
+
+struct World {
+    night: Night,
+    agenda: Agenda<Event>,
+    rng: Pcg64Mcg,
+    zipf: Zipf<f64>,
+    units: Vec<Unit>,
+    /// By unit and key: the version that the unit holds of the two watched keys.
+    held: Vec<BTreeMap<u64, u64>>,
+    newest: BTreeMap<u64, u64>,
+    relays: Vec<Relay>,
+    connections: Vec<Connection>,
+    requests: BTreeMap<u64, Request>,
+    next: u64,
+    ran: BTreeMap<u64, u32>,
+    acked: BTreeSet<u64>,
+    cut: Option<usize>,
+    hot: [u64; 2],
+    answered_by: BTreeMap<u64, BTreeSet<usize>>,
+    returned_at: Option<u64>,
+    seen: Seen,
+}
+
+fn us(seconds: f64) -> u64 {
+    (seconds * 1e6) as u64
+}
+
+impl World {
+    fn new(night: Night) -> World {
+        let histogram = || Histogram::new_with_max(60_000, 3).expect("sound bounds");
+        let seen = Seen {
+            hot: histogram(),
+            rest: histogram(),
+            failed: 0,
+            lookups: 0,
+            noticed_s: None,
+            widest: 0,
+            returned_s: None,
+            writes_acked: 0,
+            writes_twice: 0,
+            writes_lost: 0,
+            stale: 0,
+            back: 0,
+            unbound: 0,
+            spread_of_rest: 0,
+        };
+        let units: Vec<Unit> = (0..night.units)
+            .map(|at| Unit::new(&format!("i-{at:04}"), at % REGIONS, at / REGIONS % ZONES, SLOTS, QUEUE))
+            .collect();
+        let mut world = World {
+            night,
+            agenda: Agenda::default(),
+            rng: Pcg64Mcg::seed_from_u64(night.seed),
+            zipf: Zipf::new(KEYS, 1.05).expect("sound"),
+            held: vec![BTreeMap::new(); units.len()],
+            units,
+            newest: BTreeMap::new(),
+            relays: Vec::new(),
+            connections: Vec::new(),
+            requests: BTreeMap::new(),
+            next: 0,
+            ran: BTreeMap::new(),
+            acked: BTreeSet::new(),
+            cut: None,
+            hot: [key_of(SERVICE, b"standing of the marathon"), key_of(SERVICE, b"stack of beams")],
+            answered_by: BTreeMap::new(),
+            returned_at: None,
+            seen,
+        };
+        world.agenda.now = us(1.0);
+        world.relays = (0..night.relays).map(|at| world.relay(at, 1)).collect();
+        for _ in 0..night.relays * 60 {
+            let relay = world.connections.len() % night.relays;
+            world.connections.push(Connection { relay, ..Connection::default() });
+        }
+        world
+    }
+
+    fn relay(&self, at: usize, life: u64) -> Relay {
+        let (region, zone) = (at % REGIONS, at / REGIONS % ZONES);
+        let mut yard = Yard::new(
+            &format!("r{region}"),
+            &format!("r{region}z{zone}"),
+            self.night.seed * 31 + at as u64 + life,
+        );
+        for (number, unit) in self.units.iter().enumerate().filter(|(_, unit)| unit.alive) {
+            yard.service(SERVICE).push(self.place(number, unit));
+        }
+        Relay { region, yard, crowd: Crowd::default(), life, count: 0, trial_due: 0.0 }
+    }
+
+    fn place(&self, number: usize, unit: &Unit) -> Place {
+        let zone = format!("r{}z{}", unit.region, unit.zone);
+        let address = "127.0.0.1:9".parse().expect("an address");
+        let mut place =
+            Place::new(&unit.id, address, &zone, &format!("r{}", unit.region), "v1", SLOTS as u32);
+        (place.side, place.open_to_all) = (Side::Base, true);
+        if self.night.trouble == Trouble::Rollout && number % 10 == 9 {
+            place.side = Side::Trial;
+        }
+        place
+    }
+
+    fn seconds(&self) -> f64 {
+        self.agenda.now as f64 / 1e6 - 1.0
+    }
+
+    fn crowded(&self) -> bool {
+        (CROWD_FROM_S..CROWD_TO_S).contains(&self.seconds())
+    }
+
+    fn run(&mut self) {
+        let end = us(1.0 + END_S);
+        self.agenda.after(1, Event::Client);
+        self.agenda.after(1, Event::Write);
+        self.agenda.after(1, Event::Tick);
+        self.agenda.after(1, Event::Tell);
+        self.agenda.after(us(TROUBLE_FROM_S), Event::TroubleBegins);
+        self.agenda.after(us(TROUBLE_FROM_S + TROUBLE_FOR_S), Event::TroubleEnds);
+        while let Some(event) = self.agenda.next(end) {
+            self.on(event);
+        }
+        self.seen.writes_twice = self.ran.values().filter(|&&times| times > 1).count() as u64;
+        self.seen.writes_lost = self.acked.iter().filter(|id| !self.ran.contains_key(id)).count() as u64;
+        self.seen.writes_acked = self.acked.len() as u64;
+        self.seen.spread_of_rest = self.answered_by.values().map(BTreeSet::len).max().unwrap_or(0);
+        self.seen.returned_s = self.returned_at.map(|at| at as f64 / 1e6 - 1.0 - CROWD_TO_S);
+    }
+
+    fn on(&mut self, event: Event) {
+        match event {
+            Event::Client => self.client(),
+            Event::Write => self.write(),
+            Event::Comes(id) => self.comes(id),
+            Event::Ran(id, unit) => self.ran(id, unit),
+            Event::Back(id, result, load) => self.back(id, result, load),
+            Event::Replicated { key, version } => {
+                for (held, unit) in self.held.iter_mut().zip(&self.units) {
+                    if unit.alive {
+                        let held = held.entry(key).or_default();
+                        *held = (*held).max(version);
+                    }
+                }
+            }
+            Event::Tick => self.tick(),
+            Event::Tell => self.tell(),
+            Event::Told { relay, from, life, count, word } => {
+                let now = self.agenda.ms();
+                self.relays[relay].crowd.hear(now, &format!("relay-{from}"), life, count, word);
+            }
+            Event::TroubleBegins => self.trouble(true),
+            Event::TroubleEnds => self.trouble(false),
+        }
+    }
+
+    /// The key that a lookup from a region asks for.
+    fn draw_key(&mut self, region: usize) -> u64 {
+        let (trouble, seconds) = (self.night.trouble, self.seconds());
+        if self.crowded() {
+            let later = seconds >= TROUBLE_FROM_S;
+            // A crowd that moves is all in one region, and then all in another.
+            let here = match trouble {
+                Trouble::Moves => region == usize::from(later),
+                _ => true,
+            };
+            let share =
+                if trouble == Trouble::Moves { (self.night.share * 2.0).min(0.6) } else { self.night.share };
+            if here && self.rng.random_bool(share) {
+                return self.hot[usize::from(trouble == Trouble::SecondKey && later)];
+            }
+        }
+        let draw = self.zipf.sample(&mut self.rng) as u64;
+        key_of(SERVICE, &draw.to_le_bytes())
+    }
+
+    fn client(&mut self) {
+        let wait: f64 = Exp1.sample(&mut self.rng);
+        self.agenda.after(us(wait / self.night.rate).max(1), Event::Client);
+        let connection = self.idle();
+        if self.rng.random_bool(NEW_CONNECTION) {
+            let relay = self.rng.random_range(0..self.night.relays);
+            self.connections[connection] = Connection { relay, ..Connection::default() };
+        }
+        let region = self.relays[self.connections[connection].relay].region;
+        let key = self.draw_key(region);
+        self.seen.lookups += 1;
+        self.begin(connection, key, false);
+    }
+
+    /// A connection without a request, a new one if all that are drawn are at work.
+    fn idle(&mut self) -> usize {
+        for _ in 0..8 {
+            let connection = self.rng.random_range(0..self.connections.len());
+            if !self.connections[connection].busy {
+                return connection;
+            }
+        }
+        let relay = self.rng.random_range(0..self.night.relays);
+        self.connections.push(Connection { relay, ..Connection::default() });
+        self.connections.len() - 1
+    }
+
+    fn write(&mut self) {
+        self.agenda.after(us(0.1), Event::Write);
+        let connection = self.idle();
+        let second = self.night.trouble == Trouble::SecondKey && self.seconds() >= TROUBLE_FROM_S;
+        self.begin(connection, self.hot[usize::from(second)], true);
+    }
+
+    fn begin(&mut self, connection: usize, key: u64, write: bool) {
+        self.next += 1;
+        let relay = self.connections[connection].relay;
+        self.connections[connection].busy = true;
+        if !write {
+            self.relays[relay].crowd.saw(key);
+        }
+        let state = &mut self.relays[relay];
+        state.trial_due = (state.trial_due + 0.08).min(1.5);
+        let trial = self.night.trouble == Trouble::Rollout && !write && state.trial_due >= 1.0;
+        state.trial_due -= f64::from(u8::from(trial));
+        let request = Request {
+            connection,
+            relay,
+            key,
+            write,
+            began: self.agenda.now,
+            crossing: Crossing::new(!write, 2),
+            tried: Vec::new(),
+            unit: 0,
+            bound: None,
+            side: if trial { Side::Trial } else { Side::Base },
+        };
+        let id = self.next;
+        self.requests.insert(id, request);
+        self.offer(id);
+    }
+
+    /// Chooses a unit and sends the request there.
+    fn offer(&mut self, id: u64) {
+        let now = self.agenda.ms();
+        let request = self.requests.get_mut(&id).expect("open");
+        let relay = &mut self.relays[request.relay];
+        let connection = &self.connections[request.connection];
+        let keyed = match self.night.mode {
+            Mode::Plain => None,
+            mode => {
+                let spread = relay.crowd.places(request.key).filter(|_| mode == Mode::Spread);
+                request.bound = connection.pins.unit(now, request.key);
+                Some(Keyed {
+                    key: request.key,
+                    places: spread.unwrap_or(USUAL),
+                    crowded: spread.is_some(),
+                    bound: request.bound.clone(),
+                    sole: request.write,
+                })
+            }
+        };
+        let want =
+            Want { side: request.side, homes: &[], priority: 1, bulk: false, keyed, tried: &request.tried };
+        let Ok(choice) = relay.yard.choose(now, SERVICE, &want) else { return self.fails(id) };
+        relay.yard.opened(SERVICE, &choice.id);
+        request.crossing.offered();
+        request.tried.push(choice.id.clone());
+        request.unit =
+            self.units.iter().rposition(|unit| unit.id == choice.id).expect("units stay in the list");
+        let (from, to) = (relay.region, self.units[request.unit].region);
+        if self.cut.is_some_and(|cut| from != to && (from == cut || to == cut)) {
+            // Nothing comes up: the relay gives up the connection.
+            return self.agenda.after(250_000, Event::Back(id, Err(End::NotSent), 0));
+        }
+        self.agenda.after(if from == to { NEAR_US } else { FAR_US }, Event::Comes(id));
+    }
+
+    fn way(&self, id: u64) -> u64 {
+        let request = &self.requests[&id];
+        if self.relays[request.relay].region == self.units[request.unit].region {
+            NEAR_US
+        } else {
+            FAR_US
+        }
+    }
+
+    fn comes(&mut self, id: u64) {
+        // What a relay had under way is gone with its life.
+        let Some(unit) = self.requests.get(&id).map(|request| request.unit) else { return };
+        let way = self.way(id);
+        match self.units[unit].take(id) {
+            Taken::Runs => self.starts(id, unit),
+            Taken::Waits => {}
+            Taken::Full => {
+                let load = self.units[unit].load();
+                self.agenda.after(way, Event::Back(id, Err(End::Refused), load));
+            }
+            Taken::Gone => self.agenda.after(way, Event::Back(id, Err(End::NotSent), 0)),
+        }
+    }
+
+    fn starts(&mut self, id: u64, unit: usize) {
+        let work: f64 = Exp1.sample(&mut self.rng);
+        let work = (WORK_US * (0.4 + 0.6 * work)) as u64;
+        self.agenda.after(work, Event::Ran(id, unit));
+        if self.requests.get(&id).is_some_and(|request| request.write) {
+            *self.ran.entry(id).or_default() += 1;
+        }
+    }
+
+    fn ran(&mut self, id: u64, unit: usize) {
+        let Some(next) = self.units[unit].done(id) else { return };
+        if let Some(next) = next {
+            self.starts(next, unit);
+        }
+        let load = self.units[unit].load();
+        let Some(request) = self.requests.get(&id) else { return };
+        let (key, write) = (request.key, request.write);
+        let version = if write {
+            let newest = self.newest.entry(key).or_default();
+            *newest += 1;
+            let version = *newest;
+            let held = self.held[unit].entry(key).or_default();
+            *held = (*held).max(version);
+            self.agenda.after(REPLICATE_US, Event::Replicated { key, version });
+            version
+        } else {
+            self.held[unit].get(&key).copied().unwrap_or(0)
+        };
+        let way = self.way(id);
+        self.agenda.after(way, Event::Back(id, Ok(version), load));
+    }
+
+    fn back(&mut self, id: u64, result: Result<u64, End>, load: u32) {
+        let now = self.agenda.ms();
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let unit = self.units[request.unit].id.clone();
+        let ill = match result {
+            Ok(_) => Some(false),
+            Err(End::Refused) => None,
+            Err(_) => Some(true),
+        };
+        let told = result.is_ok().then_some(load);
+        let yard = &mut self.relays[request.relay].yard;
+        yard.closed(now, SERVICE, &unit, told, ill);
+        match result {
+            Ok(version) => self.answered(id, &unit, version),
+            Err(end) => {
+                if end == End::Refused {
+                    yard.is_full(now, SERVICE, &unit);
+                }
+                match request.crossing.ended(end, true, || true) {
+                    Next::Again => self.offer(id),
+                    Next::Answer(_) | Next::PassOn => self.fails(id),
+                }
+            }
+        }
+    }
+
+    fn answered(&mut self, id: u64, unit: &Rc<str>, version: u64) {
+        let request = self.requests.remove(&id).expect("open");
+        let now = self.agenda.ms();
+        let crowded = self.crowded();
+        let connection = &mut self.connections[request.connection];
+        connection.busy = false;
+        if connection.relay == request.relay {
+            if self.night.mode != Mode::Plain {
+                connection.pins.answered(now, request.key, unit, FRESH_MS);
+            }
+            if self.hot.contains(&request.key) && !request.write {
+                let wrote = connection.wrote.get(&request.key).copied().unwrap_or(0);
+                let shown = connection.shown.get(&request.key).copied().unwrap_or(0);
+                let unbound = request.bound.as_ref().is_some_and(|bound| bound != unit);
+                if version < wrote.max(shown) {
+                    match () {
+                        () if unbound => self.seen.unbound += 1,
+                        () if version < wrote => self.seen.stale += 1,
+                        () => self.seen.back += 1,
+                    }
+                }
+                connection.shown.insert(request.key, shown.max(version));
+            }
+            if request.write {
+                connection.wrote.insert(request.key, version);
+            }
+        }
+        if request.write {
+            self.acked.insert(id);
+            return;
+        }
+        let ms = (self.agenda.now - request.began) / 1000;
+        if crowded {
+            let hot = self.hot.contains(&request.key);
+            let histogram = if hot { &mut self.seen.hot } else { &mut self.seen.rest };
+            let _ = histogram.record(ms);
+        } else if !self.hot.contains(&request.key) && self.seconds() < CROWD_FROM_S {
+            self.answered_by.entry(request.key).or_default().insert(request.unit);
+        }
+    }
+
+    fn fails(&mut self, id: u64) {
+        let request = self.requests.remove(&id).expect("open");
+        self.connections[request.connection].busy = false;
+        self.seen.failed += u64::from(!request.write);
+    }
+
+    fn tick(&mut self) {
+        self.agenda.after(100_000, Event::Tick);
+        let now = self.agenda.ms();
+        let bears = SLOTS as f64 / WORK_US * 1e6;
+        let (seconds, hot) = (self.seconds(), self.hot);
+        let mut widest = 0;
+        for relay in &mut self.relays {
+            relay.crowd.tick(now, USUAL, bears, self.night.units);
+            widest = hot.iter().filter_map(|&key| relay.crowd.places(key)).fold(widest, usize::max);
+        }
+        if self.night.mode != Mode::Spread {
+            return;
+        }
+        self.seen.widest = self.seen.widest.max(widest);
+        if widest > 0 && self.seen.noticed_s.is_none() {
+            self.seen.noticed_s = Some(seconds - CROWD_FROM_S);
+        }
+        if seconds > CROWD_TO_S {
+            self.returned_at = if widest == 0 { self.returned_at.or(Some(self.agenda.now)) } else { None };
+        }
+    }
+
+    /// Each relay's word goes to the others of its region, late and sometimes lost.
+    fn tell(&mut self) {
+        self.agenda.after(1_000_000, Event::Tell);
+        for from in 0..self.relays.len() {
+            let Some(word) = self.relays[from].crowd.word() else { continue };
+            let relay = &mut self.relays[from];
+            relay.count += 1;
+            let (life, count, region) = (relay.life, relay.count, relay.region);
+            for to in 0..self.relays.len() {
+                if to != from && self.relays[to].region == region && !self.rng.random_bool(0.02) {
+                    let wait = self.rng.random_range(20_000..400_000);
+                    self.agenda.after(wait, Event::Told { relay: to, from, life, count, word: word.clone() });
+                }
+            }
+        }
+    }
+
+    fn trouble(&mut self, begins: bool) {
+        match (self.night.trouble, begins) {
+            (Trouble::Crash, true) => {
+                // The first place of the crowded key.
+                let hot = self.hot[0];
+                let ids = (0..self.units.len()).filter(|&at| self.units[at].region == 0);
+                let units = ids.map(|at| (at, &*self.units[at].id, beechcroft_saddle::Near::Region));
+                let lost = beechcroft_saddle::rank(hot, units)[0];
+                let (running, waiting) = self.units[lost].crash();
+                for id in running.into_iter().chain(waiting) {
+                    if self.requests.contains_key(&id) {
+                        let way = self.way(id);
+                        self.agenda.after(way, Event::Back(id, Err(End::Unclear), 0));
+                    }
+                }
+            }
+            (Trouble::Crash, false) => {
+                let lost = self.units.iter().position(|unit| !unit.alive).expect("one has crashed");
+                let Unit { region, zone, .. } = self.units[lost];
+                let unit = Unit::new("i-new", region, zone, SLOTS, QUEUE);
+                let copy = self.held.iter().max_by_key(|held| held.values().sum::<u64>()).cloned();
+                self.held.push(copy.unwrap_or_default());
+                self.units.push(unit);
+                let number = self.units.len() - 1;
+                let place = self.place(number, &self.units[number]);
+                let gone = self.units[lost].id.clone();
+                for relay in &mut self.relays {
+                    relay.yard.service(SERVICE).retain(|place| place.id != gone);
+                    relay.yard.service(SERVICE).push(place.clone());
+                }
+            }
+            (Trouble::Cut, begins) => self.cut = begins.then_some(2),
+            (Trouble::Restart, true) => {
+                for at in (0..self.relays.len()).step_by(3) {
+                    let life = self.relays[at].life + 1;
+                    self.relays[at] = self.relay(at, life);
+                    self.requests.retain(|_, request| request.relay != at);
+                    for connection in self.connections.iter_mut().filter(|connection| connection.relay == at)
+                    {
+                        *connection = Connection { relay: at, ..Connection::default() };
+                    }
+                }
+            }
+            (Trouble::Evacuate, begins) => {
+                for relay in &mut self.relays {
+                    let places = relay.yard.service(SERVICE).iter_mut();
+                    places
+                        .filter(|place| *place.zone == *"r0z0")
+                        .for_each(|place| place.open_to_all = !begins);
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn one_seed_gives_the_same_night() {
+        let night = Night::new(9, 0.3, Mode::Spread, Trouble::Crash, 5);
+        let (one, two) = (play(night), play(night));
+        assert_eq!(format!("{one:?}"), format!("{two:?}"));
+    }
+
+    #[test]
+    fn a_write_lands_once_whatever_happens_to_the_set() {
+        for trouble in TROUBLES {
+            let seen = play(Night::new(9, 0.5, Mode::Spread, trouble, 3));
+            assert_eq!((seen.writes_twice, seen.writes_lost), (0, 0), "{trouble:?}");
+            assert!(seen.writes_acked > 150, "{trouble:?}: {}", seen.writes_acked);
+            assert_eq!((seen.stale, seen.back), (0, 0), "{trouble:?}: older than what was seen");
+        }
+    }
+}
--- a/crates/beechcroft-waymarks/src/lib.rs
+++ b/crates/beechcroft-waymarks/src/lib.rs
@@ -5,8 +5,8 @@
 //! that no two machines need the same clock. All times are milliseconds of the holder's own steady clock.
 
 use rapidhash::v3::rapidhash_v3;
-use rapidhash::RapidHashMap;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
 /// Ranges over which two copies are compared.
@@ -60,7 +60,7 @@
 
 #[derive(Clone, Debug, Default)]
 pub struct Waymarks {
-    units: RapidHashMap<String, Unit>,
+    units: BTreeMap<String, Unit>,
     ranges: [u32; RANGES],
 }
 
