--- /dev/null
+++ b/crates/beechcroft-lab/src/crowd.rs
@@ -0,0 +1,102 @@
+//! `crowd`: a busy night in the project's own world, with and without places for keys, and the claims held to it.
+
+use beechcroft_range::crowd::{play, Mode, Night, Seen, Trouble, FRESH_MS, TROUBLES, USUAL};
+use clap::Args;
+
+/// The crowded key's part of all lookups.
+const SHARES: [f64; 3] = [0.01, 0.1, 0.5];
+
+#[derive(Args)]
+pub struct Crowd {
+    /// 9 relays only; else 9 and 90.
+    #[arg(long)]
+    quick: bool,
+    /// Of the night's random numbers.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+impl Crowd {
+    pub fn run(&self) -> Result<(), String> {
+        println!("usual places {USUAL} a region, all units agree within {FRESH_MS} ms; ms of lookups while the crowd is there");
+        println!(
+            "{:>6} {:>6} {:<7} {:<10} {:>8} {:>8} {:>8} {:>7} {:>8} {:>8} {:>6} {:>6}",
+            "relays",
+            "share",
+            "mode",
+            "trouble",
+            "hot p50",
+            "hot p99",
+            "rest p99",
+            "failed",
+            "noticed",
+            "returned",
+            "widest",
+            "writes"
+        );
+        let mut broken = Vec::new();
+        let sizes: &[usize] = if self.quick { &[9] } else { &[9, 90] };
+        for &relays in sizes {
+            for share in SHARES {
+                self.night(relays, share, Trouble::None, &mut broken);
+            }
+            for trouble in TROUBLES.into_iter().skip(1) {
+                self.night(relays, 0.3, trouble, &mut broken);
+            }
+        }
+        if broken.is_empty() {
+            println!("all claims hold");
+            return Ok(());
+        }
+        Err(format!("{} claims do not hold:\n  {}", broken.len(), broken.join("\n  ")))
+    }
+
+    /// One night in each mode; the claims are about the last.
+    fn night(&self, relays: usize, share: f64, trouble: Trouble, broken: &mut Vec<String>) {
+        let seen = [Mode::Plain, Mode::Usual, Mode::Spread].map(|mode| {
+            let seen = play(Night::new(relays, share, mode, trouble, self.seed));
+            line(relays, share, mode, trouble, &seen);
+            seen
+        });
+        let [plain, usual, spread] = &seen;
+        let mut claim = |holds: bool, said: &str| {
+            if !holds {
+                broken.push(format!("{relays} relays, share {share}, {trouble:?}: {said}"));
+            }
+        };
+        let p99 = |seen: &Seen| seen.rest.value_at_quantile(0.99);
+        claim(spread.writes_twice + spread.writes_lost == 0, "a write landed twice or was lost");
+        claim(spread.stale + spread.back == 0, "a lookup was older than what its connection had seen");
+        claim(p99(spread) <= plain.rest.value_at_quantile(0.99) + 40, "other keys are slowed");
+        claim(spread.failed <= plain.failed + spread.lookups / 500, "lookups fail that need not");
+        // A key is crowded once its usual places would have more of it than their part; a fifth more is no matter of luck.
+        let night = Night::new(relays, share, Mode::Spread, trouble, self.seed);
+        if night.rate_of_region() > 1.2 * night.bound() * USUAL as f64 {
+            claim(spread.noticed_s.is_some_and(|s| s <= 2.5), "not noticed within 2.5 s");
+            claim(spread.returned_s.is_some_and(|s| s <= 10.0), "not back at its usual places within 10 s");
+            let (with, without) = (spread.hot.value_at_quantile(0.99), usual.hot.value_at_quantile(0.99));
+            let work = 20; // ms of a request at a unit: less is no difference
+            claim(with <= without + work, "the crowded key is slower than without spreading");
+        }
+        // Usual places are so many a region, and a few more where load moved a lookup on.
+        claim(spread.spread_of_rest <= plain.spread_of_rest, "ordinary keys have no places of their own");
+    }
+}
+
+fn line(relays: usize, share: f64, mode: Mode, trouble: Trouble, seen: &Seen) {
+    let seconds = |at: Option<f64>| at.map_or("-".into(), |at| format!("{at:.1} s"));
+    println!(
+        "{relays:>6} {:>5.0}% {:<7} {:<10} {:>8} {:>8} {:>8} {:>7} {:>8} {:>8} {:>6} {:>6}",
+        share * 100.0,
+        format!("{mode:?}"),
+        format!("{trouble:?}"),
+        seen.hot.value_at_quantile(0.5),
+        seen.hot.value_at_quantile(0.99),
+        seen.rest.value_at_quantile(0.99),
+        seen.failed,
+        seconds(seen.noticed_s),
+        seconds(seen.returned_s),
+        seen.widest,
+        seen.writes_acked,
+    );
+}
--- a/crates/beechcroft-lab/src/main.rs
+++ b/crates/beechcroft-lab/src/main.rs
@@ -2,6 +2,7 @@
 //! charts and the same table go to a folder. Its figures are this machine's; no verdict of a test hangs on them.
 
 mod chart;
+mod crowd;
 mod fleet;
 mod holder;
 mod idle;
@@ -41,6 +42,10 @@
     #[command(after_help = "Examples:
   beechcroft-lab ways")]
     Ways(ways::Ways),
+    /// A key that everyone asks for: how soon it is noticed, over how many units it is spread, what that costs others.
+    #[command(after_help = "Examples:
+  beechcroft-lab crowd --quick")]
+    Crowd(crowd::Crowd),
     /// A process of an experiment; not to be called by hand.
     #[command(subcommand, hide = true)]
     Role(Role),
@@ -60,6 +65,7 @@
     let ended = match Command::parse().what {
         What::Idle(idle) => idle.run(),
         What::Ways(ways) => ways.run(),
+        What::Crowd(crowd) => crowd.run(),
         What::Role(Role::Holder { address }) => holder::hold(address),
         What::Role(Role::Fleet { units }) => fleet::serve(units),
         What::Role(Role::Relay { config, operator }) => probe::relay(&config, &operator),
--- a/crates/beechcroft-range/src/crowd.rs
+++ b/crates/beechcroft-range/src/crowd.rs
@@ -5,7 +5,7 @@
 use crate::units::{Taken, Unit};
 use beechcroft_crossing::{Crossing, End, Next};
 use beechcroft_pace::{Keyed, Place, Side, Want, Yard};
-use beechcroft_saddle::{key_of, Crowd, Pins};
+use beechcroft_saddle::{key_of, Crowd, Pins, PART};
 use hdrhistogram::Histogram;
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp1, Zipf};
@@ -90,6 +90,16 @@
         let (units, rate) = if relays <= 12 { (36, 2400.0) } else { (120, 8000.0) };
         Night { relays, units, rate, share, mode, trouble, seed }
     }
+
+    /// Lookups a second of the crowded key in one region.
+    pub fn rate_of_region(&self) -> f64 {
+        self.rate * self.share / REGIONS as f64
+    }
+
+    /// What one place may have of it.
+    pub fn bound(&self) -> f64 {
+        PART * SLOTS as f64 / WORK_US * 1e6
+    }
 }
 
 const CROWD_FROM_S: f64 = 3.0;
