--- a/crates/beechcroft-hut/src/desks.rs
+++ b/crates/beechcroft-hut/src/desks.rs
@@ -99,16 +99,16 @@
         Known::Replace => {
             let config = Config::read(&call.body)?;
             let (version, base) = (config.version, config.base_version);
-            let op = Op::Replace { version, base, body: call.body };
-            order(queue, BOOK, op).await
+            order(queue, BOOK, Op::replace(version, base, &call.body)).await
         }
         Known::ShowConfig => {
             let value = through(queue, |answer| Command::Order(BOOK, Op::Read, answer)).await??;
             let book: beechcroft_hutbook::Book = postcard::from_bytes(&value.bytes).unwrap_or_default();
-            if book.body.is_empty() {
+            let body = book.body();
+            if body.is_empty() {
                 return Err(Fault::new(Kind::NoThing, "no configuration yet"));
             }
-            Ok(Answer::json(book.body))
+            Ok(Answer::json(body))
         }
         Known::BeginRollout => {
             let begin: Begin = serde_json::from_slice(&call.body).map_err(invalid)?;
--- a/crates/beechcroft-hutbook/src/state.rs
+++ b/crates/beechcroft-hutbook/src/state.rs
@@ -2,9 +2,13 @@
 
 use beechcroft_kinds::{Fault, Kind};
 use beechcroft_map::Config;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
+use flate2::Compression;
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io::{Read, Write};
 
 /// Versions taken before, that an identical repeat is still acknowledged for.
 const HISTORY: usize = 512;
@@ -13,8 +17,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Book {
     pub version: u32,
-    /// As the operator sent it.
-    pub body: Vec<u8>,
+    /// As the operator sent it, deflated: it goes through ballots, onto disks and over thin links.
+    body: Vec<u8>,
     /// Versions taken, each with the digest of its body.
     history: VecDeque<(u32, u64)>,
 }
@@ -55,9 +59,11 @@
 pub enum Op {
     /// Only confirms the value.
     Read,
+    /// `body` is deflated; `digest` is of what the operator sent.
     Replace {
         version: u32,
         base: u32,
+        digest: u64,
         body: Vec<u8>,
     },
     Begin {
@@ -91,6 +97,16 @@
     }
 }
 
+impl Op {
+    /// The order to put a configuration in place.
+    pub fn replace(version: u32, base: u32, sent: &[u8]) -> Op {
+        let mut body = Vec::new();
+        let mut deflate = DeflateEncoder::new(&mut body, Compression::fast());
+        deflate.write_all(sent).and_then(|()| deflate.finish()).expect("into memory");
+        Op::Replace { version, base, digest: digest(sent), body }
+    }
+}
+
 fn digest(body: &[u8]) -> u64 {
     body.iter()
         .fold(0xcbf2_9ce4_8422_2325, |sum: u64, &b| (sum ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
@@ -99,9 +115,8 @@
 impl Book {
     /// Applies an order; whether the book has changed, or why it is refused.
     pub fn apply(&mut self, op: &Op) -> Result<bool, Fault> {
-        let Op::Replace { version, base, body } = op else { return Ok(false) };
-        let digest = digest(body);
-        if self.history.contains(&(*version, digest)) {
+        let Op::Replace { version, base, digest, body } = op else { return Ok(false) };
+        if self.history.contains(&(*version, *digest)) {
             return Ok(false);
         }
         if *base != self.version {
@@ -115,13 +130,23 @@
         if self.history.len() >= HISTORY {
             self.history.pop_front();
         }
-        self.history.push_back((*version, digest));
+        self.history.push_back((*version, *digest));
         (self.version, self.body) = (*version, body.clone());
         Ok(true)
     }
 
+    /// The configuration as the operator sent it; empty before the first.
+    pub fn body(&self) -> Vec<u8> {
+        let mut body = Vec::new();
+        if !self.body.is_empty() {
+            // What was agreed was deflated here: it is whole.
+            let _ = DeflateDecoder::new(&self.body[..]).read_to_end(&mut body);
+        }
+        body
+    }
+
     pub fn config(&self) -> Option<Config> {
-        Config::read(&self.body).ok()
+        Config::read(&self.body()).ok()
     }
 }
 
--- a/crates/beechcroft-hutbook/tests/agreement.rs
+++ b/crates/beechcroft-hutbook/tests/agreement.rs
@@ -148,7 +148,7 @@
     }
 
     fn order(&mut self, at: usize, id: OrderId, version: u32, base: u32) {
-        let op = Op::Replace { version, base, body: format!("version {version} by {id}").into_bytes() };
+        let op = Op::replace(version, base, format!("version {version} by {id}").as_bytes());
         self.versions.insert(id, version);
         let mut out = Vec::new();
         let until = self.now + 60_000;
