--- a/crates/beechcroft-trail/src/guide.rs
+++ b/crates/beechcroft-trail/src/guide.rs
@@ -172,7 +172,10 @@
         }
         if register == BOOK {
             let book: Option<Book> = postcard::from_bytes(&value.bytes).ok();
-            let Some(config) = book.and_then(|book| book.config()) else { return };
+            let Some(mut config) = book.and_then(|book| book.config()) else { return };
+            for service in config.services.iter_mut().filter(|service| service.usual_places == 0) {
+                service.usual_places = self.shared.places;
+            }
             log::info!("guide: Configuration {:08x} is in force.", config.version);
             *self.shared.table.borrow_mut() = Some(Rc::new(Table::new(&config)));
         } else {
--- a/crates/beechcroft-trail/src/main.rs
+++ b/crates/beechcroft-trail/src/main.rs
@@ -31,6 +31,8 @@
             cmd run {
                 /// What is logged: error, warn, info or debug. Each line costs processor time.
                 optional --log level: String
+                /// Usual places of keys (units a region) for services whose configuration does not say.
+                optional --places places: usize
             }
             /// Checks a settings file (.toml) or a configuration (.json); exit code 1 if it has a fault.
             cmd check {
@@ -48,7 +50,9 @@
 
 fn main() -> ExitCode {
     let done = match flags::Trail::from_env_or_exit().subcommand {
-        flags::TrailCmd::Run(run) => run_program(run.log.as_deref().unwrap_or("warn")),
+        flags::TrailCmd::Run(run) => {
+            run_program(run.log.as_deref().unwrap_or("warn"), run.places.unwrap_or(0))
+        }
         flags::TrailCmd::Check(check) => check_file(check.file),
     };
     match done {
@@ -72,17 +76,17 @@
     Ok(())
 }
 
-fn run_program(level: &str) -> Result<(), String> {
+fn run_program(level: &str, places: usize) -> Result<(), String> {
     let _logger = flexi_logger::Logger::try_with_str(level)
         .and_then(|logger| logger.log_to_stderr().start())
         .map_err(|e| e.to_string())?;
     let settings = Settings::load()?;
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
-    runtime.block_on(tokio::task::LocalSet::new().run_until(run(settings)))
+    runtime.block_on(tokio::task::LocalSet::new().run_until(run(settings, places)))
 }
 
-async fn run(settings: Settings) -> Result<(), String> {
+async fn run(settings: Settings, places: usize) -> Result<(), String> {
     let said = |e: std::io::Error| e.to_string();
     let life = std::time::SystemTime::now()
         .duration_since(std::time::UNIX_EPOCH)
@@ -103,7 +107,9 @@
     };
     let inside = SocketAddrV4::new(settings.ip, settings.internal_ports[0] + 1);
     let post = Post::open(inside).await.map_err(said)?;
-    let shared = Rc::new(Shared::new(settings.clone(), salt));
+    let mut shared = Shared::new(settings.clone(), salt);
+    shared.places = places;
+    let shared = Rc::new(shared);
     let (queue, mut commands) = mpsc::unbounded_channel();
     let mut guide = Guide::new(shared.clone(), me, salt, post.clone(), Errands::default(), queue.clone());
 
--- a/crates/beechcroft-trail/src/shared.rs
+++ b/crates/beechcroft-trail/src/shared.rs
@@ -29,6 +29,8 @@
 pub struct Shared {
     pub settings: Settings,
     began: Instant,
+    /// Usual places of a key where a service does not say; 0: keys are not looked at.
+    pub places: usize,
     pub phase: Cell<Phase>,
     pub table: RefCell<Option<Rc<Table>>>,
     pub orders: RefCell<Orders>,
@@ -59,6 +61,7 @@
         Shared {
             settings,
             began: Instant::now(),
+            places: 0,
             phase: Cell::new(Phase::Coming),
             table: RefCell::new(None),
             orders: RefCell::default(),
