Sight: verdicts in the project's own world; touch names what the core agreed on

Cause: found by the world: (1) a relay back from a cut counted as in touch before it had learned of a moved placement, so two relays placed one key differently for up to 1.4 s; the core's word now says which change it stands on. (2) one region's loss of sight, heard alone for a second, was a verdict: the quorum is of all regions now.

--- a/crates/beechcroft-belvedere/src/lib.rs
+++ b/crates/beechcroft-belvedere/src/lib.rs
@@ -2,13 +2,17 @@
 //! means. The same evidence gives the same verdict on every relay: nothing else goes in but the service's rules.
 //! No I/O, no clock: time is counted in the periods (seconds) that relays number.
 
+pub mod lease;
+
 use beechcroft::cusum::{Cusum, NATS_FLOOR};
 use beechcroft_map::config::Unfit;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Periods of each relay that are kept.
-const KEPT: usize = 64;
+const KEPT: usize = 48;
+/// Periods over which a region that reaches a unit no more has lost it.
+const LOST: usize = 2;
 /// Without a later word for this long by the latest one heard, what a relay saw is no evidence any more.
 const STALE: u32 = 6;
 /// Outcomes in a region below which it sets no bit.
@@ -140,11 +144,11 @@
     }
 
     /// The verdicts on all units that there is evidence on. `units`: how many the service has. No more than the
-    /// rule's share is ever set aside: past it nobody is, as it is not they.
-    pub fn verdicts(&self, rules: &Unfit, units: usize) -> BTreeMap<u32, Verdict> {
+    /// rule's share is ever set aside: past it nobody is, as it is not they. `regions`: how many the relays are in.
+    pub fn verdicts(&self, rules: &Unfit, units: usize, regions: usize) -> BTreeMap<u32, Verdict> {
         let now = self.now();
         let mut all: BTreeMap<u32, Verdict> =
-            self.units.iter().map(|(&unit, relays)| (unit, verdict(relays, rules, now))).collect();
+            self.units.iter().map(|(&unit, relays)| (unit, verdict(relays, rules, regions, now))).collect();
         let unfit = all.values().filter(|&&verdict| verdict == Verdict::Unfit).count();
         if unfit as f64 > rules.most_aside * units as f64 {
             all.values_mut().for_each(|verdict| *verdict = (*verdict).min(Verdict::LostPath));
@@ -156,109 +160,107 @@
     pub fn is_lost_from(&self, unit: u32, region: &str) -> bool {
         let now = self.now();
         let Some(relays) = self.units.get(&unit) else { return false };
-        let here: Vec<&Seen> = relays.values().filter(|seen| seen.region == region).collect();
-        sum(&here, now.saturating_sub(STALE), now)
-            .is_some_and(|count| count.unreachable >= 2 && count.reached() == 0)
+        let here = relays.values().filter(|seen| seen.region == region);
+        let counts =
+            here.flat_map(|seen| seen.periods.range(now.saturating_sub(LOST as u32 - 1)..).map(|(_, c)| c));
+        let (lost, reached) =
+            counts.fold((0, 0), |(l, r), c| (l + u32::from(c.unreachable), r + c.reached()));
+        lost >= 2 && reached == 0
     }
 }
 
-/// Counts of several relays together, in a span of periods.
+/// What a region's relays counted of a unit, period by period.
 #[derive(Clone, Copy, Debug, Default)]
 struct Sum {
-    unreachable: u32,
+    bad: u32,
+    fine: u32,
     reached: u32,
+    unreachable: u32,
 }
 
 impl Sum {
-    fn reached(&self) -> u32 {
-        self.reached
+    fn add(&mut self, count: &Count, rules: &Unfit) {
+        let late = if rules.late_times > 0.0 { u32::from(count.late) } else { 0 };
+        self.bad += u32::from(count.errors) + u32::from(count.wrong) * 2 + late;
+        self.fine += u32::from(count.answers).saturating_sub(late);
+        self.reached += count.reached();
+        self.unreachable += u32::from(count.unreachable);
     }
 }
 
-fn sum(seen: &[&Seen], from: u32, to: u32) -> Option<Sum> {
-    let counts = seen.iter().flat_map(|seen| seen.periods.range(from..=to).map(|(_, count)| count));
-    counts.fold(None, |sum: Option<Sum>, count| {
-        let sum = sum.unwrap_or_default();
-        Some(Sum {
-            unreachable: sum.unreachable + u32::from(count.unreachable),
-            reached: sum.reached + count.reached(),
-        })
+/// Sums of the last periods up to one.
+fn lately(sums: &[Sum], at: usize, periods: usize) -> Sum {
+    let from = (at + 1).saturating_sub(periods);
+    sums[from..=at].iter().fold(Sum::default(), |all, sum| Sum {
+        bad: all.bad + sum.bad,
+        fine: all.fine + sum.fine,
+        reached: all.reached + sum.reached,
+        unreachable: all.unreachable + sum.unreachable,
     })
 }
 
-/// A region's word on a unit at a period: its bit, and the outcomes that give it weight.
-struct Bit {
-    set: bool,
-    weight: f64,
-    lost: bool,
+fn by_region<'a>(
+    relays: &'a BTreeMap<String, Seen>, rules: &Unfit, first: u32, now: u32,
+) -> BTreeMap<&'a str, Vec<Sum>> {
+    let length = (now - first) as usize + 1;
+    let mut regions: BTreeMap<&str, Vec<Sum>> = BTreeMap::new();
+    for seen in relays.values() {
+        let sums = regions.entry(&seen.region).or_insert_with(|| vec![Sum::default(); length]);
+        for (&period, count) in seen.periods.range(first..=now) {
+            sums[(period - first) as usize].add(count, rules);
+        }
+    }
+    regions
 }
 
-fn verdict(relays: &BTreeMap<String, Seen>, rules: &Unfit, now: u32) -> Verdict {
-    // The latest period at which it was unfit, and how often it has become so within what is remembered.
+/// `regions`: how many there are. The latest period at which the unit was unfit counts, and how often it became so.
+fn verdict(relays: &BTreeMap<String, Seen>, rules: &Unfit, regions: usize, now: u32) -> Verdict {
     let first = relays.values().filter_map(|seen| seen.periods.keys().next()).min().copied().unwrap_or(now);
-    let mut sums: BTreeMap<&str, Cusum> = BTreeMap::new();
-    let mut history: Vec<u32> = Vec::new();
-    let (mut before, mut last) = (false, None);
-    let mut lost_path = false;
-    for period in first..=now {
-        let bits = bits(relays, rules, period, &mut sums);
-        let all: f64 = bits.iter().map(|bit| bit.weight).sum();
-        let set = bits.iter().filter(|bit| bit.set);
-        let (count, weight) = set.fold((0, 0.0), |(count, weight), bit| (count + 1, weight + bit.weight));
-        let seen_from = bits.iter().filter(|bit| bit.weight > 0.0).count();
-        let needed = rules.regions.min(seen_from.max(1));
-        let lost = bits.iter().filter(|bit| bit.lost).count();
-        let nobody_reaches = lost > 0 && lost == seen_from;
-        let unfit = count >= needed && weight * 2.0 >= all && count > 0 || nobody_reaches && lost >= needed;
-        lost_path = lost > 0 && !nobody_reaches;
-        if unfit {
+    let first = first.min(now).max(now.saturating_sub(KEPT as u32));
+    let sums = by_region(relays, rules, first, now);
+    let needed = rules.regions.min(regions).max(1);
+    let share = rules.error_share.clamp(0.02, 0.9);
+    let good = (share * GOOD_PART).max(0.005);
+    let (bad, fine) = ((share / good).ln(), ((1.0 - share) / (1.0 - good)).ln());
+    let mut cusums = vec![Cusum::default(); sums.len()];
+    let (mut history, mut last, mut before, mut lost_path) = (Vec::new(), None, false, false);
+    for at in 0..=(now - first) as usize {
+        // One bit a region, weighted by what its relays have seen lately.
+        let (mut bits, mut weight, mut all) = (0, 0.0, 0.0);
+        let (mut lost, mut sighted) = (0, 0);
+        for (sums, cusum) in sums.values().zip(&mut cusums) {
+            cusum.z = f64::from(sums[at].bad) * bad + f64::from(sums[at].fine) * fine;
+            cusum.tick();
+            cusum.w = cusum.w.min(4.0 * NATS_FLOOR); // what is over is forgotten in a few good periods
+            let seen = lately(sums, at, STALE as usize);
+            let now = lately(sums, at, LOST);
+            all += f64::from(seen.reached);
+            if cusum.w > NATS_FLOOR && seen.reached >= LEAST {
+                (bits, weight) = (bits + 1, weight + f64::from(seen.reached));
+            }
+            lost += usize::from(now.unreachable >= 2 && now.reached == 0);
+            sighted += usize::from(now.reached > 0);
+        }
+        let ill = bits >= needed && weight * 2.0 >= all;
+        let gone = lost >= needed && sighted == 0;
+        lost_path = lost > 0 && !gone;
+        if ill || gone {
             if !before {
-                history.push(period);
+                history.push(at);
             }
-            last = Some(period);
+            last = Some(at);
         }
-        before = unfit;
+        before = ill || gone;
     }
     // Each time counts, the older the less: after a while one is forgotten.
-    let age = |at: u32| (now - at) as usize / FORGET;
-    let times = history.iter().enumerate().filter(|&(nth, &at)| history.len() - nth > age(at)).count() as u32;
-    let hold = HOLD << times.saturating_sub(1).min(HOLD_DOUBLINGS);
+    let end = (now - first) as usize;
+    let forgotten = |at: usize| (end - at) / FORGET;
+    let times =
+        history.iter().enumerate().filter(|&(nth, &at)| history.len() - nth > forgotten(at)).count() as u32;
+    let hold = (HOLD << times.saturating_sub(1).min(HOLD_DOUBLINGS)) as usize;
     match last {
-        Some(at) if now < at + hold => Verdict::Unfit,
+        Some(at) if end < at + hold => Verdict::Unfit,
         _ if lost_path => Verdict::LostPath,
         _ => Verdict::Fit,
     }
 }
-
-/// Each region's bit: a CUSUM over what its relays counted, one for each thing that the rules call unfit.
-fn bits<'a>(
-    relays: &'a BTreeMap<String, Seen>, rules: &Unfit, period: u32, sums: &mut BTreeMap<&'a str, Cusum>,
-) -> Vec<Bit> {
-    let mut regions: BTreeMap<&str, Vec<&Seen>> = BTreeMap::new();
-    for seen in relays.values() {
-        regions.entry(&seen.region).or_default().push(seen);
-    }
-    let from = period.saturating_sub(STALE);
-    let mut bits = Vec::new();
-    for (region, seen) in regions {
-        let at = |seen: &&&Seen| seen.periods.get(&period).copied();
-        let (mut bad, mut fine) = (0u32, 0u32);
-        for count in seen.iter().filter_map(|seen| at(&seen)) {
-            let errors = u32::from(count.errors) + u32::from(count.wrong) * 2;
-            let late = if rules.late_times > 0.0 { u32::from(count.late) } else { 0 };
-            bad += errors + late;
-            fine += u32::from(count.answers).saturating_sub(late);
-        }
-        let share = rules.error_share.clamp(0.02, 0.9);
-        let good = (share * GOOD_PART).max(0.005);
-        let sum = sums.entry(region).or_default();
-        sum.z += f64::from(bad) * (share / good).ln() + f64::from(fine) * ((1.0 - share) / (1.0 - good)).ln();
-        sum.tick();
-        sum.w = sum.w.min(4.0 * NATS_FLOOR); // what is over is forgotten in a few good periods
-        let lately = self::sum(&seen, from, period).unwrap_or_default();
-        let lost = lately.unreachable >= 2 && lately.reached == 0;
-        let set = sum.w > NATS_FLOOR && lately.reached >= LEAST;
-        bits.push(Bit { set, weight: f64::from(lately.reached.max(lately.unreachable)), lost });
-    }
-    bits
-}
--- a/crates/beechcroft-belvedere/tests/verdicts.rs
+++ b/crates/beechcroft-belvedere/tests/verdicts.rs
@@ -24,7 +24,7 @@
         for relay in 0..6 {
             bench.hear(&word(relay, number, &sees));
         }
-        verdicts.push(bench.verdicts(rules, UNITS as usize).get(&0).copied().unwrap_or(Verdict::Fit));
+        verdicts.push(bench.verdicts(rules, UNITS as usize, 3).get(&0).copied().unwrap_or(Verdict::Fit));
     }
     verdicts
 }
@@ -150,7 +150,7 @@
         }
         let mut other = Bench::default();
         words.iter().chain(&words[..9]).for_each(|word| other.hear(word));
-        assert_eq!(one.verdicts(&rules, 20), other.verdicts(&rules, 20));
+        assert_eq!(one.verdicts(&rules, 20, 3), other.verdicts(&rules, 20, 3));
     }
 }
 
@@ -162,7 +162,7 @@
     (1..40).for_each(|n| (0..5).for_each(|relay| bench.hear(&word(relay, n, &fine))));
     let ill = |_: usize, _: u32, unit: u32| Some(if unit == 0 { failing() } else { good() });
     (1..10).for_each(|n| bench.hear(&word(5, n, &ill)));
-    assert_eq!(bench.verdicts(&rules, 20).get(&0), Some(&Verdict::Fit));
+    assert_eq!(bench.verdicts(&rules, 20, 3).get(&0), Some(&Verdict::Fit));
 }
 
 #[test]
@@ -173,7 +173,7 @@
     };
     assert!(play(&rules, 3, thin).iter().all(|&verdict| verdict == Verdict::Fit));
     let noise = |relay: usize, number: u32, unit: u32| {
-        let bad = (relay as u32 * 31 + number * 17 + unit * 7) % 29 == 0;
+        let bad = (relay as u32 * 31 + number * 17 + unit * 7).is_multiple_of(29);
         Some(if bad { Count { answers: 5, errors: 1, ..Count::default() } } else { good() })
     };
     assert!(play(&rules, 120, noise).iter().all(|&verdict| verdict == Verdict::Fit));
--- a/crates/beechcroft-cairns/src/letter.rs
+++ b/crates/beechcroft-cairns/src/letter.rs
@@ -137,8 +137,8 @@
     pub revs: [u64; 2],
     /// The tables of members and of units have not changed for a moment: what differs is not just on its way.
     pub settled: [bool; 2],
-    /// Since some hut last had a round of ballots chosen, as far as this relay knows.
-    pub touch_ms: Option<u32>,
+    /// Since some hut last had a round of orders chosen, as far as this relay knows, and which change of them it was.
+    pub touch: Option<(u32, u64)>,
 }
 
 /// Digests by range: told where the sums differ.
--- a/crates/beechcroft-cairns/src/lib.rs
+++ b/crates/beechcroft-cairns/src/lib.rs
@@ -19,6 +19,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddrV4;
 
+/// The register whose rounds show that the core agrees (`beechcroft-hutbook` numbers them).
+const ORDERS: usize = 1;
 /// Relays of its own region that watch one, and of all others.
 const WATCHERS: [usize; 2] = [2, 1];
 /// Relays that news is passed on to each time.
@@ -108,7 +110,7 @@
     /// The latest word taken from each relay on each service's keys.
     crowds: BTreeMap<(String, String), (u64, u32)>,
     seen: BTreeMap<(String, String), (u64, u32)>,
-    touched_at: Option<u64>,
+    touch: Option<(u64, u64)>,
     fresh: VecDeque<Fresh>,
     rng: Pcg64Mcg,
     next_flush: u64,
@@ -136,7 +138,7 @@
             signs: BTreeMap::new(),
             crowds: BTreeMap::new(),
             seen: BTreeMap::new(),
-            touched_at: None,
+            touch: None,
             fresh: VecDeque::new(),
             rng: Pcg64Mcg::seed_from_u64(salt),
             next_flush: 0,
@@ -385,9 +387,8 @@
         let (members, units) = self.ranges().sums();
         let [members_at, units_at] = self.changed_at;
         let settled = [self.clock >= members_at + SETTLED_MS[0], self.clock >= units_at + SETTLED_MS[1]];
-        let touch_ms =
-            self.touched_at.map(|at| self.clock.saturating_sub(at).min(u64::from(u32::MAX)) as u32);
-        Sums { members, units, revs: self.revs, settled, touch_ms }
+        let age = |at| self.clock.saturating_sub(at).min(u64::from(u32::MAX)) as u32;
+        Sums { members, units, revs: self.revs, settled, touch: self.touch.map(|(at, rev)| (age(at), rev)) }
     }
 
     /// Whether this relay is among those that watch another: a few of its own region, and one of the others.
@@ -468,8 +469,8 @@
                 Item::Seen(word) => self.take_seen(word, out),
             }
         }
-        if let Some(age) = sums.touch_ms {
-            self.touched(now.saturating_sub(u64::from(age)));
+        if let Some((age, rev)) = sums.touch {
+            self.touched(now.saturating_sub(u64::from(age)), rev);
         }
         for (register, &rev) in sums.revs.iter().enumerate() {
             if rev > self.revs[register] && self.may_pull(now, register, rev, &name) {
@@ -588,14 +589,17 @@
         }
     }
 
-    /// A round of ballots was chosen that long ago, as this relay knows or hears.
-    pub fn touched(&mut self, at: u64) {
-        self.touched_at = self.touched_at.max(Some(at));
+    /// A round of orders was chosen at that time, and they had changed so often. A relay that does not hold that
+    /// change yet is not in touch by it: it would go by something older.
+    pub fn touched(&mut self, at: u64, rev: u64) {
+        if self.revs[ORDERS] >= rev && self.touch.is_none_or(|(held, _)| held < at) {
+            self.touch = Some((at, rev));
+        }
     }
 
-    /// When the core last showed that it agrees.
+    /// When the core last showed that it agrees, on what this relay holds.
     pub fn touched_at(&self) -> Option<u64> {
-        self.touched_at
+        self.touch.map(|(at, _)| at)
     }
 
     fn take_crowd(&mut self, crowd: letter::Crowded, out: &mut Vec<Action>) {
--- a/crates/beechcroft-hut/src/keeper.rs
+++ b/crates/beechcroft-hut/src/keeper.rs
@@ -93,6 +93,8 @@
     /// Placements that the evidence asked for at the last look: one that is asked for twice is made.
     wished: HashMap<String, BTreeSet<String>>,
     place_at: u64,
+    /// Rounds that are to show that the core agrees.
+    touches: HashSet<OrderId>,
     answers: HashMap<OrderId, oneshot::Sender<Answer>>,
     next_order: OrderId,
     pulling: [u64; 2],
@@ -134,6 +136,7 @@
             benches: HashMap::new(),
             wished: HashMap::new(),
             place_at: 0,
+            touches: HashSet::new(),
             answers: HashMap::new(),
             next_order: 0,
             pulling: [0; 2],
@@ -339,8 +342,9 @@
             match step {
                 Step::Ask { to, ask } => self.send_to_voters(to, &ask),
                 Step::Answer { id, answer } => {
-                    if answer.is_ok() {
-                        self.cairns.touched(now);
+                    let shows = self.touches.remove(&id);
+                    if let (Ok(value), true) = (&answer, shows) {
+                        self.cairns.touched(now, value.rev);
                     }
                     if let Some(asked) = self.answers.remove(&id) {
                         let _ = asked.send(answer);
@@ -532,16 +536,22 @@
         }
         self.place_at = now + PLACE_EVERY_MS;
         self.order(ORDERS, Op::Read, None);
+        self.touches.insert(self.next_order);
         let me = self.cairns.me.name.as_str();
         if !self.cairns.alive().filter(|m| m.core).all(|m| m.name.as_str() > me) {
             return;
         }
+        let regions: BTreeSet<&str> = self.settings.zones.values().map(String::as_str).collect();
+        let regions = regions.len().max(1);
         let mut due = Vec::new();
         for (service, rules) in &self.unfit {
             let Some(bench) = self.benches.get(service) else { continue };
             let units = || self.cairns.units.all().filter(|unit| unit.note.service == *service);
-            let verdicts =
-                bench.verdicts(rules, units().filter(|unit| unit.note.state == State::Ready).count());
+            let verdicts = bench.verdicts(
+                rules,
+                units().filter(|unit| unit.note.state == State::Ready).count(),
+                regions,
+            );
             let is_unfit = |id: &str| verdicts.get(&short(id)) == Some(&Verdict::Unfit);
             let aside: BTreeSet<String> =
                 units().map(|unit| unit.note.id.clone()).filter(|id| is_unfit(id)).collect();
--- a/crates/beechcroft-lab/src/main.rs
+++ b/crates/beechcroft-lab/src/main.rs
@@ -8,6 +8,7 @@
 mod idle;
 mod load;
 mod probe;
+mod sight;
 mod ways;
 
 use clap::{Parser, Subcommand};
@@ -46,6 +47,10 @@
     #[command(after_help = "Examples:
   beechcroft-lab crowd --quick")]
     Crowd(crowd::Crowd),
+    /// Whether a unit is fit, by what relays of all regions see: how soon, how often wrongly, and who places writes.
+    #[command(after_help = "Examples:
+  beechcroft-lab sight --quick")]
+    Sight(sight::Sight),
     /// A process of an experiment; not to be called by hand.
     #[command(subcommand, hide = true)]
     Role(Role),
@@ -66,6 +71,7 @@
         What::Idle(idle) => idle.run(),
         What::Ways(ways) => ways.run(),
         What::Crowd(crowd) => crowd.run(),
+        What::Sight(sight) => sight.run(),
         What::Role(Role::Holder { address }) => holder::hold(address),
         What::Role(Role::Fleet { units }) => fleet::serve(units),
         What::Role(Role::Relay { config, operator }) => probe::relay(&config, &operator),
--- a/crates/beechcroft-range/src/lib.rs
+++ b/crates/beechcroft-range/src/lib.rs
@@ -3,4 +3,5 @@
 
 pub mod agenda;
 pub mod crowd;
+pub mod sight;
 pub mod units;
--- /dev/null
+++ b/crates/beechcroft-range/src/sight.rs
@@ -0,0 +1,205 @@
+//! What relays of three regions see of units, second by second: ill units of each kind, brief losses of sight, lost
+//! messages; and, apart from that, a placement that moves while relays are cut off. Verdicts and leases are
+//! `belvedere` as it runs.
+
+use beechcroft_belvedere::lease::may_place;
+use beechcroft_belvedere::{Bench, Count, Verdict, Word};
+use beechcroft_map::config::Unfit;
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Poisson};
+use rand_pcg::Pcg64Mcg;
+
+const REGIONS: [&str; 3] = ["north", "south", "east"];
+
+/// What is the matter with unit 0 while it is ill.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ill {
+    /// A third of its requests fail, its health is good.
+    Grey,
+    Late,
+    Dark,
+    /// Dark for 3 s in every 10.
+    Flaps,
+}
+
+pub const ILLS: [Ill; 4] = [Ill::Grey, Ill::Late, Ill::Dark, Ill::Flaps];
+
+#[derive(Clone, Copy, Debug)]
+pub struct Watch {
+    pub relays: usize,
+    pub units: u32,
+    /// Requests a second to each unit, from all relays.
+    pub rate: f64,
+    pub ill: Option<Ill>,
+    /// From when on, and until when, in seconds.
+    pub span: (u32, u32),
+    pub seconds: u32,
+    /// A region loses sight of one unit, or of all, for a moment, once in so many seconds.
+    pub blinks_every: u32,
+    pub loss: f64,
+    pub seed: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// Seconds from the beginning of the illness until half, and until all relays set the unit aside.
+    pub aside_s: Option<(u32, u32)>,
+    /// Seconds from its end until all have it back.
+    pub back_s: Option<u32>,
+    /// Verdicts on sound units, in unit-seconds and relay-seconds.
+    pub wrong: u64,
+    pub judged: u64,
+    /// Requests to the ill unit, by verdict; by a relay that goes by its own failures alone; without either.
+    pub sent: u64,
+    pub sent_alone: u64,
+    pub sent_blind: u64,
+    pub bytes: u64,
+}
+
+/// Plays one watch. Time goes by seconds, as words do.
+pub fn watch(rules: &Unfit, watch: Watch) -> Report {
+    let mut rng = Pcg64Mcg::seed_from_u64(watch.seed);
+    let mut benches = vec![Bench::default(); watch.relays];
+    let mut alone = vec![(0u32, 0u32); watch.relays]; // failures in a row, aside until
+    let mut report = Report::default();
+    let mut late: Vec<(usize, Word)> = Vec::new();
+    let (mut half, mut whole) = (None, None);
+    for second in 1..=watch.seconds {
+        let ill = watch.ill.filter(|_| (watch.span.0..watch.span.1).contains(&second));
+        let blink = second % watch.blinks_every.max(1) == 0 && watch.blinks_every > 0;
+        let (blind_region, blind_unit) = (second as usize / 7 % 3, rng.random_range(0..watch.units * 2));
+        for (at, word) in std::mem::take(&mut late) {
+            benches[at].hear(&word);
+        }
+        let mut words = Vec::new();
+        for relay in 0..watch.relays {
+            let verdicts = benches[relay].verdicts(rules, watch.units as usize, 3);
+            let asked = benches[relay].asked();
+            let mut units = Vec::new();
+            for unit in 0..watch.units {
+                let ill = ill.filter(|_| unit == 0);
+                let each =
+                    Poisson::new(watch.rate / watch.relays as f64).expect("above 0").sample(&mut rng) as u16;
+                let aside = verdicts.get(&unit) == Some(&Verdict::Unfit);
+                report.judged += u64::from(unit != 0 || watch.ill.is_none());
+                if aside && (unit != 0 || watch.ill.is_none()) {
+                    report.wrong += 1;
+                }
+                if ill.is_some() {
+                    report.sent_blind += u64::from(each);
+                    report.sent += if aside { 0 } else { u64::from(each) };
+                    report.sent_alone += if second < alone[relay].1 { 0 } else { u64::from(each) };
+                }
+                if aside {
+                    continue;
+                }
+                // A moment's loss of sight: a region loses one unit, or all of them.
+                let lost =
+                    blink && relay % 3 == blind_region && (blind_unit >= watch.units || blind_unit == unit);
+                let mut count = Count { answers: each, ..Count::default() };
+                let dark = ill == Some(Ill::Dark) || ill == Some(Ill::Flaps) && second % 10 < 3;
+                match ill {
+                    _ if dark || lost => count = Count { unreachable: each, ..Count::default() },
+                    Some(Ill::Grey) => {
+                        count.errors = (0..each).filter(|_| rng.random_bool(0.33)).count() as u16;
+                        count.answers -= count.errors;
+                    }
+                    Some(Ill::Late) => count.late = each,
+                    // Sound units fail now and then.
+                    _ => {
+                        count.errors = (0..each).filter(|_| rng.random_bool(0.004)).count() as u16;
+                        count.answers -= count.errors;
+                    }
+                }
+                if unit == 0 {
+                    let failed = count.errors + count.unreachable;
+                    let row = if failed == each && each > 0 { alone[relay].0 + u32::from(each) } else { 0 };
+                    alone[relay] = if row >= 2 { (0, second + 4) } else { (row, alone[relay].1) };
+                }
+                if count.is_bad() || asked.contains(&unit) && each > 0 {
+                    units.push((unit, count));
+                }
+            }
+            if !units.is_empty() {
+                let (relay, region) = (format!("relay-{relay}"), REGIONS[relay % 3].to_owned());
+                words.push(Word { relay, region, life: 1, number: second, service: "s".into(), units });
+            }
+        }
+        for (from, word) in words.into_iter().enumerate() {
+            report.bytes += (30 + 11 * word.units.len() as u64) * 6;
+            let own: usize = word.relay["relay-".len()..].parse().unwrap_or(0);
+            for (at, bench) in benches.iter_mut().enumerate() {
+                if at != own && rng.random_bool(watch.loss) {
+                    continue;
+                }
+                // Most words are there within the second; some come with the next one's.
+                if at == own || !(from + at + second as usize).is_multiple_of(5) {
+                    bench.hear(&word);
+                } else {
+                    late.push((at, word.clone()));
+                }
+            }
+        }
+        let aside = benches
+            .iter()
+            .filter(|b| b.verdicts(rules, watch.units as usize, 3).get(&0) == Some(&Verdict::Unfit));
+        let aside = aside.count();
+        if second >= watch.span.0 && second < watch.span.1 {
+            half = half.or((aside * 2 >= watch.relays).then(|| second + 1 - watch.span.0));
+            whole = whole.or((aside == watch.relays).then(|| second + 1 - watch.span.0));
+        } else if second >= watch.span.1 && aside == 0 && report.back_s.is_none() {
+            report.back_s = Some(second - watch.span.1);
+        }
+    }
+    report.aside_s = half.zip(whole);
+    report
+}
+
+/// A placement of a key moves from one unit to another while relays are cut off and hear of it late: for how many
+/// milliseconds two relays would place the same key differently. `fence`: as it runs, or not at all.
+pub fn moving_place(relays: usize, seed: u64, fenced: bool) -> u64 {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    const MOVED: u64 = 20_000;
+    let mut apart = 0;
+    // Each relay: when it learns, and when it is cut off.
+    let all: Vec<(u64, u64, u64)> = (0..relays)
+        .map(|_| {
+            let cut = if rng.random_bool(0.3) { rng.random_range(5_000..30_000) } else { u64::MAX };
+            let until = cut.saturating_add(rng.random_range(200..25_000));
+            let learns = MOVED + rng.random_range(20..1400);
+            let learns =
+                if (cut..until).contains(&learns) { until + rng.random_range(20..800) } else { learns };
+            (learns, cut, until)
+        })
+        .collect();
+    for now in (0..60_000).step_by(10) {
+        let mut places = [false; 2];
+        for &(learns, cut, until) in &all {
+            // The core shows each second that it agrees; its word is up to a second and its way old. It says upon
+            // what: a relay that has not learned of the move is in touch with nothing later.
+            let heard =
+                if (cut..until).contains(&now) { cut.saturating_sub(200) } else { now.saturating_sub(1200) };
+            let new = now >= learns;
+            let touched = if new { heard } else { heard.min(MOVED) };
+            let may = !fenced || may_place(now, Some(touched), new.then_some(learns)).is_ok();
+            places[usize::from(new)] |= may;
+        }
+        apart += if places[0] && places[1] { 10 } else { 0 };
+    }
+    apart
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn no_two_relays_place_a_key_differently_whoever_is_cut_off() {
+        let mut without = 0;
+        for seed in 0..300 {
+            assert_eq!(moving_place(30, seed, true), 0, "seed {seed}");
+            without += moving_place(30, seed, false);
+        }
+        assert!(without > 100_000, "without lease and fence they do: {without}");
+    }
+}
--- a/crates/beechcroft-trail/src/carry.rs
+++ b/crates/beechcroft-trail/src/carry.rs
@@ -4,6 +4,7 @@
 use crate::guide::{Command, Queue};
 use crate::offer::{self, Answer, Offer};
 use crate::shared::Shared;
+use beechcroft_belvedere::lease::{self, Bar};
 use beechcroft_crossing::{Crossing, End, Next};
 use beechcroft_hutbook::Stage;
 use beechcroft_junction::{Table, Way};
@@ -24,10 +25,6 @@
 
 /// Parts of a request's aim: least and most time after which a second unit may be asked beside the first.
 const PATIENCE: [f64; 2] = [0.25, 0.6];
-/// A relay that has lost touch with the core goes on with the placement it holds for so long.
-pub const HOLD_MS: u64 = 4000;
-/// A key's new place is used once every relay either knows of it or has stopped: longer than that, and the news' way.
-const FENCE_MS: u64 = HOLD_MS + 1500;
 /// Part of its aim after which a client that was refused should come back.
 const BACK_PART: f64 = 0.2;
 /// With less than this left, no further unit is asked.
@@ -208,18 +205,24 @@
             return None;
         }
         let now = self.shared.now();
-        if self.shared.touched_at.get().is_none_or(|at| now > at + HOLD_MS) {
-            return Some(Kind::OutOfTouch);
-        }
+        let bar = lease::may_place(now, self.shared.touched_at.get(), self.moved_at());
+        bar.err().map(|bar| match bar {
+            Bar::OutOfTouch => Kind::OutOfTouch,
+            Bar::Moving => Kind::Moving,
+        })
+    }
+
+    /// When this relay learned that the place of the request's key is another, if that is of late.
+    fn moved_at(&self) -> Option<u64> {
         let (key, service) = (self.task.key?, self.task.service());
         let moved = self.shared.moved.borrow();
-        let (_, before) = moved.get(service).filter(|(at, _)| now < at + FENCE_MS)?;
+        let (at, before) = moved.get(service)?;
         let orders = self.shared.orders.borrow();
         let placement = orders.placements.get(service);
         let yard = self.shared.yard.borrow();
         let then = yard.sole(service, key, |id| before.contains(id));
         let next = yard.sole(service, key, |id| placement.is_some_and(|held| held.aside.contains(id)));
-        (then != next).then_some(Kind::Moving)
+        (then != next).then_some(*at)
     }
 
     fn want(&self) -> Want<'_> {
--- a/crates/beechcroft-trail/src/guide.rs
+++ b/crates/beechcroft-trail/src/guide.rs
@@ -427,6 +427,9 @@
         let clock =
             std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |d| d.as_secs());
         let mut words = Vec::new();
+        let regions: std::collections::BTreeSet<&str> =
+            self.shared.settings.zones.values().map(String::as_str).collect();
+        let regions = regions.len().max(1);
         for service in &table.services {
             let Some(rules) = &service.unfit else { continue };
             let bench = self.benches.entry(service.name.clone()).or_default();
@@ -451,7 +454,7 @@
             }
             let mut yard = self.shared.yard.borrow_mut();
             let places = yard.service(&service.name);
-            let verdicts = bench.verdicts(rules, places.len());
+            let verdicts = bench.verdicts(rules, places.len(), regions);
             for place in places {
                 let unit = short(&place.id);
                 place.unfit = match verdicts.get(&unit) {
--- a/crates/beechcroft-trail/tests/request.rs
+++ b/crates/beechcroft-trail/tests/request.rs
@@ -455,7 +455,7 @@
         stand.shared.touched_at.set(Some(stand.shared.now()));
         client.write_all(post("c").as_bytes()).await.unwrap();
         assert_eq!(answer(&mut client).await.unwrap().0, 200);
-        stand.shared.touched_at.set(Some(stand.shared.now() - beechcroft_trail::carry::HOLD_MS - 1));
+        stand.shared.touched_at.set(Some(stand.shared.now() - beechcroft_belvedere::lease::HOLD_MS - 1));
         client.write_all(post("d").as_bytes()).await.unwrap();
         assert_eq!(answer(&mut client).await.unwrap().0, 503, "it goes on for a stated time only");
     });
