Seats: a machine that is gone for good is replaced; what a former life accepted does not count

Cause: read in review: an answer of a disk's former life, late on the way, could complete a majority whose copy was lost with it; voters now tell lives with their answers and the proposer leaves out what is older. Voters were fixed for good. Change: a voter is a seat; an empty machine that waits takes one whose holder is down for 4 s, by the same fence as a lost disk; the former holder learns of it and votes no more. Tests: both, each failing without its line.

--- a/crates/beechcroft-hut/src/keeper.rs
+++ b/crates/beechcroft-hut/src/keeper.rs
@@ -28,6 +28,8 @@
 /// The operator asks another machine after a second of silence.
 pub const ORDER_MS: u64 = 2500;
 const FENCE_EVERY_MS: u64 = 300;
+/// A voter that has been down for so long gives its seat to a machine that waits for one.
+const VACANT_MS: u64 = 4000;
 const CONDUCT_EVERY_MS: u64 = 200;
 const PLACE_EVERY_MS: u64 = 1000;
 /// Since the last new core machine, before the first voters are named.
@@ -95,6 +97,10 @@
     place_at: u64,
     /// Rounds that are to show that the core agrees.
     touches: HashSet<OrderId>,
+    /// The seats and who holds them, as told to this machine while it has none.
+    told_seats: Option<(Vec<String>, beechcroft_hutbook::Lives)>,
+    /// A seat whose machine is down, and since when.
+    vacant: Option<(String, u64)>,
     answers: HashMap<OrderId, oneshot::Sender<Answer>>,
     next_order: OrderId,
     pulling: [u64; 2],
@@ -137,6 +143,8 @@
             wished: HashMap::new(),
             place_at: 0,
             touches: HashSet::new(),
+            told_seats: None,
+            vacant: None,
             answers: HashMap::new(),
             next_order: 0,
             pulling: [0; 2],
@@ -235,6 +243,9 @@
             }
             Command::Ask(ask, answer) => self.ask(ask, answer),
             Command::Replied { from, register, ballot, reply } => {
+                if let Reply::Accepted { lives, .. } | Reply::Refused { lives, .. } = &reply {
+                    self.learn_lives(lives);
+                }
                 self.propose(Event::Reply { from, register, ballot, reply });
             }
             Command::Fenced { from, life, reply } => self.fenced(&from, life, reply),
@@ -313,6 +324,22 @@
         });
     }
 
+    /// The machine that holds a seat, as far as is known.
+    fn holder(&self, seat: &str) -> String {
+        let lives = self.voter.identity.as_ref().map(|identity| &identity.lives);
+        lives.and_then(|lives| lives.get(seat)).map_or_else(|| seat.to_owned(), |(_, holder)| holder.clone())
+    }
+
+    /// Others know of seats that have been taken over, this machine's own perhaps.
+    fn learn_lives(&mut self, lives: &beechcroft_hutbook::Lives) {
+        let Some(records) = self.voter.learn(lives) else { return };
+        if self.voter.identity.is_none() {
+            log::warn!("keeper: Another machine holds this one's seat; it does not vote any more.");
+        }
+        self.put_down(records);
+        self.votes();
+    }
+
     /// This machine's own part as a voter: the reply goes out once what it says is on disk.
     fn ask(&mut self, ask: Ask, answer: oneshot::Sender<Reply>) {
         let (reply, records) = self.voter.ask(ask);
@@ -366,7 +393,8 @@
         let bytes = postcard::to_stdvec(ask).expect("plain data");
         for from in voters {
             let queue = self.queue.clone();
-            if from == self.cairns.me.name {
+            let holder = self.holder(&from);
+            if holder == self.cairns.me.name {
                 let (answer, told) = oneshot::channel();
                 self.ask(ask.clone(), answer);
                 spawn_local(async move {
@@ -374,7 +402,7 @@
                         let _ = queue.send(Command::Replied { from, register, ballot, reply });
                     }
                 });
-            } else if let Some(to) = self.cairns.member(&from).map(|m| self.cairns.address(m)) {
+            } else if let Some(to) = self.cairns.member(&holder).map(|m| self.cairns.address(m)) {
                 let (errands, bytes) = (self.errands.clone(), bytes.clone());
                 spawn_local(async move {
                     let reply = errands.run(to, "/ask", bytes, ASK_WITHIN).await;
@@ -441,6 +469,7 @@
             return;
         }
         let me = self.cairns.me.name.clone();
+        let me_again = me.clone();
         let mut names: Vec<String> =
             self.cairns.known().filter(|m| m.core && m.quorum).map(|m| m.name.clone()).collect();
         if self.settings.bootstrap {
@@ -465,7 +494,8 @@
             return;
         }
         self.fence_at = now + FENCE_EVERY_MS;
-        let Some(ask) = self.voter.fence() else { return };
+        let Some(seat) = self.seat(now, &me_again) else { return };
+        let Some(ask) = self.voter.fence(&seat) else { return };
         let Ask::Fence { life, .. } = ask else { return };
         let bytes = postcard::to_stdvec(&ask).expect("plain data");
         for from in names {
@@ -480,7 +510,40 @@
         }
     }
 
+    /// The seat that a machine without one asks for: its own after a lost disk. A machine that never had one takes the
+    /// seat of one that has long been down, if it is the first of those that wait.
+    fn seat(&mut self, now: u64, me: &str) -> Option<String> {
+        let Some((voters, lives)) = &self.told_seats else { return Some(me.to_owned()) };
+        if voters.iter().any(|seat| lives.get(seat).map_or(seat == me, |(_, holder)| holder == me)) {
+            return Some(me.to_owned()).filter(|me| voters.contains(me)).or_else(|| {
+                voters.iter().find(|seat| lives.get(*seat).is_some_and(|(_, holder)| holder == me)).cloned()
+            });
+        }
+        let holder = |seat: &String| lives.get(seat).map_or(seat.clone(), |(_, holder)| holder.clone());
+        let up = |name: &str| self.cairns.alive().any(|m| m.name == name);
+        let waits = |m: &&Member| m.core && m.quorum && !voters.iter().any(|seat| holder(seat) == m.name);
+        let first = self.cairns.alive().filter(waits).all(|m| m.name.as_str() > me);
+        let vacant = voters.iter().find(|seat| !up(&holder(seat))).cloned();
+        let Some(vacant) = vacant.filter(|_| first) else {
+            self.vacant = None;
+            return None;
+        };
+        let (seat, since) = self.vacant.get_or_insert((vacant.clone(), now));
+        if *seat != vacant {
+            (*seat, *since) = (vacant.clone(), now);
+        }
+        (now >= *since + VACANT_MS).then_some(vacant)
+    }
+
     fn fenced(&mut self, from: &str, life: u64, reply: Reply) {
+        if let Reply::Copy { voters, lives, .. } = &reply {
+            self.told_seats = Some((voters.clone(), lives.clone()));
+        }
+        // What counts is the seat that the machine holds.
+        let held = self.told_seats.as_ref().and_then(|(_, lives)| {
+            lives.iter().find(|(_, (_, holder))| holder == from).map(|(seat, _)| seat.clone())
+        });
+        let from = held.as_deref().unwrap_or(from);
         if let Some(records) = self.voter.fenced(from, life, reply) {
             log::info!("keeper: The lost disk is made good; this machine votes again.");
             self.keep_identity(records);
--- a/crates/beechcroft-hutbook/src/lib.rs
+++ b/crates/beechcroft-hutbook/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use proposer::{Action, Answer, Event, Proposer};
 pub use state::{Book, Op, Orders, Placement, Rollout, Stage};
-pub use voter::{Ask, Identity, Reply, Voter};
+pub use voter::{Ask, Identity, Lives, Reply, Voter};
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/beechcroft-hutbook/src/proposer.rs
+++ b/crates/beechcroft-hutbook/src/proposer.rs
@@ -1,6 +1,6 @@
 //! Rounds of ballots: how an order becomes part of a chosen value.
 
-use crate::voter::{Ask, Reply};
+use crate::voter::{Ask, Lives, Reply};
 use crate::{Ballot, Book, Op, Orders, Seat, Value, BOOK, ORDERS};
 use beechcroft_kinds::{Fault, Kind};
 use rand::{RngExt, SeedableRng};
@@ -59,7 +59,9 @@
     /// What this machine's own voter had accepted as the round began: others need not send it.
     have: Option<(Ballot, Value)>,
     /// Once promises of a majority are there: the value and who has accepted it.
-    offered: Option<(Value, BTreeSet<String>)>,
+    offered: Option<(Value, BTreeMap<String, u64>)>,
+    /// Lives that voters told of with their answers.
+    lives: Lives,
     refusals: BTreeSet<String>,
     /// The orders it carries, with their outcome if it ends well.
     carried: Vec<(Waiting, Result<(), Fault>)>,
@@ -164,6 +166,7 @@
             best: None,
             have,
             offered: None,
+            lives: Lives::new(),
             refusals: BTreeSet::new(),
             carried: Vec::new(),
         });
@@ -174,7 +177,7 @@
     fn reply(
         &mut self, now: u64, from: &str, register: usize, ballot: Ballot, reply: Reply, out: &mut Vec<Action>,
     ) {
-        if let Reply::Refused { promised } = &reply {
+        if let Reply::Refused { promised, .. } = &reply {
             self.count = self.count.max(promised.count);
         }
         let (majority, all) = (self.majority(), self.voters.len());
@@ -203,9 +206,20 @@
                     self.offer(register, out);
                 }
             }
-            (Reply::Accepted { .. }, Some((_, accepted))) => {
-                accepted.insert(from.to_owned());
-                if accepted.len() >= majority {
+            (Reply::Accepted { life, lives }, Some((_, accepted))) => {
+                accepted.insert(from.to_owned(), life);
+                for (seat, known) in lives {
+                    let held = round.lives.entry(seat).or_default();
+                    if held.0 < known.0 {
+                        *held = known;
+                    }
+                }
+                // What a seat's former life has accepted is lost with it. Any majority has a voter that was asked to
+                // fence that life, so one of these answers tells of the later one.
+                let lives = &round.lives;
+                let counts =
+                    |(seat, life): &(&String, &u64)| lives.get(*seat).is_none_or(|known| known.0 <= **life);
+                if accepted.iter().filter(counts).count() >= majority {
                     self.choose(register, out);
                 }
             }
@@ -247,7 +261,7 @@
             None => held,
         };
         let seats: Vec<Seat> = round.promises.iter().map(|(name, &(life, _))| (name.clone(), life)).collect();
-        round.offered = Some((value.clone(), BTreeSet::new()));
+        round.offered = Some((value.clone(), BTreeMap::new()));
         let ballot = round.ballot;
         // Whoever holds the very value, as nothing changes, is only told so.
         let holds = |voter: &String| {
--- a/crates/beechcroft-hutbook/src/voter.rs
+++ b/crates/beechcroft-hutbook/src/voter.rs
@@ -14,31 +14,36 @@
     Accept { register: usize, ballot: Ballot, value: Value, seats: Vec<Seat> },
     /// Accept under this ballot the value that was accepted under an earlier one, which needs not be sent again.
     Confirm { register: usize, ballot: Ballot, of: Ballot, seats: Vec<Seat> },
-    /// A machine's disk was lost and its new life begins: let no round stand on the former one.
-    Fence { name: String, life: u64 },
+    /// A seat's disk was lost, or its machine is gone for good, and a new life begins on that machine: let no round
+    /// stand on the former one.
+    Fence { seat: String, life: u64, holder: String },
+}
+
+/// Of each seat, the latest life known of its disk, and the machine that holds it.
+pub type Lives = BTreeMap<String, (u64, String)>;
+
+/// Takes what another knows of lives; whether anything was new.
+pub fn learn(lives: &mut Lives, told: &Lives) -> bool {
+    let mut new = false;
+    for (seat, (life, holder)) in told {
+        if lives.get(seat).is_some_and(|held| held.0 < *life) {
+            lives.insert(seat.clone(), (*life, holder.clone()));
+            new = true;
+        }
+    }
+    new
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Reply {
     /// No value where the one who asked has it.
-    Promise {
-        life: u64,
-        accepted: Option<(Ballot, Option<Value>)>,
-    },
-    Accepted {
-        life: u64,
-    },
+    Promise { life: u64, accepted: Option<(Ballot, Option<Value>)> },
+    /// With the lives that the voter knows: what a former life of another seat says does not count beside it.
+    Accepted { life: u64, lives: Lives },
     /// A later ballot has been promised, or the round stands on a lost disk.
-    Refused {
-        promised: Ballot,
-    },
-    /// All that a voter holds; `life` is the highest one known of the machine that asked.
-    Copy {
-        life: u64,
-        voters: Vec<String>,
-        lives: BTreeMap<String, u64>,
-        registers: [Register; 2],
-    },
+    Refused { promised: Ballot, lives: Lives },
+    /// All that a voter holds; `life` is the highest one known of the seat that was asked for.
+    Copy { life: u64, voters: Vec<String>, lives: Lives, registers: [Register; 2] },
     /// Not a voter, or not yet again.
     Learner,
 }
@@ -52,10 +57,12 @@
 /// Who a voter is: kept on its disk before it first votes.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Identity {
+    /// The seat that this machine holds: named for the machine that held it first.
+    pub seat: String,
     pub life: u64,
+    /// The seats.
     pub voters: Vec<String>,
-    /// The latest life known of each voter's disk.
-    pub lives: BTreeMap<String, u64>,
+    pub lives: Lives,
 }
 
 /// One core machine's part in the agreement.
@@ -73,7 +80,14 @@
     registers: [Register; 2],
     salt: u64,
     /// While it learns: its new life, and the copies of those that have fenced the former one.
-    learning: Option<(u64, BTreeMap<String, [Register; 2]>)>,
+    learning: Option<Learning>,
+}
+
+#[derive(Debug)]
+struct Learning {
+    seat: String,
+    life: u64,
+    copies: BTreeMap<String, [Register; 2]>,
 }
 
 /// What is to be on disk before a reply goes out.
@@ -115,38 +129,43 @@
 
     /// At the first start of the whole system: the voters are these.
     pub fn found(&mut self, voters: Vec<String>) -> Records {
-        let lives = voters.iter().map(|name| (name.clone(), 1)).collect();
-        self.identity = Some(Identity { life: 1, voters, lives });
+        let lives = voters.iter().map(|name| (name.clone(), (1, name.clone()))).collect();
+        self.identity = Some(Identity { seat: self.name.clone(), life: 1, voters, lives });
         vec![record("identity", self.identity.as_ref().expect("just set"))]
     }
 
-    /// What to ask all others for, while this machine learns.
-    pub fn fence(&mut self) -> Option<Ask> {
+    /// What to ask all others for, while this machine learns: its own seat after a lost disk, or one whose machine is
+    /// gone for good.
+    pub fn fence(&mut self, seat: &str) -> Option<Ask> {
         if self.identity.is_some() {
             return None;
         }
-        let (life, _) = self.learning.get_or_insert((2 + (self.salt >> 2), BTreeMap::new()));
-        Some(Ask::Fence { name: self.name.clone(), life: *life })
+        if self.learning.as_ref().is_none_or(|learning| learning.seat != seat) {
+            let life = 2 + (self.salt >> 2);
+            self.learning = Some(Learning { seat: seat.to_owned(), life, copies: BTreeMap::new() });
+        }
+        let learning = self.learning.as_ref()?;
+        Some(Ask::Fence { seat: learning.seat.clone(), life: learning.life, holder: self.name.clone() })
     }
 
-    /// An answer to a fence. Records, once this machine votes again.
+    /// An answer to a fence, from the machine that holds another seat. Records, once this machine votes.
     pub fn fenced(&mut self, from: &str, asked_life: u64, reply: Reply) -> Option<Records> {
-        let Reply::Copy { life, voters, lives, registers } = reply else { return None };
-        let (mine, copies) = self.learning.as_mut()?;
-        if life > *mine {
+        let Reply::Copy { life, voters, mut lives, registers } = reply else { return None };
+        let learning = self.learning.as_mut()?;
+        if life > learning.life {
             // Others know a later life: begin again above it.
-            (*mine, *copies) = (life + 1, BTreeMap::new());
+            (learning.life, learning.copies) = (life + 1, BTreeMap::new());
             return None;
         }
-        if asked_life != *mine || !voters.contains(&self.name) {
+        if asked_life != learning.life || !voters.contains(&learning.seat) || from == learning.seat {
             return None;
         }
-        copies.insert(from.to_owned(), registers);
-        if copies.len() < voters.len() - self.losses {
+        learning.copies.insert(from.to_owned(), registers);
+        if learning.copies.len() < voters.len() - self.losses {
             return None;
         }
-        let life = *mine;
-        for copy in std::mem::take(copies).into_values() {
+        let Learning { seat, life, copies } = self.learning.take()?;
+        for copy in copies.into_values() {
             for (held, theirs) in self.registers.iter_mut().zip(copy) {
                 held.promised = held.promised.max(theirs.promised);
                 if theirs.accepted.as_ref().map(|a| a.0) > held.accepted.as_ref().map(|a| a.0) {
@@ -154,10 +173,8 @@
                 }
             }
         }
-        self.learning = None;
-        let mut lives = lives;
-        lives.insert(self.name.clone(), life);
-        self.identity = Some(Identity { life, voters, lives });
+        lives.insert(seat.clone(), (life, self.name.clone()));
+        self.identity = Some(Identity { seat, life, voters, lives });
         Some(vec![
             record("register-0", &self.registers[0]),
             record("register-1", &self.registers[1]),
@@ -165,6 +182,22 @@
         ])
     }
 
+    /// Takes what others know of lives. A machine whose seat has a later life elsewhere does not vote any more: what
+    /// is to be on disk, if anything was new.
+    pub fn learn(&mut self, told: &Lives) -> Option<Records> {
+        let identity = self.identity.as_mut()?;
+        if !learn(&mut identity.lives, told) {
+            return None;
+        }
+        let deposed = identity.lives.get(&identity.seat).is_some_and(|(life, _)| *life > identity.life);
+        if deposed {
+            self.identity = None;
+            self.registers = Default::default();
+            return Some(vec![("identity".to_owned(), Vec::new())]);
+        }
+        Some(vec![record("identity", identity)])
+    }
+
     /// Takes an ask: the reply, and what must be on disk before it goes out.
     pub fn ask(&mut self, ask: Ask) -> (Reply, Records) {
         let Some(identity) = &mut self.identity else { return (Reply::Learner, Vec::new()) };
@@ -172,7 +205,8 @@
             Ask::Prepare { register, ballot, have } => {
                 let held = &mut self.registers[register];
                 if ballot <= held.promised {
-                    return (Reply::Refused { promised: held.promised }, Vec::new());
+                    let lives = identity.lives.clone();
+                    return (Reply::Refused { promised: held.promised, lives }, Vec::new());
                 }
                 held.promised = ballot;
                 let accepted = held.accepted.as_ref();
@@ -192,14 +226,13 @@
                 };
                 Self::accept(identity, &mut self.registers[register], register, ballot, &seats, held)
             }
-            Ask::Fence { name, life } => {
-                let known = identity.lives.entry(name).or_insert(0);
-                let mut records = Vec::new();
-                if life > *known {
-                    *known = life;
+            Ask::Fence { seat, life, holder } => {
+                let known = identity.lives.entry(seat).or_insert((0, holder.clone()));
+                if life > known.0 {
+                    *known = (life, holder);
                 }
-                let life = *known;
-                records.push(record("identity", self.identity.as_ref().expect("just set")));
+                let life = known.0;
+                let records = vec![record("identity", identity)];
                 let identity = self.identity.as_ref().expect("checked above");
                 let reply = Reply::Copy {
                     life,
@@ -217,11 +250,14 @@
         value: impl FnOnce(&Register) -> Option<Value>,
     ) -> (Reply, Records) {
         let lost =
-            seats.iter().any(|(name, life)| identity.lives.get(name).is_some_and(|known| known > life));
+            seats.iter().any(|(seat, life)| identity.lives.get(seat).is_some_and(|known| known.0 > *life));
         let value = if ballot < held.promised || lost { None } else { value(held) };
-        let Some(value) = value else { return (Reply::Refused { promised: held.promised }, Vec::new()) };
+        let lives = identity.lives.clone();
+        let Some(value) = value else {
+            return (Reply::Refused { promised: held.promised, lives }, Vec::new());
+        };
         held.promised = ballot;
         held.accepted = Some((ballot, value));
-        (Reply::Accepted { life: identity.life }, vec![record(&format!("register-{register}"), held)])
+        (Reply::Accepted { life: identity.life, lives }, vec![record(&format!("register-{register}"), held)])
     }
 }
--- a/crates/beechcroft-hutbook/tests/agreement.rs
+++ b/crates/beechcroft-hutbook/tests/agreement.rs
@@ -269,7 +269,7 @@
                 let mut out = Vec::new();
                 self.tell(at, Event::Tick, &mut out);
                 self.act(at, out);
-                if let Some(ask) = self.machines[at].voter.fence() {
+                if let Some(ask) = self.machines[at].voter.fence(&name(at)) {
                     let others = (0..self.machines.len()).filter(|&to| to != at);
                     let asks: Vec<Message> =
                         others.map(|to| Message::Ask { to, from: at, ask: ask.clone() }).collect();
@@ -396,7 +396,7 @@
     core.restart(0, true);
     core.restart(1, true);
     // Two of the five are learners: three whole disks are needed, and only two answer.
-    let ask = core.machines[0].voter.fence().unwrap();
+    let ask = core.machines[0].voter.fence("hut-0").unwrap();
     let Ask::Fence { life, .. } = ask.clone() else { panic!() };
     for from in [2, 3] {
         let (reply, _) = core.machines[from].voter.ask(ask.clone());
@@ -408,3 +408,56 @@
     let (reply, _) = core.machines[4].voter.ask(ask);
     assert!(core.machines[0].voter.fenced(&name(4), life, reply).is_some());
 }
+
+#[test]
+fn what_a_lost_disk_accepted_in_its_former_life_does_not_count() {
+    // hut-0 accepts and loses its disk; its answer is still on the way as the others fence that life.
+    let mut core = Core::new(3, 1);
+    let ballot = Ballot { count: 7, nonce: 1 };
+    let seats = vec![(name(1), 1), (name(2), 1)];
+    let value = Value { rev: 1, bytes: vec![1] };
+    let accept = Ask::Accept { register: BOOK, ballot, value: value.clone(), seats };
+    let (late, _) = core.machines[0].voter.ask(accept.clone());
+    core.restart(0, true);
+    core.settle(3);
+    let (now, _) = core.machines[1].voter.ask(accept);
+    let Reply::Accepted { lives, .. } = &now else { panic!("{now:?}") };
+    let Reply::Accepted { life, .. } = late else { panic!() };
+    assert!(lives["hut-0"].0 > life, "whoever accepts after the fence tells of the later life");
+}
+
+#[test]
+fn a_machine_that_is_gone_for_good_is_replaced_in_its_seat_and_what_it_says_later_does_not_count() {
+    let mut core = Core::new(5, 4);
+    core.order(0, 1, 5, 0);
+    core.settle(8);
+    // Two machines are gone; an empty one takes the seat of the first.
+    let mut new = Voter::new("hut-9", 2, 77, &Table::new());
+    let ask = new.fence("hut-0").unwrap();
+    let Ask::Fence { life, .. } = ask.clone() else { panic!() };
+    for from in [2, 3, 4] {
+        let (reply, _) = core.machines[from].voter.ask(ask.clone());
+        new.fenced(&name(from), life, reply);
+    }
+    let identity = new.identity.clone().expect("three whole disks are enough for two losses");
+    assert_eq!((identity.seat.as_str(), identity.lives["hut-0"].1.as_str()), ("hut-0", "hut-9"));
+    let (reply, _) = new.ask(Ask::Prepare {
+        register: BOOK,
+        ballot: Ballot { count: 99, nonce: 5 },
+        have: Ballot::default(),
+    });
+    let Reply::Promise { accepted: Some((_, Some(value))), .. } = reply else { panic!("{reply:?}") };
+    assert_eq!(
+        postcard::from_bytes::<Book>(&value.bytes).unwrap().version,
+        5,
+        "it holds what was acknowledged"
+    );
+    // The former machine wakes: a round that stands on its promise is refused, and by that it learns that it is none.
+    let seats = vec![(name(0), 1), (name(1), 1), (name(2), 1)];
+    let ballot = Ballot { count: 100, nonce: 1 };
+    let value = Value { rev: 9, bytes: vec![9] };
+    let (reply, _) = core.machines[2].voter.ask(Ask::Accept { register: BOOK, ballot, value, seats });
+    let Reply::Refused { lives, .. } = reply else { panic!("{reply:?}") };
+    assert!(core.machines[0].voter.learn(&lives).is_some());
+    assert!(core.machines[0].voter.identity.is_none(), "it does not vote any more");
+}
