--- a/crates/beechcroft-cairns/src/letter.rs
+++ b/crates/beechcroft-cairns/src/letter.rs
@@ -63,6 +63,8 @@
     /// The rollout's begin and stage that the sign speaks of.
     pub begun: u64,
     pub stage: u8,
+    /// For how long the relay has known of the stage.
+    pub stage_ms: u32,
     pub alarm: bool,
     /// Expected log ratio a tick, in nats.
     pub divergence: f32,
--- a/crates/beechcroft-hut/src/keeper.rs
+++ b/crates/beechcroft-hut/src/keeper.rs
@@ -649,15 +649,19 @@
             }
             let mut view = View { stage, stage_ms: now - since, ramp_ms: rollout.ramp_ms, ..View::default() };
             let signs = self.cairns.signs(now, service);
-            let mut told = 0.0;
+            let (mut told, mut ages) = (0.0, Vec::new());
             for sign in signs.filter(|sign| (sign.begun, sign.stage) == (rollout.begun, stage)) {
                 view.trials += sign.trials;
                 view.failures += sign.failures;
                 view.alarm |= sign.alarm;
                 view.old_open += sign.old_open;
                 view.good += f64::from(sign.good);
+                ages.push(u64::from(sign.stage_ms));
                 told += 1.0;
             }
+            // A hut that was just started does not know how long a stage has lasted; most of the edges do.
+            ages.sort_unstable();
+            view.stage_ms = view.stage_ms.max(ages.get(ages.len() / 2).copied().unwrap_or(0));
             view.good /= f64::max(told, 1.0);
             for unit in self.cairns.units.all() {
                 let warm =
--- a/crates/beechcroft-trail/src/guide.rs
+++ b/crates/beechcroft-trail/src/guide.rs
@@ -72,6 +72,8 @@
     sync_at: u64,
     count: u32,
     benches: HashMap<String, Bench>,
+    /// Since when each rollout stands at its stage, as this relay knows.
+    stages: HashMap<String, (u64, u8, u64)>,
     post: Post,
     errands: Errands,
     queue: Queue,
@@ -96,6 +98,7 @@
             sync_at: 0,
             count: 0,
             benches: HashMap::new(),
+            stages: HashMap::new(),
             post,
             errands,
             queue,
@@ -344,6 +347,13 @@
                 continue;
             };
             judge.stage(rollout.begun, stage);
+            let since = match self.stages.get(service) {
+                Some(&(begun, at, since)) if (begun, at) == (rollout.begun, stage) => since,
+                _ => {
+                    self.stages.insert(service.clone(), (rollout.begun, stage, now));
+                    now
+                }
+            };
             let me = &self.cairns.me.name;
             let peers = self.cairns.signs(now, service);
             let peers = peers.filter(|s| s.relay != *me && (s.begun, s.stage) == (rollout.begun, stage));
@@ -371,6 +381,7 @@
                     service: service.clone(),
                     begun: rollout.begun,
                     stage,
+                    stage_ms: (now - since) as u32,
                     alarm: stand.bit,
                     divergence: stand.divergence as f32,
                     trials: stand.count.trials,
