--- a/crates/beechcroft-hut/src/keeper.rs
+++ b/crates/beechcroft-hut/src/keeper.rs
@@ -29,7 +29,9 @@
 pub const ORDER_MS: u64 = 2500;
 const FENCE_EVERY_MS: u64 = 300;
 /// A voter that has been down for so long gives its seat to a machine that waits for one.
-const VACANT_MS: u64 = 4000;
+const VACANT_MS: u64 = 2500;
+/// The same for one that is leaving.
+const LEFT_MS: u64 = 200;
 const CONDUCT_EVERY_MS: u64 = 200;
 const PLACE_EVERY_MS: u64 = 1000;
 /// Since the last new core machine, before the first voters are named.
@@ -520,7 +522,8 @@
             });
         }
         let holder = |seat: &String| lives.get(seat).map_or(seat.clone(), |(_, holder)| holder.clone());
-        let up = |name: &str| self.cairns.alive().any(|m| m.name == name);
+        let up = |name: &str| self.cairns.alive().any(|m| m.name == name && m.standing < Standing::Leaving);
+        let leaving = |name: &str| self.cairns.member(name).is_some_and(|m| m.standing == Standing::Leaving);
         let waits = |m: &&Member| m.core && m.quorum && !voters.iter().any(|seat| holder(seat) == m.name);
         let first = self.cairns.alive().filter(waits).all(|m| m.name.as_str() > me);
         let vacant = voters.iter().find(|seat| !up(&holder(seat))).cloned();
@@ -528,11 +531,14 @@
             self.vacant = None;
             return None;
         };
+        let left = leaving(&holder(&vacant));
         let (seat, since) = self.vacant.get_or_insert((vacant.clone(), now));
         if *seat != vacant {
             (*seat, *since) = (vacant.clone(), now);
         }
-        (now >= *since + VACANT_MS).then_some(vacant)
+        // One that leaves by order will not be back soon; one that is down may.
+        let patience = if left { LEFT_MS } else { VACANT_MS };
+        (now >= *since + patience).then_some(vacant)
     }
 
     fn fenced(&mut self, from: &str, life: u64, reply: Reply) {
