Large answers are paced over thin links

Change: large answers go in pieces of 8 kB at 0.75 of the link in either direction and are not held whole there.

--- a/crates/beechcroft-map/src/settings.rs
+++ b/crates/beechcroft-map/src/settings.rs
@@ -72,6 +72,8 @@
 pub struct Limits {
     pub memory_mb: u64,
     pub max_fds: u64,
+    /// The machine's own link; 0 where it is not stated.
+    pub link_mbps: f64,
 }
 
 #[derive(Clone, Debug, Deserialize)]
--- a/crates/beechcroft-pace/src/bucket.rs
+++ b/crates/beechcroft-pace/src/bucket.rs
@@ -49,6 +49,28 @@
     }
 }
 
+/// Paces large answers over a thin link, so that small ones need not queue behind them: bytes are given out one piece
+/// after the other, at a part of the link's rate. Times are microseconds.
+#[derive(Clone, Debug, Default)]
+pub struct Flow {
+    bytes_per_s: f64,
+    free_at: f64,
+}
+
+impl Flow {
+    pub fn new(bytes_per_s: f64) -> Flow {
+        Flow { bytes_per_s, free_at: 0.0 }
+    }
+
+    /// How long a piece of so many bytes has to wait for its turn.
+    pub fn wait_us(&mut self, now_us: u64, bytes: usize) -> u64 {
+        let now = now_us as f64;
+        let start = self.free_at.max(now);
+        self.free_at = start + bytes as f64 / self.bytes_per_s.max(1.0) * 1e6;
+        (start - now) as u64
+    }
+}
+
 /// The trial's part of a service's requests: each request earns a part, each trial request spends one.
 #[derive(Clone, Debug, Default)]
 pub struct Share {
@@ -111,6 +133,15 @@
         assert!(sent.len() > 20);
     }
 
+    #[test]
+    fn pieces_of_large_answers_take_turns_at_the_rate_and_an_idle_link_lets_the_first_pass() {
+        let mut flow = Flow::new(1_000_000.0);
+        assert_eq!(flow.wait_us(5_000_000, 8000), 0);
+        assert_eq!(flow.wait_us(5_000_000, 8000), 8000);
+        assert_eq!(flow.wait_us(5_004_000, 8000), 12_000);
+        assert_eq!(flow.wait_us(9_000_000, 8000), 0);
+    }
+
     #[test]
     fn a_trials_share_is_kept_from_its_first_request_on() {
         let mut share = Share::default();
--- a/crates/beechcroft-pace/src/lib.rs
+++ b/crates/beechcroft-pace/src/lib.rs
@@ -4,5 +4,5 @@
 pub mod bucket;
 pub mod yard;
 
-pub use bucket::{Cold, Share, Tries};
+pub use bucket::{Cold, Flow, Share, Tries};
 pub use yard::{Choice, Keyed, Place, Side, Want, Why, Yard};
--- a/crates/beechcroft-trail/src/offer.rs
+++ b/crates/beechcroft-trail/src/offer.rs
@@ -1,6 +1,6 @@
 //! One offer of a request to a unit: a connection, the bytes out, the answer's head and its body.
 
-use crate::shared::Shared;
+use crate::shared::{Shared, PIECE};
 use beechcroft_crossing::End;
 use beechcroft_pass::guard::{self, Ask, Framing, Read, Reply};
 use beechcroft_pass::line::{Body, Line};
@@ -107,8 +107,15 @@
     }
     let mut body = Body::new(reply.framing);
     let mut held = Vec::new();
-    while !body.done() && held.len() < HELD_BYTES {
+    let large = !matches!(reply.framing, Some(Framing::Length(length)) if length <= 2 * PIECE as u64);
+    // Over a thin link, holding a large answer would take as long again as sending it.
+    let most = if large && shared.is_thin() { 2 * PIECE } else { HELD_BYTES };
+    while !body.done() && held.len() < most {
+        let before = held.len();
         part(&mut body, &mut line, &mut held, offer.until).await?;
+        if large {
+            shared.turn(false, held.len() - before).await;
+        }
     }
     if refused {
         if body.done() {
@@ -239,6 +246,20 @@
     }
 }
 
+/// Writes a large answer in pieces, each in its turn.
+pub async fn write_paced(shared: &Shared, line: &mut Line, bytes: &[u8], within: Duration) -> bool {
+    if !shared.is_thin() || bytes.len() <= 2 * PIECE {
+        return write_within(line, bytes, within).await;
+    }
+    for piece in bytes.chunks(PIECE) {
+        shared.turn(true, piece.len()).await;
+        if !write_within(line, piece, within).await {
+            return false;
+        }
+    }
+    true
+}
+
 /// Waits no longer than that for a client to take bytes.
 pub async fn write_within(line: &mut Line, bytes: &[u8], within: Duration) -> bool {
     matches!(timeout(within, line.write(bytes)).await, Ok(Ok(())))
--- a/crates/beechcroft-trail/src/serve.rs
+++ b/crates/beechcroft-trail/src/serve.rs
@@ -3,7 +3,7 @@
 
 use crate::carry::{self, Final, Task};
 use crate::guide::Queue;
-use crate::offer::{push_part, write_within, Answer, Rest};
+use crate::offer::{push_part, write_paced, write_within, Answer, Rest};
 use crate::shared::{Phase, Shared};
 use beechcroft_kinds::Kind;
 use beechcroft_pass::guard::{self, Ask, Framing, Read};
@@ -135,12 +135,12 @@
             log::debug!("serve: {} {} ends as {kind:?}.", ask.id.as_deref().unwrap_or("-"), ask.target);
             answer_own(line, kind, back_ms, keep).await && keep
         }
-        Final::Unit(answer) => pass_on(line, *answer, keep, until).await && keep,
+        Final::Unit(answer) => pass_on(shared, line, *answer, keep, until).await && keep,
     }
 }
 
 /// Sends a unit's answer on as it is. Whether the connection is still sound.
-async fn pass_on(line: &mut Line, answer: Answer, keep: bool, until: Instant) -> bool {
+async fn pass_on(shared: &Shared, line: &mut Line, answer: Answer, keep: bool, until: Instant) -> bool {
     let Answer { reply, body, rest } = answer;
     let mut bytes = Vec::with_capacity(256 + reply.lines.len() + body.len());
     bytes.extend(format!("HTTP/1.1 {} {}\r\n", reply.status, reply.reason).as_bytes());
@@ -158,7 +158,7 @@
     push_part(&mut bytes, &body, chunked);
     drop(body);
     let patience = Duration::from_secs(10);
-    if !write_within(line, &bytes, patience).await {
+    if !write_paced(shared, line, &bytes, patience).await {
         return false;
     }
     let Some(Rest { line: mut unit, body: mut left, guard, .. }) = rest else { return true };
@@ -170,13 +170,14 @@
         if !matches!(timeout_at(until, left.next(&mut unit, &mut some)).await, Ok(Ok(()))) {
             return false;
         }
+        shared.turn(false, some.len()).await;
         push_part(&mut bytes, &some, chunked);
-        if !write_within(line, &bytes, patience).await {
+        if !write_paced(shared, line, &bytes, patience).await {
             return false;
         }
     }
     guard.keep(unit, &reply);
-    !chunked || write_within(line, b"0\r\n\r\n", patience).await
+    !chunked || write_paced(shared, line, b"0\r\n\r\n", patience).await
 }
 
 /// An answer of the system's own.
--- a/crates/beechcroft-trail/src/shared.rs
+++ b/crates/beechcroft-trail/src/shared.rs
@@ -6,7 +6,7 @@
 use beechcroft_hutbook::Orders;
 use beechcroft_junction::Table;
 use beechcroft_map::Settings;
-use beechcroft_pace::{Share, Tries, Yard};
+use beechcroft_pace::{Flow, Share, Tries, Yard};
 use beechcroft_ropes::Judge;
 use beechcroft_saddle::Crowd;
 use std::cell::{Cell, RefCell};
@@ -14,6 +14,13 @@
 use std::rc::Rc;
 use tokio::time::Instant;
 
+/// Links below this are thin: a large answer at full speed would hold up small ones for a good part of their aim.
+const THIN_MBPS: f64 = 100.0;
+/// Of a thin link's rate that large answers have, in either direction.
+const LINK_PART: f64 = 0.75;
+/// Answers above this are large, and go in pieces of this size.
+pub const PIECE: usize = 8 << 10;
+
 /// How this relay stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -31,6 +38,8 @@
     began: Instant,
     /// Usual places of a key where a service does not say; 0: keys are not looked at.
     pub places: usize,
+    /// Large answers coming in and going out, where the link is thin.
+    flows: Option<[RefCell<Flow>; 2]>,
     pub phase: Cell<Phase>,
     pub table: RefCell<Option<Rc<Table>>>,
     pub orders: RefCell<Orders>,
@@ -57,11 +66,15 @@
 
 impl Shared {
     pub fn new(settings: Settings, salt: u64) -> Shared {
+        let mbps = settings.limits.link_mbps;
+        let flow = || RefCell::new(Flow::new(mbps * 125_000.0 * LINK_PART));
+        let flows = (mbps > 0.0 && mbps < THIN_MBPS).then(|| [flow(), flow()]);
         let yard = Yard::new(&settings.region, &settings.zone, salt);
         Shared {
             settings,
             began: Instant::now(),
             places: 0,
+            flows,
             phase: Cell::new(Phase::Coming),
             table: RefCell::new(None),
             orders: RefCell::default(),
@@ -85,6 +98,21 @@
         self.began.elapsed().as_millis() as u64 + 10_000
     }
 
+    /// Waits for the turn of a piece of a large answer; `out`: to the client.
+    pub async fn turn(&self, out: bool, bytes: usize) {
+        let Some(flows) = &self.flows else { return };
+        let now_us = self.began.elapsed().as_micros() as u64;
+        let wait = flows[usize::from(out)].borrow_mut().wait_us(now_us, bytes);
+        if wait > 1000 {
+            tokio::time::sleep(std::time::Duration::from_micros(wait)).await;
+        }
+    }
+
+    /// Whether large answers are paced at all.
+    pub fn is_thin(&self) -> bool {
+        self.flows.is_some()
+    }
+
     /// A request took so long at a unit of a service.
     pub fn took(&self, service: &str, spent: std::time::Duration) {
         let ms = spent.as_secs_f64() * 1000.0;
