Each relay keeps to an even part of its region's units

Cause: 91 relays over 334 units: a relay heard of each unit's load every 16 s and chose blindly at 0.85 of their slots. Change: windows over units in a common order, so many edges each, two at least; the least loaded of the window, then any near one, then far ones. Small sites' windows are all near units: nothing changes there.

--- a/crates/beechcroft-pace/src/yard.rs
+++ b/crates/beechcroft-pace/src/yard.rs
@@ -3,7 +3,7 @@
 //! first among the units of this relay's region, then further off where near ones are full.
 
 use crate::Cold;
-use beechcroft_saddle::{rank, Near, PART};
+use beechcroft_saddle::{key_of, rank, Near, PART};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::HashMap;
@@ -172,6 +172,23 @@
     None,
 }
 
+/// Units that a relay keeps to, at least; and edges that keep to each unit, at least.
+const KEPT: usize = 6;
+const KEEPERS: usize = 2;
+
+fn order_of(id: &str) -> u64 {
+    key_of("", id.as_bytes())
+}
+
+/// A relay's part of units in their order: windows as long as each other, spread evenly, so that as many relays keep
+/// to each unit, and a unit or relay more or less moves every window a little.
+fn window(units: &[usize], (nth, edges): (usize, usize)) -> Vec<usize> {
+    let count = units.len();
+    let length = KEPT.max((KEEPERS * count).div_ceil(edges)).min(count);
+    let from = nth * count / edges;
+    (0..length).map(|step| units[(from + step) % count]).collect()
+}
+
 /// The unit among `usual` ones that a key's request goes to; none if its places, and those after them, are full.
 fn placed(
     places: &[Place], usual: &[usize], keyed: &Keyed, now: u64, region: &str, zone: &str, most: f64,
@@ -208,6 +225,8 @@
 
 #[derive(Debug)]
 pub struct Yard {
+    /// This relay's place among the edges of its region, and how many there are.
+    turn: (usize, usize),
     region: String,
     zone: String,
     services: HashMap<String, Vec<Place>>,
@@ -217,7 +236,7 @@
 impl Yard {
     pub fn new(region: &str, zone: &str, salt: u64) -> Yard {
         let rng = Pcg64Mcg::seed_from_u64(salt);
-        Yard { region: region.into(), zone: zone.into(), services: HashMap::new(), rng }
+        Yard { turn: (0, 1), region: region.into(), zone: zone.into(), services: HashMap::new(), rng }
     }
 
     pub fn places(&self) -> impl Iterator<Item = (&str, &Place)> {
@@ -226,6 +245,19 @@
             .flat_map(|(service, places)| places.iter().map(move |place| (service.as_str(), place)))
     }
 
+    /// Which part of the units this relay keeps to: it is the `nth` of so many edges of its region.
+    pub fn keep_to(&mut self, nth: usize, edges: usize) {
+        self.turn = (nth, edges.max(1));
+    }
+
+    /// Takes a unit in. Places stand in the order of their names' hashes, the same at every relay.
+    pub fn add(&mut self, service: &str, place: Place) {
+        let places = self.service(service);
+        let order = order_of(&place.id);
+        let at = places.partition_point(|held| order_of(&held.id) < order);
+        places.insert(at, place);
+    }
+
     pub fn service(&mut self, service: &str) -> &mut Vec<Place> {
         if !self.services.contains_key(service) {
             self.services.insert(service.to_owned(), Vec::new());
@@ -243,7 +275,7 @@
 
     /// Chooses a unit; what it takes of a cold unit's bound is taken.
     pub fn choose(&mut self, now: u64, service: &str, want: &Want) -> Result<Choice, Why> {
-        let Yard { region, zone, services, rng } = self;
+        let Yard { turn, region, zone, services, rng } = self;
         let places = services.get_mut(service).ok_or(Why::None)?;
         let most = (MOST - MOST_PER_RANK * f64::from(want.priority)).max(1.5);
         let all: Vec<usize> = (0..places.len()).filter(|&at| places[at].fits(want)).collect();
@@ -265,6 +297,10 @@
         }
         let is_near = |at: &usize| *places[*at].region == **region;
         let (near, far): (Vec<usize>, Vec<usize>) = usual.iter().copied().partition(is_near);
+        // Its own part first: what few units tell, and what this relay has open there, says much of them.
+        let all_near: Vec<usize> = all.iter().copied().filter(is_near).collect();
+        let part = if all_near.is_empty() { window(&all, *turn) } else { window(&all_near, *turn) };
+        let kept: Vec<usize> = usual.iter().copied().filter(|at| part.contains(at)).collect();
         let score = |at: usize| {
             let place = &places[at];
             place.fullness(now) + if *place.zone == **zone { 0.0 } else { NEXT_ZONE[usize::from(want.bulk)] }
@@ -281,7 +317,13 @@
             };
             Some(if score(other) < score(one) { other } else { one })
         };
-        let mut best = two(&near);
+        let mut best = match kept.is_empty() {
+            true => two(&near),
+            false if kept.len() < near.len().max(far.len()) => {
+                kept.iter().copied().min_by(|&a, &b| score(a).total_cmp(&score(b)))
+            }
+            false => two(&kept),
+        };
         let full = |at: usize| (places[at].at_unit(now) + 1.0) / f64::from(places[at].capacity);
         if best.is_none_or(|at| full(at) > 1.0) {
             // The near one would wait: look at all near ones, then further off.
@@ -407,6 +449,30 @@
         assert!(sent["i-3"] >= 1, "{sent:?}");
     }
 
+    #[test]
+    fn windows_of_all_relays_cover_units_evenly_and_move_little() {
+        for (edges, count) in [(3, 6), (26, 45), (30, 68), (30, 9), (167, 120)] {
+            let units: Vec<usize> = (0..count).collect();
+            let mut keepers = vec![0; count];
+            for nth in 0..edges {
+                window(&units, (nth, edges)).into_iter().for_each(|unit| keepers[unit] += 1);
+            }
+            let (least, most) = (keepers.iter().min().unwrap(), keepers.iter().max().unwrap());
+            assert!(
+                *least >= 1 && most - least <= 2 + edges / count,
+                "{edges} edges, {count} units: {keepers:?}"
+            );
+            let fewer: Vec<usize> = units.iter().copied().filter(|&unit| unit != count / 2).collect();
+            let moved: usize = (0..edges)
+                .map(|nth| {
+                    let before = window(&units, (nth, edges));
+                    window(&fewer, (nth, edges)).into_iter().filter(|unit| !before.contains(unit)).count()
+                })
+                .sum();
+            assert!(moved <= 2 * edges, "{edges} edges, {count} units: {moved} moved");
+        }
+    }
+
     #[test]
     fn homes_bind_and_full_units_refuse() {
         let mut yard = yard();
--- a/crates/beechcroft-trail/src/guide.rs
+++ b/crates/beechcroft-trail/src/guide.rs
@@ -249,7 +249,7 @@
             let region = self.shared.settings.region_of(&note.zone);
             let place =
                 Place::new(id, note.address, &note.zone, region, &note.version, u32::from(note.capacity));
-            yard.service(&note.service).push(place);
+            yard.add(&note.service, place);
         }
         let orders = self.shared.orders.borrow();
         let table = self.shared.table.borrow();
@@ -282,6 +282,11 @@
 
     fn count_edges(&mut self, _now: u64) {
         self.shared.edges.set(1 + self.cairns.alive().filter(|member| !member.core).count());
+        let order = |name: &str| rapidhash_v3(format!("{name} keeps").as_bytes());
+        let mine = order(&self.cairns.me.name);
+        let beside = || self.cairns.alive().filter(|m| !m.core && m.region == self.cairns.me.region);
+        let nth = beside().filter(|member| order(&member.name) < mine).count();
+        self.shared.yard.borrow_mut().keep_to(nth, beside().count() + 1);
     }
 
     fn tick(&mut self, now: u64, news: &mut Vec<Action>) {
