Rounds that meet go further apart; huts look one after the other after a start

Ruled out: who votes (all founded the same list), disks, restarts (none). Change: pauses double up to 1.9 s; a hut looks only for what its own voter accepted and does not know to be chosen.

--- a/crates/beechcroft-hut/src/keeper.rs
+++ b/crates/beechcroft-hut/src/keeper.rs
@@ -38,6 +38,8 @@
 const SETTLE_MS: u64 = 1000;
 /// How often at most what is known of units and members is put down for the next life of the process.
 const JOT_EVERY_MS: u64 = 500;
+/// Between the huts' first looks after a start.
+const READ_APART_MS: u64 = 120;
 /// Units of a service are watched for so long before its version is put down.
 const BASE_AFTER_MS: u64 = 1200;
 
@@ -449,15 +451,22 @@
             self.settle(now);
             return;
         }
-        if self.read_at == 0 && !self.voter.voters().is_empty() {
-            // What was chosen in a former life is known again once a round has confirmed it.
-            self.read_at = now;
-            self.order(BOOK, Op::Read, None);
-            self.order(ORDERS, Op::Read, None);
-        }
-        let quiet = self.read_at != 0 && (self.held[BOOK].rev == 0 || self.held[ORDERS].rev == 0);
-        if quiet && now > self.read_at + ORDER_MS {
-            self.read_at = 0;
+        if now >= self.read_at {
+            // What this voter has accepted, and does not know to be chosen, a round confirms or replaces. Rounds of
+            // all huts at once would only meet: one at a time looks, in the order of their names.
+            let me = self.cairns.me.name.as_str();
+            let before = self.cairns.alive().filter(|m| m.core && m.name.as_str() < me).count() as u64;
+            let first = self.read_at == 0;
+            self.read_at =
+                now + if first { 1 + before * READ_APART_MS } else { ORDER_MS + before * READ_APART_MS };
+            let behind = |register: &usize| {
+                let accepted = self.voter.register(*register).accepted.as_ref();
+                accepted.is_some_and(|(_, value)| value.rev > self.held[*register].rev)
+            };
+            let behind: Vec<usize> = [BOOK, ORDERS].into_iter().filter(behind).collect();
+            if !first {
+                behind.into_iter().for_each(|register| self.order(register, Op::Read, None));
+            }
         }
         if now >= self.conduct_at {
             self.conduct_at = now + CONDUCT_EVERY_MS;
@@ -583,9 +592,13 @@
             }
         }
         self.unbased.retain(|service, _| found.contains_key(service.as_str()));
+        // One hut does it; another does once that one has not.
+        let me = self.cairns.me.name.as_str();
+        let first = self.cairns.alive().filter(|m| m.core).all(|m| m.name.as_str() > me);
+        let wait = if first { 0 } else { 3 * BASE_AFTER_MS };
         let mut due = Vec::new();
         for (service, versions) in found {
-            let since = *self.unbased.entry(service.to_owned()).or_insert(now);
+            let since = *self.unbased.entry(service.to_owned()).or_insert(now) + wait;
             let most = versions.iter().max_by(|a, b| a.1.cmp(b.1).then(b.0.cmp(a.0)));
             if let Some((version, _)) = most.filter(|_| now >= since + BASE_AFTER_MS) {
                 due.push(Op::Base { service: service.to_owned(), version: (*version).to_owned() });
--- a/crates/beechcroft-hutbook/src/proposer.rs
+++ b/crates/beechcroft-hutbook/src/proposer.rs
@@ -10,6 +10,10 @@
 /// A round that has not ended by then is begun anew.
 const ROUND_MS: u64 = 1200;
 
+/// The pause after a round that met another is drawn from up to twice this, doubled with each further one.
+const BACKOFF_MS: u64 = 30;
+const BACKOFF_DOUBLINGS: u32 = 6;
+
 /// The order, as its caller numbers it.
 pub type OrderId = u64;
 
@@ -147,7 +151,9 @@
             }
         }
         side.tries += 1;
-        side.not_before = now + self.rng.random_range(5..40 * u64::from(side.tries.min(8)) + 6);
+        // A round takes several ways of a message: the more often rounds met, the further apart they go.
+        let most = BACKOFF_MS << side.tries.min(BACKOFF_DOUBLINGS);
+        side.not_before = now + self.rng.random_range(5..most);
     }
 
     fn begin(&mut self, now: u64, register: usize, own: &Own, out: &mut Vec<Action>) {
--- a/crates/beechcroft-hutbook/tests/agreement.rs
+++ b/crates/beechcroft-hutbook/tests/agreement.rs
@@ -461,3 +461,49 @@
     assert!(core.machines[0].voter.learn(&lives).is_some());
     assert!(core.machines[0].voter.identity.is_none(), "it does not vote any more");
 }
+
+/// Five machines with messages that take their time, each with an order at the same moment, again and again: one
+/// of them must get its configuration through soon. Without pauses that grow, rounds kept meeting for a whole day.
+#[test]
+fn rounds_that_meet_go_apart_and_an_order_gets_through() {
+    use std::cmp::Reverse;
+    use std::collections::BinaryHeap;
+    for seed in 0..60 {
+        let mut core = Core::new(5, seed);
+        let mut flights: BinaryHeap<(Reverse<u64>, u64)> = BinaryHeap::new();
+        let mut held: BTreeMap<u64, Message> = BTreeMap::new();
+        let mut next = 0;
+        for at in 0..5 {
+            core.order(at, 1 + at as u64, 5 + at as u32, 0);
+        }
+        let taken = loop {
+            // Each message takes 20 ms, and a slow machine's time besides.
+            while let Some(message) = core.on_the_way.pop_front() {
+                next += 1;
+                let wait = match message {
+                    Message::Synced { .. } => 2,
+                    _ => 25 + core.random(60),
+                };
+                flights.push((Reverse(core.now + wait), next));
+                held.insert(next, message);
+            }
+            core.now += 5;
+            while flights.peek().is_some_and(|(at, _)| at.0 <= core.now) {
+                let (_, id) = flights.pop().unwrap();
+                let message = held.remove(&id).unwrap();
+                core.take(message);
+            }
+            for at in 0..5 {
+                let mut out = Vec::new();
+                core.tell(at, Event::Tick, &mut out);
+                core.act(at, out);
+            }
+            let answered = (1..=5u64).filter(|id| core.answers.contains_key(id)).count();
+            if answered == 5 {
+                break core.now;
+            }
+            assert!(core.now < 8000, "seed {seed}: {answered} of five orders are answered after 8 s");
+        };
+        assert!(taken > 0 && core.answers.values().filter(|answer| answer.is_ok()).count() == 1);
+    }
+}
