--- a/crates/beechcroft-hut/src/keeper.rs
+++ b/crates/beechcroft-hut/src/keeper.rs
@@ -1,13 +1,16 @@
 //! The owner of a core machine's tables: members, units, the voter, this machine's rounds, what is chosen.
 //! Everything reaches it through one queue of commands; it never waits.
 
+mod rollouts;
+mod seats;
+mod show;
+
 use crate::disk::Disk;
 use beechcroft_belvedere::{short, Bench, Verdict};
 use beechcroft_cache::Table;
 use beechcroft_cairns::{Action as News, Cairns, Letter, Member, Standing};
 use beechcroft_hutbook::proposer::{Action as Step, Answer, Event, OrderId};
 use beechcroft_hutbook::{Ask, Ballot, Op, Orders, Proposer, Reply, Stage, Value, Voter, BOOK, ORDERS};
-use beechcroft_kinds::{Fault, Kind};
 use beechcroft_map::config::{Service, Unfit};
 use beechcroft_map::{Config, Settings};
 use beechcroft_pass::errand::Errands;
@@ -293,11 +296,9 @@
                     self.pulling[register] = now + COPY_WITHIN.as_millis() as u64 / 2;
                     let (errands, queue) = (self.errands.clone(), self.queue.clone());
                     spawn_local(async move {
-                        let copy = errands.run(from, "/copy", vec![register as u8], COPY_WITHIN).await;
-                        if let Ok(value) = copy.and_then(|b| {
-                            postcard::from_bytes(&b).map_err(|e| Fault::new(Kind::Malformed, e.to_string()))
-                        }) {
-                            let _ = queue.send(Command::Copied(register, value));
+                        match errands.copy(from, register, COPY_WITHIN).await {
+                            Ok(value) => drop(queue.send(Command::Copied(register, value))),
+                            Err(fault) => log::info!("keeper: A copy did not come: {fault}."),
                         }
                     });
                 }
@@ -330,22 +331,6 @@
         });
     }
 
-    /// The machine that holds a seat, as far as is known.
-    fn holder(&self, seat: &str) -> String {
-        let lives = self.voter.identity.as_ref().map(|identity| &identity.lives);
-        lives.and_then(|lives| lives.get(seat)).map_or_else(|| seat.to_owned(), |(_, holder)| holder.clone())
-    }
-
-    /// Others know of seats that have been taken over, this machine's own perhaps.
-    fn learn_lives(&mut self, lives: &beechcroft_hutbook::Lives) {
-        let Some(records) = self.voter.learn(lives) else { return };
-        if self.voter.identity.is_none() {
-            log::warn!("keeper: Another machine holds this one's seat; it does not vote any more.");
-        }
-        self.put_down(records);
-        self.votes();
-    }
-
     /// This machine's own part as a voter: the reply goes out once what it says is on disk.
     fn ask(&mut self, ask: Ask, answer: oneshot::Sender<Reply>) {
         let (reply, records) = self.voter.ask(ask);
@@ -476,247 +461,6 @@
         }
     }
 
-    /// No identity yet: the first start of the whole system, or a disk that was lost.
-    fn settle(&mut self, now: u64) {
-        if !self.settings.quorum_member {
-            return;
-        }
-        let me = self.cairns.me.name.clone();
-        let me_again = me.clone();
-        let mut names: Vec<String> =
-            self.cairns.known().filter(|m| m.core && m.quorum).map(|m| m.name.clone()).collect();
-        if self.settings.bootstrap {
-            names.push(me);
-            names.sort();
-            let need = 2 * self.settings.fault_tolerance.node_losses + 1;
-            if names.len() != self.cores.0 {
-                self.cores = (names.len(), now);
-            }
-            if names.len() >= need && now >= self.cores.1 + SETTLE_MS {
-                names.truncate(need);
-                if !names.contains(&self.cairns.me.name) {
-                    return;
-                }
-                log::info!("keeper: The first voters are {names:?}.");
-                let records = self.voter.found(names);
-                self.keep_identity(records);
-            }
-            return;
-        }
-        if now < self.fence_at {
-            return;
-        }
-        self.fence_at = now + FENCE_EVERY_MS;
-        let Some(seat) = self.seat(now, &me_again) else { return };
-        let Some(ask) = self.voter.fence(&seat) else { return };
-        let Ask::Fence { life, .. } = ask else { return };
-        let bytes = postcard::to_stdvec(&ask).expect("plain data");
-        for from in names {
-            let Some(to) = self.cairns.member(&from).map(|m| self.cairns.address(m)) else { continue };
-            let (errands, queue, bytes) = (self.errands.clone(), self.queue.clone(), bytes.clone());
-            spawn_local(async move {
-                let reply = errands.run(to, "/ask", bytes, ASK_WITHIN).await;
-                if let Some(reply) = reply.ok().and_then(|bytes| postcard::from_bytes(&bytes).ok()) {
-                    let _ = queue.send(Command::Fenced { from, life, reply });
-                }
-            });
-        }
-    }
-
-    /// The seat that a machine without one asks for: its own after a lost disk. A machine that never had one takes the
-    /// seat of one that has long been down, if it is the first of those that wait.
-    fn seat(&mut self, now: u64, me: &str) -> Option<String> {
-        let Some((voters, lives)) = &self.told_seats else { return Some(me.to_owned()) };
-        if voters.iter().any(|seat| lives.get(seat).map_or(seat == me, |(_, holder)| holder == me)) {
-            return Some(me.to_owned()).filter(|me| voters.contains(me)).or_else(|| {
-                voters.iter().find(|seat| lives.get(*seat).is_some_and(|(_, holder)| holder == me)).cloned()
-            });
-        }
-        let holder = |seat: &String| lives.get(seat).map_or(seat.clone(), |(_, holder)| holder.clone());
-        let up = |name: &str| self.cairns.alive().any(|m| m.name == name && m.standing < Standing::Leaving);
-        let leaving = |name: &str| self.cairns.member(name).is_some_and(|m| m.standing == Standing::Leaving);
-        let waits = |m: &&Member| m.core && m.quorum && !voters.iter().any(|seat| holder(seat) == m.name);
-        let first = self.cairns.alive().filter(waits).all(|m| m.name.as_str() > me);
-        let vacant = voters.iter().find(|seat| !up(&holder(seat))).cloned();
-        let Some(vacant) = vacant.filter(|_| first) else {
-            self.vacant = None;
-            return None;
-        };
-        let left = leaving(&holder(&vacant));
-        let (seat, since) = self.vacant.get_or_insert((vacant.clone(), now));
-        if *seat != vacant {
-            (*seat, *since) = (vacant.clone(), now);
-        }
-        // One that leaves by order will not be back soon; one that is down may.
-        let patience = if left { LEFT_MS } else { VACANT_MS };
-        (now >= *since + patience).then_some(vacant)
-    }
-
-    fn fenced(&mut self, from: &str, life: u64, reply: Reply) {
-        if let Reply::Copy { voters, lives, .. } = &reply {
-            self.told_seats = Some((voters.clone(), lives.clone()));
-        }
-        // What counts is the seat that the machine holds.
-        let held = self.told_seats.as_ref().and_then(|(_, lives)| {
-            lives.iter().find(|(_, (_, holder))| holder == from).map(|(seat, _)| seat.clone())
-        });
-        let from = held.as_deref().unwrap_or(from);
-        if let Some(records) = self.voter.fenced(from, life, reply) {
-            log::info!("keeper: The lost disk is made good; this machine votes again.");
-            self.keep_identity(records);
-        }
-    }
-
-    /// The voter answers nobody before its identity is on disk: its replies wait behind it in the disk's queue.
-    fn keep_identity(&mut self, records: beechcroft_hutbook::voter::Records) {
-        let (disk, queue) = (self.disk.clone(), self.queue.clone());
-        spawn_local(async move {
-            while !disk.keep(records.clone()).await {
-                tokio::time::sleep(Duration::from_millis(100)).await;
-            }
-            let _ = queue.send(Command::VotesAgain);
-        });
-    }
-
-    fn votes(&mut self) {
-        self.proposer.voters(self.voter.voters(), self.voter.highest());
-    }
-
-    /// The version that a service runs before any rollout: what most of its units ran when they were first seen.
-    fn put_bases_down(&mut self, now: u64) {
-        let mut found: BTreeMap<&str, BTreeMap<&str, usize>> = BTreeMap::new();
-        for unit in self.cairns.units.all().filter(|unit| unit.note.state == State::Ready) {
-            let note = &unit.note;
-            if self.services.contains(&note.service) && !self.orders.bases.contains_key(&note.service) {
-                *found.entry(&note.service).or_default().entry(&note.version).or_default() += 1;
-            }
-        }
-        self.unbased.retain(|service, _| found.contains_key(service.as_str()));
-        // One hut does it; another does once that one has not.
-        let me = self.cairns.me.name.as_str();
-        let first = self.cairns.alive().filter(|m| m.core).all(|m| m.name.as_str() > me);
-        let wait = if first { 0 } else { 3 * BASE_AFTER_MS };
-        let mut due = Vec::new();
-        for (service, versions) in found {
-            let since = *self.unbased.entry(service.to_owned()).or_insert(now) + wait;
-            let most = versions.iter().max_by(|a, b| a.1.cmp(b.1).then(b.0.cmp(a.0)));
-            if let Some((version, _)) = most.filter(|_| now >= since + BASE_AFTER_MS) {
-                due.push(Op::Base { service: service.to_owned(), version: (*version).to_owned() });
-            }
-        }
-        if !due.is_empty() {
-            self.unbased.values_mut().for_each(|since| *since = now);
-        }
-        for op in due {
-            self.order(ORDERS, op, None);
-        }
-    }
-
-    /// Where a service says what unfit means: the core shows each second that it agrees, and the placement follows
-    /// the verdicts by one decision of the core.
-    fn place(&mut self, now: u64) {
-        if self.unfit.is_empty() || now < self.place_at {
-            return;
-        }
-        self.place_at = now + PLACE_EVERY_MS;
-        self.order(ORDERS, Op::Read, None);
-        self.touches.insert(self.next_order);
-        let me = self.cairns.me.name.as_str();
-        if !self.cairns.alive().filter(|m| m.core).all(|m| m.name.as_str() > me) {
-            return;
-        }
-        let regions: BTreeSet<&str> = self.settings.zones.values().map(String::as_str).collect();
-        let regions = regions.len().max(1);
-        let mut due = Vec::new();
-        for (service, rules) in &self.unfit {
-            let Some(bench) = self.benches.get(service) else { continue };
-            let units = || self.cairns.units.all().filter(|unit| unit.note.service == *service);
-            let verdicts = bench.verdicts(
-                rules,
-                units().filter(|unit| unit.note.state == State::Ready).count(),
-                regions,
-            );
-            let is_unfit = |id: &str| verdicts.get(&short(id)) == Some(&Verdict::Unfit);
-            let aside: BTreeSet<String> =
-                units().map(|unit| unit.note.id.clone()).filter(|id| is_unfit(id)).collect();
-            let held = self.orders.placements.get(service).cloned().unwrap_or_default();
-            let before = self.wished.insert(service.clone(), aside.clone());
-            if aside != held.aside && before.as_ref() == Some(&aside) {
-                log::info!("keeper: {service} is placed anew, without {aside:?}.");
-                due.push(Op::Place { service: service.clone(), from: held.version, aside });
-            }
-        }
-        for op in due {
-            self.order(ORDERS, op, None);
-        }
-    }
-
-    /// One of the core machines takes rollouts on; another does once that one is gone.
-    fn conduct(&mut self, now: u64) {
-        let me = self.cairns.me.name.as_str();
-        let first = self.cairns.alive().filter(|m| m.core).all(|m| m.name.as_str() > me);
-        let mut due = Vec::new();
-        for (service, rollout) in &self.orders.rollouts {
-            let Stage::Active(stage) = rollout.stage else { continue };
-            let since = match self.stages.get(service) {
-                Some(&(begun, at, since)) if (begun, at) == (rollout.begun, rollout.stage) => since,
-                _ => {
-                    self.stages.insert(service.clone(), (rollout.begun, rollout.stage, now));
-                    now
-                }
-            };
-            if !first {
-                continue;
-            }
-            let mut view = View { stage, stage_ms: now - since, ramp_ms: rollout.ramp_ms, ..View::default() };
-            let signs = self.cairns.signs(now, service);
-            let (mut told, mut ages) = (0.0, Vec::new());
-            for sign in signs.filter(|sign| (sign.begun, sign.stage) == (rollout.begun, stage)) {
-                view.trials += sign.trials;
-                view.failures += sign.failures;
-                view.alarm |= sign.alarm;
-                view.old_open += sign.old_open;
-                view.good += f64::from(sign.good);
-                ages.push(u64::from(sign.stage_ms));
-                told += 1.0;
-            }
-            // A hut that was just started does not know how long a stage has lasted; most of the edges do.
-            ages.sort_unstable();
-            view.stage_ms = view.stage_ms.max(ages.get(ages.len() / 2).copied().unwrap_or(0));
-            view.good /= f64::max(told, 1.0);
-            for unit in self.cairns.units.all() {
-                let warm =
-                    unit.note.state == State::Ready && unit.warm_at <= now && unit.note.service == *service;
-                if warm && unit.note.version == rollout.target {
-                    view.new_slots += u32::from(unit.note.capacity);
-                } else if warm {
-                    view.old_slots += u32::from(unit.note.capacity);
-                }
-            }
-            let to = match conduct(view) {
-                Next::Stay => continue,
-                Next::On(stage) => Stage::Active(stage),
-                Next::Complete => Stage::Complete,
-            };
-            log::info!("keeper: Rollout of {service} goes from {stage} to {to:?}: {view:?}.");
-            due.push(Op::Move { service: service.clone(), begun: rollout.begun, from: rollout.stage, to });
-        }
-        for op in due {
-            self.order(ORDERS, op, None);
-        }
-    }
-
-    /// A proxy relay votes a version back.
-    fn back(&mut self, service: &str, begun: u64) {
-        let held = self.orders.rollouts.get(service).filter(|held| held.begun == begun);
-        let Some(from) = held.map(|held| held.stage).filter(|stage| matches!(stage, Stage::Active(_))) else {
-            return;
-        };
-        log::info!("keeper: Rollout of {service} is voted back.");
-        let op = Op::Move { service: service.to_owned(), begun, from, to: Stage::Reverted };
-        self.order(ORDERS, op, None);
-    }
-
     /// Where a client goes: the ready edges of its region, else all.
     fn resolve(&self, region: &str, _zone: &str) -> Vec<SocketAddrV4> {
         let ready = || self.cairns.alive().filter(|m| m.standing == Standing::Ready && m.ingress.is_some());
@@ -728,46 +472,4 @@
         found.truncate(64);
         found
     }
-
-    /// The evidence on a unit, and what its service's rules make of it.
-    fn why(&self, id: &str) -> String {
-        let Some(unit) = self.cairns.units.get(id) else { return format!("no unit {id} is known\n") };
-        let service = &unit.note.service;
-        let mut text = format!("{id} of {service}: {:?}, beat {}\n", unit.note.state, unit.note.sequence);
-        let Some(rules) = self.unfit.get(service) else {
-            return text + "its service does not say what unfit means: each relay goes by its own failures\n";
-        };
-        let bench = self.benches.get(service);
-        let ready =
-            self.cairns.units.all().filter(|u| u.note.service == *service && u.note.state == State::Ready);
-        let regions: BTreeSet<&str> = self.settings.zones.values().map(String::as_str).collect();
-        let verdicts = bench.map(|bench| bench.verdicts(rules, ready.count(), regions.len().max(1)));
-        let verdict = verdicts.and_then(|verdicts| verdicts.get(&short(id)).copied()).unwrap_or(Verdict::Fit);
-        text += &format!("verdict {verdict:?} by {rules:?}\n");
-        for line in bench.map(|bench| bench.evidence(short(id))).unwrap_or_default() {
-            text += &line;
-            text.push('\n');
-        }
-        let placement = self.orders.placements.get(service).cloned().unwrap_or_default();
-        let left_out = if placement.aside.contains(id) { "leaves it out" } else { "has it in" };
-        text + &format!("placement {} {left_out}\n", placement.version)
-    }
-
-    fn show(&self) -> String {
-        let now = self.now();
-        let mut text = format!("relay {} voters {:?}\n", self.cairns.me.name, self.voter.voters());
-        for member in self.cairns.known() {
-            text += &format!("member {} {:?} {}\n", member.name, member.standing, member.zone);
-        }
-        for unit in self.cairns.units.all() {
-            let note = &unit.note;
-            let heard = now.saturating_sub(unit.heard_at);
-            text += &format!(
-                "unit {} {} {} {} {:?} heard {heard} ms ago\n",
-                note.id, note.service, note.version, note.zone, note.state
-            );
-        }
-        text += &format!("orders {:?}\n", self.orders);
-        text
-    }
 }
--- /dev/null
+++ b/crates/beechcroft-hut/src/keeper/rollouts.rs
@@ -0,0 +1,140 @@
+//! What the core decides by evidence: versions in use, placements, how a rollout goes on, its way back.
+
+use super::*;
+
+impl Keeper {
+    /// The version that a service runs before any rollout: what most of its units ran when they were first seen.
+    pub(super) fn put_bases_down(&mut self, now: u64) {
+        let mut found: BTreeMap<&str, BTreeMap<&str, usize>> = BTreeMap::new();
+        for unit in self.cairns.units.all().filter(|unit| unit.note.state == State::Ready) {
+            let note = &unit.note;
+            if self.services.contains(&note.service) && !self.orders.bases.contains_key(&note.service) {
+                *found.entry(&note.service).or_default().entry(&note.version).or_default() += 1;
+            }
+        }
+        self.unbased.retain(|service, _| found.contains_key(service.as_str()));
+        // One hut does it; another does once that one has not.
+        let me = self.cairns.me.name.as_str();
+        let first = self.cairns.alive().filter(|m| m.core).all(|m| m.name.as_str() > me);
+        let wait = if first { 0 } else { 3 * BASE_AFTER_MS };
+        let mut due = Vec::new();
+        for (service, versions) in found {
+            let since = *self.unbased.entry(service.to_owned()).or_insert(now) + wait;
+            let most = versions.iter().max_by(|a, b| a.1.cmp(b.1).then(b.0.cmp(a.0)));
+            if let Some((version, _)) = most.filter(|_| now >= since + BASE_AFTER_MS) {
+                due.push(Op::Base { service: service.to_owned(), version: (*version).to_owned() });
+            }
+        }
+        if !due.is_empty() {
+            self.unbased.values_mut().for_each(|since| *since = now);
+        }
+        for op in due {
+            self.order(ORDERS, op, None);
+        }
+    }
+
+    /// Where a service says what unfit means: the core shows each second that it agrees, and the placement follows
+    /// the verdicts by one decision of the core.
+    pub(super) fn place(&mut self, now: u64) {
+        if self.unfit.is_empty() || now < self.place_at {
+            return;
+        }
+        self.place_at = now + PLACE_EVERY_MS;
+        self.order(ORDERS, Op::Read, None);
+        self.touches.insert(self.next_order);
+        let me = self.cairns.me.name.as_str();
+        if !self.cairns.alive().filter(|m| m.core).all(|m| m.name.as_str() > me) {
+            return;
+        }
+        let regions: BTreeSet<&str> = self.settings.zones.values().map(String::as_str).collect();
+        let regions = regions.len().max(1);
+        let mut due = Vec::new();
+        for (service, rules) in &self.unfit {
+            let Some(bench) = self.benches.get(service) else { continue };
+            let units = || self.cairns.units.all().filter(|unit| unit.note.service == *service);
+            let verdicts = bench.verdicts(
+                rules,
+                units().filter(|unit| unit.note.state == State::Ready).count(),
+                regions,
+            );
+            let is_unfit = |id: &str| verdicts.get(&short(id)) == Some(&Verdict::Unfit);
+            let aside: BTreeSet<String> =
+                units().map(|unit| unit.note.id.clone()).filter(|id| is_unfit(id)).collect();
+            let held = self.orders.placements.get(service).cloned().unwrap_or_default();
+            let before = self.wished.insert(service.clone(), aside.clone());
+            if aside != held.aside && before.as_ref() == Some(&aside) {
+                log::info!("keeper: {service} is placed anew, without {aside:?}.");
+                due.push(Op::Place { service: service.clone(), from: held.version, aside });
+            }
+        }
+        for op in due {
+            self.order(ORDERS, op, None);
+        }
+    }
+
+    /// One of the core machines takes rollouts on; another does once that one is gone.
+    pub(super) fn conduct(&mut self, now: u64) {
+        let me = self.cairns.me.name.as_str();
+        let first = self.cairns.alive().filter(|m| m.core).all(|m| m.name.as_str() > me);
+        let mut due = Vec::new();
+        for (service, rollout) in &self.orders.rollouts {
+            let Stage::Active(stage) = rollout.stage else { continue };
+            let since = match self.stages.get(service) {
+                Some(&(begun, at, since)) if (begun, at) == (rollout.begun, rollout.stage) => since,
+                _ => {
+                    self.stages.insert(service.clone(), (rollout.begun, rollout.stage, now));
+                    now
+                }
+            };
+            if !first {
+                continue;
+            }
+            let mut view = View { stage, stage_ms: now - since, ramp_ms: rollout.ramp_ms, ..View::default() };
+            let signs = self.cairns.signs(now, service);
+            let (mut told, mut ages) = (0.0, Vec::new());
+            for sign in signs.filter(|sign| (sign.begun, sign.stage) == (rollout.begun, stage)) {
+                view.trials += sign.trials;
+                view.failures += sign.failures;
+                view.alarm |= sign.alarm;
+                view.old_open += sign.old_open;
+                view.good += f64::from(sign.good);
+                ages.push(u64::from(sign.stage_ms));
+                told += 1.0;
+            }
+            // A hut that was just started does not know how long a stage has lasted; most of the edges do.
+            ages.sort_unstable();
+            view.stage_ms = view.stage_ms.max(ages.get(ages.len() / 2).copied().unwrap_or(0));
+            view.good /= f64::max(told, 1.0);
+            for unit in self.cairns.units.all() {
+                let warm =
+                    unit.note.state == State::Ready && unit.warm_at <= now && unit.note.service == *service;
+                if warm && unit.note.version == rollout.target {
+                    view.new_slots += u32::from(unit.note.capacity);
+                } else if warm {
+                    view.old_slots += u32::from(unit.note.capacity);
+                }
+            }
+            let to = match conduct(view) {
+                Next::Stay => continue,
+                Next::On(stage) => Stage::Active(stage),
+                Next::Complete => Stage::Complete,
+            };
+            log::info!("keeper: Rollout of {service} goes from {stage} to {to:?}: {view:?}.");
+            due.push(Op::Move { service: service.clone(), begun: rollout.begun, from: rollout.stage, to });
+        }
+        for op in due {
+            self.order(ORDERS, op, None);
+        }
+    }
+
+    /// A proxy relay votes a version back.
+    pub(super) fn back(&mut self, service: &str, begun: u64) {
+        let held = self.orders.rollouts.get(service).filter(|held| held.begun == begun);
+        let Some(from) = held.map(|held| held.stage).filter(|stage| matches!(stage, Stage::Active(_))) else {
+            return;
+        };
+        log::info!("keeper: Rollout of {service} is voted back.");
+        let op = Op::Move { service: service.to_owned(), begun, from, to: Stage::Reverted };
+        self.order(ORDERS, op, None);
+    }
+}
--- /dev/null
+++ b/crates/beechcroft-hut/src/keeper/seats.rs
@@ -0,0 +1,127 @@
+//! Who votes: the first voters, a lost disk, a seat whose machine is gone.
+
+use super::*;
+
+impl Keeper {
+    /// The machine that holds a seat, as far as is known.
+    pub(super) fn holder(&self, seat: &str) -> String {
+        let lives = self.voter.identity.as_ref().map(|identity| &identity.lives);
+        lives.and_then(|lives| lives.get(seat)).map_or_else(|| seat.to_owned(), |(_, holder)| holder.clone())
+    }
+
+    /// Others know of seats that have been taken over, this machine's own perhaps.
+    pub(super) fn learn_lives(&mut self, lives: &beechcroft_hutbook::Lives) {
+        let Some(records) = self.voter.learn(lives) else { return };
+        if self.voter.identity.is_none() {
+            log::warn!("keeper: Another machine holds this one's seat; it does not vote any more.");
+        }
+        self.put_down(records);
+        self.votes();
+    }
+
+    /// No identity yet: the first start of the whole system, or a disk that was lost.
+    pub(super) fn settle(&mut self, now: u64) {
+        if !self.settings.quorum_member {
+            return;
+        }
+        let me = self.cairns.me.name.clone();
+        let me_again = me.clone();
+        let mut names: Vec<String> =
+            self.cairns.known().filter(|m| m.core && m.quorum).map(|m| m.name.clone()).collect();
+        if self.settings.bootstrap {
+            names.push(me);
+            names.sort();
+            let need = 2 * self.settings.fault_tolerance.node_losses + 1;
+            if names.len() != self.cores.0 {
+                self.cores = (names.len(), now);
+            }
+            if names.len() >= need && now >= self.cores.1 + SETTLE_MS {
+                names.truncate(need);
+                if !names.contains(&self.cairns.me.name) {
+                    return;
+                }
+                log::info!("keeper: The first voters are {names:?}.");
+                let records = self.voter.found(names);
+                self.keep_identity(records);
+            }
+            return;
+        }
+        if now < self.fence_at {
+            return;
+        }
+        self.fence_at = now + FENCE_EVERY_MS;
+        let Some(seat) = self.seat(now, &me_again) else { return };
+        let Some(ask) = self.voter.fence(&seat) else { return };
+        let Ask::Fence { life, .. } = ask else { return };
+        let bytes = postcard::to_stdvec(&ask).expect("plain data");
+        for from in names {
+            let Some(to) = self.cairns.member(&from).map(|m| self.cairns.address(m)) else { continue };
+            let (errands, queue, bytes) = (self.errands.clone(), self.queue.clone(), bytes.clone());
+            spawn_local(async move {
+                let reply = errands.run(to, "/ask", bytes, ASK_WITHIN).await;
+                if let Some(reply) = reply.ok().and_then(|bytes| postcard::from_bytes(&bytes).ok()) {
+                    let _ = queue.send(Command::Fenced { from, life, reply });
+                }
+            });
+        }
+    }
+
+    /// The seat that a machine without one asks for: its own after a lost disk. A machine that never had one takes the
+    /// seat of one that has long been down, if it is the first of those that wait.
+    pub(super) fn seat(&mut self, now: u64, me: &str) -> Option<String> {
+        let Some((voters, lives)) = &self.told_seats else { return Some(me.to_owned()) };
+        if voters.iter().any(|seat| lives.get(seat).map_or(seat == me, |(_, holder)| holder == me)) {
+            return Some(me.to_owned()).filter(|me| voters.contains(me)).or_else(|| {
+                voters.iter().find(|seat| lives.get(*seat).is_some_and(|(_, holder)| holder == me)).cloned()
+            });
+        }
+        let holder = |seat: &String| lives.get(seat).map_or(seat.clone(), |(_, holder)| holder.clone());
+        let up = |name: &str| self.cairns.alive().any(|m| m.name == name && m.standing < Standing::Leaving);
+        let leaving = |name: &str| self.cairns.member(name).is_some_and(|m| m.standing == Standing::Leaving);
+        let waits = |m: &&Member| m.core && m.quorum && !voters.iter().any(|seat| holder(seat) == m.name);
+        let first = self.cairns.alive().filter(waits).all(|m| m.name.as_str() > me);
+        let vacant = voters.iter().find(|seat| !up(&holder(seat))).cloned();
+        let Some(vacant) = vacant.filter(|_| first) else {
+            self.vacant = None;
+            return None;
+        };
+        let left = leaving(&holder(&vacant));
+        let (seat, since) = self.vacant.get_or_insert((vacant.clone(), now));
+        if *seat != vacant {
+            (*seat, *since) = (vacant.clone(), now);
+        }
+        // One that leaves by order will not be back soon; one that is down may.
+        let patience = if left { LEFT_MS } else { VACANT_MS };
+        (now >= *since + patience).then_some(vacant)
+    }
+
+    pub(super) fn fenced(&mut self, from: &str, life: u64, reply: Reply) {
+        if let Reply::Copy { voters, lives, .. } = &reply {
+            self.told_seats = Some((voters.clone(), lives.clone()));
+        }
+        // What counts is the seat that the machine holds.
+        let held = self.told_seats.as_ref().and_then(|(_, lives)| {
+            lives.iter().find(|(_, (_, holder))| holder == from).map(|(seat, _)| seat.clone())
+        });
+        let from = held.as_deref().unwrap_or(from);
+        if let Some(records) = self.voter.fenced(from, life, reply) {
+            log::info!("keeper: The lost disk is made good; this machine votes again.");
+            self.keep_identity(records);
+        }
+    }
+
+    /// The voter answers nobody before its identity is on disk: its replies wait behind it in the disk's queue.
+    pub(super) fn keep_identity(&mut self, records: beechcroft_hutbook::voter::Records) {
+        let (disk, queue) = (self.disk.clone(), self.queue.clone());
+        spawn_local(async move {
+            while !disk.keep(records.clone()).await {
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+            let _ = queue.send(Command::VotesAgain);
+        });
+    }
+
+    pub(super) fn votes(&mut self) {
+        self.proposer.voters(self.voter.voters(), self.voter.highest());
+    }
+}
--- a/crates/beechcroft-hut/src/main.rs
+++ b/crates/beechcroft-hut/src/main.rs
@@ -6,13 +6,13 @@
 
 use beechcroft_cairns::{Member, Standing};
 use beechcroft_hutbook::Voter;
-use beechcroft_map::{settings, Config, Settings};
+use beechcroft_map::Settings;
 use beechcroft_pass::desk::{self, Bounds};
 use beechcroft_pass::errand::Errands;
+use beechcroft_pass::life;
 use beechcroft_pass::post::Post;
 use keeper::{Command, Keeper};
 use std::net::SocketAddrV4;
-use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
@@ -51,7 +51,7 @@
 fn main() -> ExitCode {
     let done = match flags::Hut::from_env_or_exit().subcommand {
         flags::HutCmd::Run(run) => run_program(run.log.as_deref().unwrap_or("warn")),
-        flags::HutCmd::Check(check) => check_file(check.file),
+        flags::HutCmd::Check(check) => life::check(&check.file),
         flags::HutCmd::Show(show) => show_state(&show.what),
         flags::HutCmd::Why(why) => ask_hut(&why.hut, "/why", why.unit.into_bytes()),
     };
@@ -64,18 +64,6 @@
     }
 }
 
-fn check_file(path: PathBuf) -> Result<(), String> {
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
-    let done = if path.extension().is_some_and(|kind| kind == "json") {
-        Config::read(text.as_bytes()).map(drop).map_err(|fault| fault.to_string())
-    } else {
-        Settings::read(&text).map(drop)
-    };
-    done.map_err(|said| format!("{}: {said}", path.display()))?;
-    println!("{}: sound", path.display());
-    Ok(())
-}
-
 fn runtime() -> Result<tokio::runtime::Runtime, String> {
     tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())
 }
@@ -180,7 +168,9 @@
             let _ = ticks.send(Command::Tick);
         }
     });
-    spawn_local(follow_settings(settings, queue.clone()));
+    let seeds = queue.clone();
+    let follow = life::follow_settings(settings, move |new| drop(seeds.send(Command::Seeds(new))));
+    spawn_local(follow);
     let mut term = signal(SignalKind::terminate()).map_err(said)?;
     loop {
         tokio::select! {
@@ -199,27 +189,3 @@
     }
     Ok(())
 }
-
-/// SIGHUP, or a file that changed without one: the seeds may be others.
-async fn follow_settings(mut settings: Settings, queue: keeper::Queue) {
-    let Ok(mut hangup) = signal(SignalKind::hangup()) else { return };
-    let path = std::env::var(settings::VARIABLE).unwrap_or_default();
-    let mut text = std::fs::read_to_string(&path).unwrap_or_default();
-    loop {
-        let _ = tokio::time::timeout(Duration::from_secs(1), hangup.recv()).await;
-        let Ok(newer) = std::fs::read_to_string(&path) else { continue };
-        if newer == text {
-            continue;
-        }
-        text = newer;
-        match Settings::read(&text) {
-            Ok(newer) => {
-                if newer.seed_nodes != settings.seed_nodes {
-                    let _ = queue.send(Command::Seeds(newer.seed_nodes.clone()));
-                }
-                settings = newer;
-            }
-            Err(said) => log::warn!("settings: The changed file is not used: {said}."),
-        }
-    }
-}
--- a/crates/beechcroft-pass/src/errand.rs
+++ b/crates/beechcroft-pass/src/errand.rs
@@ -38,6 +38,14 @@
         }
     }
 
+    /// Another relay's copy of a register.
+    pub async fn copy<T: serde::de::DeserializeOwned>(
+        &self, from: SocketAddrV4, register: usize, within: Duration,
+    ) -> Result<T, Fault> {
+        let bytes = self.run(from, "/copy", vec![register as u8], within).await?;
+        postcard::from_bytes(&bytes).map_err(|e| Fault::new(Kind::Malformed, e.to_string()))
+    }
+
     async fn call(&self, to: SocketAddrV4, path: &str, body: Vec<u8>) -> http_types::Result<(u16, Vec<u8>)> {
         let wire = match self.kept(to) {
             Some(wire) => wire,
--- a/crates/beechcroft-pass/src/lib.rs
+++ b/crates/beechcroft-pass/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod desk;
 pub mod errand;
 pub mod guard;
+pub mod life;
 pub mod line;
 pub mod post;
 mod wire;
--- /dev/null
+++ b/crates/beechcroft-pass/src/life.rs
@@ -0,0 +1,44 @@
+//! What both programs do with files: checking them, and following a settings file that changes.
+
+use beechcroft_map::{settings, Config, Settings};
+use std::net::SocketAddrV4;
+use std::path::Path;
+use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
+
+/// Checks a settings file (.toml) or a configuration (.json); a fault is named by key or route.
+pub fn check(path: &Path) -> Result<(), String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let done = if path.extension().is_some_and(|kind| kind == "json") {
+        Config::read(text.as_bytes()).map(drop).map_err(|fault| fault.to_string())
+    } else {
+        Settings::read(&text).map(drop)
+    };
+    done.map_err(|said| format!("{}: {said}", path.display()))?;
+    println!("{}: sound", path.display());
+    Ok(())
+}
+
+/// SIGHUP, or a file that changed without one: the seeds may be others. The rest holds until the next start.
+pub async fn follow_settings(mut held: Settings, seeds: impl Fn(Vec<SocketAddrV4>)) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else { return };
+    let path = std::env::var(settings::VARIABLE).unwrap_or_default();
+    let mut text = std::fs::read_to_string(&path).unwrap_or_default();
+    loop {
+        let _ = tokio::time::timeout(Duration::from_secs(1), hangup.recv()).await;
+        let Ok(newer) = std::fs::read_to_string(&path) else { continue };
+        if newer == text {
+            continue;
+        }
+        text = newer;
+        match Settings::read(&text) {
+            Ok(newer) => {
+                if newer.seed_nodes != held.seed_nodes {
+                    seeds(newer.seed_nodes.clone());
+                }
+                held = newer;
+            }
+            Err(said) => log::warn!("settings: The changed file is not used: {said}."),
+        }
+    }
+}
--- a/crates/beechcroft-trail/src/guide.rs
+++ b/crates/beechcroft-trail/src/guide.rs
@@ -8,7 +8,6 @@
 use beechcroft_hutbook::state::Admits;
 use beechcroft_hutbook::{Book, Orders, Stage, Value, BOOK, ORDERS};
 use beechcroft_junction::Table;
-use beechcroft_kinds::{Fault, Kind};
 use beechcroft_pace::{Place, Side};
 use beechcroft_pass::errand::Errands;
 use beechcroft_pass::post::Post;
@@ -143,12 +142,7 @@
                     self.pulling[register] = now + COPY_WITHIN.as_millis() as u64 / 2;
                     let (errands, queue) = (self.errands.clone(), self.queue.clone());
                     spawn_local(async move {
-                        let copy = errands.run(from, "/copy", vec![register as u8], COPY_WITHIN).await;
-                        let read = |bytes: Vec<u8>| {
-                            postcard::from_bytes(&bytes)
-                                .map_err(|e| Fault::new(Kind::Malformed, e.to_string()))
-                        };
-                        match copy.and_then(read) {
+                        match errands.copy(from, register, COPY_WITHIN).await {
                             Ok(value) => drop(queue.send(Command::Copied(register, value))),
                             Err(fault) => log::info!("guide: A copy did not come: {fault}."),
                         }
--- a/crates/beechcroft-trail/src/main.rs
+++ b/crates/beechcroft-trail/src/main.rs
@@ -3,16 +3,16 @@
 use beechcroft_cairns::{Member, Standing};
 use beechcroft_hutbook::Value;
 use beechcroft_kinds::Kind;
-use beechcroft_map::{settings, Config, Settings};
+use beechcroft_map::Settings;
 use beechcroft_pass::calls;
 use beechcroft_pass::desk::{self, Answer, Bounds};
 use beechcroft_pass::errand::Errands;
+use beechcroft_pass::life;
 use beechcroft_pass::post::Post;
 use beechcroft_trail::guide::{self, Command, Guide};
 use beechcroft_trail::serve;
 use beechcroft_trail::shared::{Phase, Shared};
 use std::net::SocketAddrV4;
-use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -53,7 +53,7 @@
         flags::TrailCmd::Run(run) => {
             run_program(run.log.as_deref().unwrap_or("warn"), run.places.unwrap_or(0))
         }
-        flags::TrailCmd::Check(check) => check_file(check.file),
+        flags::TrailCmd::Check(check) => life::check(&check.file),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -64,18 +64,6 @@
     }
 }
 
-fn check_file(path: PathBuf) -> Result<(), String> {
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
-    let done = if path.extension().is_some_and(|kind| kind == "json") {
-        Config::read(text.as_bytes()).map(drop).map_err(|fault| fault.to_string())
-    } else {
-        Settings::read(&text).map(drop)
-    };
-    done.map_err(|said| format!("{}: {said}", path.display()))?;
-    println!("{}: sound", path.display());
-    Ok(())
-}
-
 fn run_program(level: &str, places: usize) -> Result<(), String> {
     let _logger = flexi_logger::Logger::try_with_str(level)
         .and_then(|logger| logger.log_to_stderr().start())
@@ -157,7 +145,9 @@
             let _ = ticks.send(Command::Tick);
         }
     });
-    spawn_local(follow_settings(settings.clone(), queue.clone()));
+    let seeds = queue.clone();
+    let follow = life::follow_settings(settings.clone(), move |new| drop(seeds.send(Command::Seeds(new))));
+    spawn_local(follow);
     spawn_local(leave(shared.clone(), queue));
     while let Some(command) = commands.recv().await {
         guide.on(command);
@@ -213,27 +203,3 @@
         None => Kind::NotYet.into(),
     }
 }
-
-/// SIGHUP, or a file that changed without one: the seeds may be others.
-async fn follow_settings(mut settings: Settings, queue: guide::Queue) {
-    let Ok(mut hangup) = signal(SignalKind::hangup()) else { return };
-    let path = std::env::var(settings::VARIABLE).unwrap_or_default();
-    let mut text = std::fs::read_to_string(&path).unwrap_or_default();
-    loop {
-        let _ = tokio::time::timeout(Duration::from_secs(1), hangup.recv()).await;
-        let Ok(newer) = std::fs::read_to_string(&path) else { continue };
-        if newer == text {
-            continue;
-        }
-        text = newer;
-        match Settings::read(&text) {
-            Ok(newer) => {
-                if newer.seed_nodes != settings.seed_nodes {
-                    let _ = queue.send(Command::Seeds(newer.seed_nodes.clone()));
-                }
-                settings = newer;
-            }
-            Err(said) => log::warn!("settings: The changed file is not used: {said}."),
-        }
-    }
-}
