A new unit's note is passed on as often as other news; only drains and ends more often

Cause: at the start of 84 relays each unit's note was sent twelve times by each of them: 16 of 27 MB of letters.

--- a/crates/beechcroft-cairns/src/lib.rs
+++ b/crates/beechcroft-cairns/src/lib.rs
@@ -27,7 +27,7 @@
 const FEW: usize = 3;
 /// How often one who learned something passes it on.
 const TIMES: u8 = 2;
-/// The same for a change of a unit, which is rare and must be everywhere soon.
+/// The same for a unit that drains or has ended, which is rare and must be everywhere soon.
 const TIMES_URGENT: u8 = 4;
 const FLUSH_MS: u64 = 80;
 const PING_MS: u64 = 400;
@@ -267,7 +267,8 @@
             _ => *held == item,
         };
         self.fresh.retain(|fresh| !same(&fresh.item));
-        let left = if matches!(item, What::Unit(_)) { TIMES_URGENT } else { TIMES };
+        let ends = |id: &String| self.units.get(id).is_some_and(|unit| unit.note.state != State::Ready);
+        let left = if matches!(&item, What::Unit(id) if ends(id)) { TIMES_URGENT } else { TIMES };
         self.fresh.push_back(Fresh { item, left });
     }
 
