A machine that lost its seat brings nothing of it into another

Cause: read in review: a holder that does not know yet that its seat was taken may accept a value under a high ballot that no majority read or let through; after a restart it kept that register and would have offered it as the newest. Test: fails without the line (version 9 of a stray round instead of 5).

--- a/crates/beechcroft-hutbook/src/voter.rs
+++ b/crates/beechcroft-hutbook/src/voter.rs
@@ -103,12 +103,16 @@
     /// so that two lives of a disk that were both lost early do not share a number.
     pub fn new(name: &str, losses: usize, salt: u64, table: &BTreeMap<String, Vec<u8>>) -> Voter {
         let read = |key: &str| table.get(key).map(Vec::as_slice);
-        let register = |key| read(key).and_then(|bytes| postcard::from_bytes(bytes).ok()).unwrap_or_default();
+        let identity: Option<Identity> = read("identity").and_then(|bytes| postcard::from_bytes(bytes).ok());
+        // Whoever holds no seat brings nothing into the next one: what it accepted after it had lost its own was read
+        // from no majority, and may stand under a higher ballot than what was chosen.
+        let held = |key| read(key).filter(|_| identity.is_some());
+        let register = |key| held(key).and_then(|bytes| postcard::from_bytes(bytes).ok()).unwrap_or_default();
         Voter {
             name: name.to_owned(),
             losses,
-            identity: read("identity").and_then(|bytes| postcard::from_bytes(bytes).ok()),
             registers: [register("register-0"), register("register-1")],
+            identity,
             salt,
             learning: None,
         }
--- a/crates/beechcroft-hutbook/tests/agreement.rs
+++ b/crates/beechcroft-hutbook/tests/agreement.rs
@@ -507,3 +507,36 @@
         assert!(taken > 0 && core.answers.values().filter(|answer| answer.is_ok()).count() == 1);
     }
 }
+
+#[test]
+fn a_machine_that_lost_its_seat_brings_nothing_of_it_into_another() {
+    let mut core = Core::new(5, 4);
+    core.order(0, 1, 5, 0);
+    core.settle(8);
+    let mut new = Voter::new("hut-9", 2, 77, &Table::new());
+    let ask = new.fence("hut-0").unwrap();
+    let Ask::Fence { life, .. } = ask.clone() else { panic!() };
+    for from in [2, 3, 4] {
+        let (reply, _) = core.machines[from].voter.ask(ask.clone());
+        new.fenced(&name(from), life, reply);
+    }
+    // The former holder does not know yet, and accepts a value of a round that nobody else lets through.
+    let stray = Value { rev: 9, bytes: vec![9] };
+    let (ballot, seats) = (Ballot { count: 900, nonce: 1 }, vec![(name(0), 1), (name(1), 1), (name(2), 1)]);
+    let (_, records) =
+        core.machines[0].voter.ask(Ask::Accept { register: BOOK, ballot, value: stray, seats });
+    core.machines[0].disk.extend(records);
+    let told = new.identity.as_ref().unwrap().lives.clone();
+    let records = core.machines[0].voter.learn(&told).expect("it learns that it is none");
+    core.machines[0].disk.extend(records);
+    // It starts again and takes the seat of another machine that is gone.
+    let mut again = Voter::new(&name(0), 2, 5, &core.machines[0].disk);
+    let ask = again.fence("hut-1").unwrap();
+    let Ask::Fence { life, .. } = ask.clone() else { panic!() };
+    for from in [2, 3, 4] {
+        let (reply, _) = core.machines[from].voter.ask(ask.clone());
+        again.fenced(&name(from), life, reply);
+    }
+    let held = again.register(BOOK).accepted.as_ref().expect("what the others hold");
+    assert_eq!(postcard::from_bytes::<Book>(&held.1.bytes).unwrap().version, 5, "not what it held alone");
+}
