Only a disk that has never held a seat founds voters

Cause: read in review: a machine that loses its seat in the first life of its process still has bootstrap = true, and would have founded the voters anew beside those that are there.

--- a/crates/beechcroft-hut/src/keeper.rs
+++ b/crates/beechcroft-hut/src/keeper.rs
@@ -90,6 +90,9 @@
 
 pub struct Keeper {
     settings: Settings,
+    /// The first start of the whole system, on a disk that has never held a seat: only then are voters founded. A
+    /// machine that has lost its seat is not fresh, though its first process was started as one.
+    fresh: bool,
     began: Instant,
     cairns: Cairns,
     voter: Voter,
@@ -138,6 +141,7 @@
         let mut proposer = Proposer::new(salt ^ 0x5eed);
         proposer.voters(voter.voters(), voter.highest());
         let mut keeper = Keeper {
+            fresh: settings.bootstrap && !table.contains_key("identity"),
             settings,
             began: Instant::now(),
             cairns,
--- a/crates/beechcroft-hut/src/keeper/seats.rs
+++ b/crates/beechcroft-hut/src/keeper/seats.rs
@@ -28,7 +28,7 @@
         let me_again = me.clone();
         let mut names: Vec<String> =
             self.cairns.known().filter(|m| m.core && m.quorum).map(|m| m.name.clone()).collect();
-        if self.settings.bootstrap {
+        if self.fresh {
             names.push(me);
             names.sort();
             let need = 2 * self.settings.fault_tolerance.node_losses + 1;
@@ -41,6 +41,7 @@
                     return;
                 }
                 log::info!("keeper: The first voters are {names:?}.");
+                self.fresh = false;
                 let records = self.voter.found(names);
                 self.keep_identity(records);
             }
