--- a/crates/beechcroft-hut/src/main.rs
+++ b/crates/beechcroft-hut/src/main.rs
@@ -152,22 +152,8 @@
         desks::relays(inner.clone(), call)
     })));
 
-    let letters = queue.clone();
-    spawn_local(async move {
-        loop {
-            let (from, letter) = post.next().await;
-            let _ = letters.send(Command::Letter(from, Box::new(letter)));
-        }
-    });
-    let ticks = queue.clone();
-    spawn_local(async move {
-        let mut every = tokio::time::interval(Duration::from_millis(40));
-        every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        loop {
-            every.tick().await;
-            let _ = ticks.send(Command::Tick);
-        }
-    });
+    let every = Duration::from_millis(40);
+    life::feed(post, every, queue.clone(), Command::Letter, || Command::Tick);
     let seeds = queue.clone();
     let follow = life::follow_settings(settings, move |new| drop(seeds.send(Command::Seeds(new))));
     spawn_local(follow);
--- a/crates/beechcroft-pass/src/life.rs
+++ b/crates/beechcroft-pass/src/life.rs
@@ -1,10 +1,16 @@
-//! What both programs do with files: checking them, and following a settings file that changes.
+//! What both programs do with files, checking them and following a settings file that changes; and what feeds the
+//! queue of a table's owner.
 
+use crate::post::Post;
+use beechcroft_cairns::Letter;
 use beechcroft_map::{settings, Config, Settings};
 use std::net::SocketAddrV4;
 use std::path::Path;
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::spawn_local;
+use tokio::time::MissedTickBehavior;
 
 /// Checks a settings file (.toml) or a configuration (.json); a fault is named by key or route.
 pub fn check(path: &Path) -> Result<(), String> {
@@ -42,3 +48,25 @@
         }
     }
 }
+
+/// Letters as they come and ticks go into the owner's queue for as long as the program runs.
+pub fn feed<C: 'static>(
+    post: Post, every: Duration, queue: UnboundedSender<C>, letter: fn(SocketAddrV4, Box<Letter>) -> C,
+    tick: fn() -> C,
+) {
+    let letters = queue.clone();
+    spawn_local(async move {
+        loop {
+            let (from, next) = post.next().await;
+            let _ = letters.send(letter(from, Box::new(next)));
+        }
+    });
+    spawn_local(async move {
+        let mut every = tokio::time::interval(every);
+        every.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            every.tick().await;
+            let _ = queue.send(tick());
+        }
+    });
+}
