Tests of agreement: taking a seat stands once

Cause: three places of two tests repeated the six lines by which three of five machines let a voter take a seat.

--- a/crates/beechcroft-hutbook/tests/agreement.rs
+++ b/crates/beechcroft-hutbook/tests/agreement.rs
@@ -256,6 +256,16 @@
         }
     }
 
+    /// The last three of five machines let a voter take a seat.
+    fn seat(&mut self, voter: &mut Voter, seat: &str) {
+        let ask = voter.fence(seat).unwrap();
+        let Ask::Fence { life, .. } = ask.clone() else { panic!() };
+        for from in [2, 3, 4] {
+            let (reply, _) = self.machines[from].voter.ask(ask.clone());
+            voter.fenced(&name(from), life, reply);
+        }
+    }
+
     /// Lets time pass until all is quiet.
     fn settle(&mut self, rounds: usize) {
         for _ in 0..rounds {
@@ -433,12 +443,7 @@
     core.settle(8);
     // Two machines are gone; an empty one takes the seat of the first.
     let mut new = Voter::new("hut-9", 2, 77, &Table::new());
-    let ask = new.fence("hut-0").unwrap();
-    let Ask::Fence { life, .. } = ask.clone() else { panic!() };
-    for from in [2, 3, 4] {
-        let (reply, _) = core.machines[from].voter.ask(ask.clone());
-        new.fenced(&name(from), life, reply);
-    }
+    core.seat(&mut new, "hut-0");
     let identity = new.identity.clone().expect("three whole disks are enough for two losses");
     assert_eq!((identity.seat.as_str(), identity.lives["hut-0"].1.as_str()), ("hut-0", "hut-9"));
     let (reply, _) = new.ask(Ask::Prepare {
@@ -514,12 +519,7 @@
     core.order(0, 1, 5, 0);
     core.settle(8);
     let mut new = Voter::new("hut-9", 2, 77, &Table::new());
-    let ask = new.fence("hut-0").unwrap();
-    let Ask::Fence { life, .. } = ask.clone() else { panic!() };
-    for from in [2, 3, 4] {
-        let (reply, _) = core.machines[from].voter.ask(ask.clone());
-        new.fenced(&name(from), life, reply);
-    }
+    core.seat(&mut new, "hut-0");
     // The former holder does not know yet, and accepts a value of a round that nobody else lets through.
     let stray = Value { rev: 9, bytes: vec![9] };
     let (ballot, seats) = (Ballot { count: 900, nonce: 1 }, vec![(name(0), 1), (name(1), 1), (name(2), 1)]);
@@ -531,12 +531,7 @@
     core.machines[0].disk.extend(records);
     // It starts again and takes the seat of another machine that is gone.
     let mut again = Voter::new(&name(0), 2, 5, &core.machines[0].disk);
-    let ask = again.fence("hut-1").unwrap();
-    let Ask::Fence { life, .. } = ask.clone() else { panic!() };
-    for from in [2, 3, 4] {
-        let (reply, _) = core.machines[from].voter.ask(ask.clone());
-        again.fenced(&name(from), life, reply);
-    }
+    core.seat(&mut again, "hut-1");
     let held = again.register(BOOK).accepted.as_ref().expect("what the others hold");
     assert_eq!(postcard::from_bytes::<Book>(&held.1.bytes).unwrap().version, 5, "not what it held alone");
 }
