--- a/crates/beechcroft-belvedere/src/lib.rs
+++ b/crates/beechcroft-belvedere/src/lib.rs
@@ -58,7 +58,7 @@
 pub struct Word {
     pub relay: String,
     pub region: String,
-    pub life: u64,
+    pub incarnation: u64,
     pub number: u32,
     pub service: String,
     /// By the unit's short name.
@@ -86,7 +86,7 @@
 #[derive(Clone, Debug, Default)]
 struct Seen {
     region: String,
-    life: u64,
+    incarnation: u64,
     periods: BTreeMap<u32, Count>,
 }
 
@@ -94,7 +94,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Bench {
     units: BTreeMap<u32, BTreeMap<String, Seen>>,
-    /// The latest number heard of each relay, with its life: a word is counted once.
+    /// The latest number heard of each relay, with its incarnation: a word is counted once.
     heard: BTreeMap<String, (u64, u32)>,
     /// The period by this relay's own clock: time goes on also while nobody has anything to tell.
     clock: u32,
@@ -145,15 +145,19 @@
         if word.is_cut_off() || word.number + STALE < latest {
             return;
         }
-        let held = self.heard.entry(word.relay.clone()).or_insert((word.life, word.number));
-        if word.life < held.0 {
+        let held = self.heard.entry(word.relay.clone()).or_insert((word.incarnation, word.number));
+        if word.incarnation < held.0 {
             return;
         }
-        *held = (*held).max((word.life, word.number));
+        *held = (*held).max((word.incarnation, word.number));
         for &(unit, count) in &word.units {
             let seen = self.units.entry(unit).or_default().entry(word.relay.clone()).or_default();
-            if word.life > seen.life {
-                *seen = Seen { region: word.region.clone(), life: word.life, periods: BTreeMap::new() };
+            if word.incarnation > seen.incarnation {
+                *seen = Seen {
+                    region: word.region.clone(),
+                    incarnation: word.incarnation,
+                    periods: BTreeMap::new(),
+                };
             }
             seen.periods.insert(word.number, count);
             while seen.periods.len() > KEPT {
--- a/crates/beechcroft-belvedere/tests/verdicts.rs
+++ b/crates/beechcroft-belvedere/tests/verdicts.rs
@@ -35,7 +35,7 @@
     Word {
         relay: format!("relay-{relay}"),
         region,
-        life: 1,
+        incarnation: 1,
         number: 100 + number,
         service: "s".into(),
         units,
--- a/crates/beechcroft-cairns/src/letter.rs
+++ b/crates/beechcroft-cairns/src/letter.rs
@@ -32,7 +32,7 @@
     pub ingress: Option<SocketAddrV4>,
     pub control: Option<SocketAddrV4>,
     /// The start of its process, in ms since 1970 by its own clock.
-    pub life: u64,
+    pub incarnation: u64,
     /// Rises with each thing it says of itself.
     pub mark: u32,
     pub standing: Standing,
@@ -40,7 +40,7 @@
 
 impl Member {
     pub fn rank(&self) -> (u64, u32, Standing) {
-        (self.life, self.mark, self.standing)
+        (self.incarnation, self.mark, self.standing)
     }
 
     pub fn range(&self) -> usize {
@@ -48,7 +48,7 @@
     }
 
     pub fn digest(&self) -> u32 {
-        let rank = self.life ^ (u64::from(self.mark) << 44) ^ ((self.standing as u64) << 60);
+        let rank = self.incarnation ^ (u64::from(self.mark) << 44) ^ ((self.standing as u64) << 60);
         (rapidhash_v3(self.name.as_bytes()) ^ rank).wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(29) as u32
     }
 }
@@ -57,7 +57,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Sign {
     pub relay: String,
-    pub life: u64,
+    pub incarnation: u64,
     pub count: u32,
     pub service: String,
     /// The rollout's begin and stage that the sign speaks of.
@@ -104,7 +104,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Crowded {
     pub relay: String,
-    pub life: u64,
+    pub incarnation: u64,
     pub count: u32,
     pub service: String,
     pub word: beechcroft_saddle::Word,
@@ -128,7 +128,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Who {
     pub name: String,
-    pub life: u64,
+    pub incarnation: u64,
     pub mark: u32,
     pub standing: Standing,
 }
@@ -138,7 +138,7 @@
 pub struct Sums {
     pub members: u32,
     pub units: u32,
-    pub revs: [u64; 2],
+    pub revisions: [u64; 2],
     /// The tables of members and of units have not changed for a moment: what differs is not just on its way.
     pub settled: [bool; 2],
     /// Since some hut last had a round of orders chosen, as far as this relay knows, and which change of them it was.
--- a/crates/beechcroft-cairns/src/lib.rs
+++ b/crates/beechcroft-cairns/src/lib.rs
@@ -66,7 +66,7 @@
     Pull {
         from: SocketAddrV4,
         register: usize,
-        rev: u64,
+        revision: u64,
     },
     /// A unit's state has changed or it is new.
     Unit(String),
@@ -119,7 +119,7 @@
     seeds: Vec<SocketAddrV4>,
     members: BTreeMap<String, Known>,
     pub units: Waymarks,
-    pub revs: [u64; 2],
+    pub revisions: [u64; 2],
     signs: BTreeMap<(String, String), (letter::Sign, u64)>,
     /// The latest word taken from each relay on each service's keys.
     crowds: BTreeMap<(String, String), (u64, u32)>,
@@ -151,7 +151,7 @@
             seeds,
             members: BTreeMap::new(),
             units: Waymarks::default(),
-            revs: [0; 2],
+            revisions: [0; 2],
             signs: BTreeMap::new(),
             crowds: BTreeMap::new(),
             seen: BTreeMap::new(),
@@ -173,7 +173,7 @@
         cairns
     }
 
-    /// What a former life of this relay's process knew: a place to begin, mended by what the others say.
+    /// What a former incarnation of this relay's process knew: a place to begin, mended by what the others say.
     pub fn recall(&mut self, now: u64, members: Vec<Member>, notes: Vec<Note>) {
         let me = self.me.name.clone();
         for member in members.into_iter().filter(|member| member.name != me) {
@@ -354,7 +354,7 @@
     ) {
         let mut rest = items;
         let (mut ask, mut ranges) = (ask, ranges);
-        let Member { name, life, mark, standing, .. } = &self.me;
+        let Member { name, incarnation, mark, standing, .. } = &self.me;
         loop {
             let mut bytes = 0;
             let fit = rest.iter().take_while(|item| {
@@ -362,7 +362,8 @@
                 bytes <= LETTER_BYTES
             });
             let (now, later) = rest.split_at(fit.count().max(1).min(rest.len()));
-            let from = Who { name: name.clone(), life: *life, mark: *mark, standing: *standing };
+            let from =
+                Who { name: name.clone(), incarnation: *incarnation, mark: *mark, standing: *standing };
             let letter =
                 Letter { from, ask, sums: self.sums(), ranges: ranges.cloned(), items: now.to_vec() };
             out.push(Action::Send { to, letter });
@@ -412,7 +413,13 @@
         let [members_at, units_at] = self.changed_at;
         let settled = [self.clock >= members_at + SETTLED_MS[0], self.clock >= units_at + SETTLED_MS[1]];
         let age = |at| self.clock.saturating_sub(at).min(u64::from(u32::MAX)) as u32;
-        Sums { members, units, revs: self.revs, settled, touch: self.touch.map(|(at, rev)| (age(at), rev)) }
+        Sums {
+            members,
+            units,
+            revisions: self.revisions,
+            settled,
+            touch: self.touch.map(|(at, revision)| (age(at), revision)),
+        }
     }
 
     /// Whether this relay is among those that watch another: a few of its own region, and one of the others.
@@ -474,8 +481,8 @@
         let name = sender.name.clone();
         if let Some(known) = self.members.get_mut(&sender.name) {
             known.answered_at = now;
-            let Who { life, mark, standing, .. } = sender;
-            let member = Member { life, mark, standing, ..known.member.clone() };
+            let Who { incarnation, mark, standing, .. } = sender;
+            let member = Member { incarnation, mark, standing, ..known.member.clone() };
             self.take_member(now, member, out);
             // One that is said to be down and writes is told so at once: its next word outranks that.
             let known = &self.members[&name].member;
@@ -494,12 +501,12 @@
                 Item::Seen(word) => self.take_seen(word, out),
             }
         }
-        if let Some((age, rev)) = sums.touch {
-            self.touched(now.saturating_sub(u64::from(age)), rev);
+        if let Some((age, revision)) = sums.touch {
+            self.touched(now.saturating_sub(u64::from(age)), revision);
         }
-        for (register, &rev) in sums.revs.iter().enumerate() {
-            if rev > self.revs[register] && self.may_pull(now, register, rev, &name) {
-                out.push(Action::Pull { from, register, rev });
+        for (register, &revision) in sums.revisions.iter().enumerate() {
+            if revision > self.revisions[register] && self.may_pull(now, register, revision, &name) {
+                out.push(Action::Pull { from, register, revision });
             }
         }
         let Some(theirs) = ranges else {
@@ -531,19 +538,19 @@
 
     /// Copies are large, and bytes between regions cost most: one relay of a region fetches from afar, and the
     /// others from it; they go afar themselves if none of their region has it after a while.
-    fn may_pull(&mut self, now: u64, register: usize, rev: u64, from: &str) -> bool {
+    fn may_pull(&mut self, now: u64, register: usize, revision: u64, from: &str) -> bool {
         let near = self.members.get(from).is_none_or(|known| known.member.region == self.me.region);
         // The wait is for the oldest copy that is missed, whoever tells of it.
         let (missed, since) = &mut self.missed[register];
-        if *missed <= self.revs[register] {
-            (*missed, *since) = (rev, now);
+        if *missed <= self.revisions[register] {
+            (*missed, *since) = (revision, now);
         }
         let since = *since;
         let weight = |name: &str| rapidhash_v3(format!("{name} fetches").as_bytes());
         let mine = weight(&self.me.name);
         let mut beside = self.alive().filter(|member| member.region == self.me.region);
         // A relay that has none yet serves nobody: it takes it from whoever has it.
-        let none = self.revs[register] == 0;
+        let none = self.revisions[register] == 0;
         near || none || now >= since + FETCH_MS || beside.all(|member| weight(&member.name) < mine)
     }
 
@@ -551,8 +558,10 @@
         if member.name == self.me.name {
             // Somebody believes otherwise: what this relay says of itself must outrank it.
             if member.rank() > self.me.rank() {
-                let (life, mark) = (member.life, member.mark);
-                self.say(|me| (me.life, me.mark) = (me.life.max(life), me.mark.max(mark) + 1));
+                let (incarnation, mark) = (member.incarnation, member.mark);
+                self.say(|me| {
+                    (me.incarnation, me.mark) = (me.incarnation.max(incarnation), me.mark.max(mark) + 1)
+                });
             }
             return;
         }
@@ -565,7 +574,7 @@
             Some(known) if member.rank() > known.member.rank() => {
                 known.watched_since = None;
                 let before = std::mem::replace(&mut known.member, member.clone());
-                if before.standing == Standing::Down && before.life == member.life {
+                if before.standing == Standing::Down && before.incarnation == member.incarnation {
                     // It was alive all along: who accuses the same relay again and again loads the whole fleet.
                     known.patience_ms = (known.patience_ms * 2).min(PATIENCE_MOST_MS);
                 }
@@ -613,7 +622,7 @@
 
     fn take_seen(&mut self, word: Word, out: &mut Vec<Action>) {
         let key = (word.relay.clone(), word.service.clone());
-        let number = (word.life, word.number);
+        let number = (word.incarnation, word.number);
         if word.relay != self.me.name && self.seen.get(&key).is_none_or(|&held| held < number) {
             self.seen.insert(key, number);
             self.pass_on(What::Seen(word.clone()));
@@ -623,9 +632,9 @@
 
     /// A round of orders was chosen at that time, and they had changed so often. A relay that does not hold that
     /// change yet is not in touch by it: it would go by something older.
-    pub fn touched(&mut self, at: u64, rev: u64) {
-        if self.revs[ORDERS] >= rev && self.touch.is_none_or(|(held, _)| held < at) {
-            self.touch = Some((at, rev));
+    pub fn touched(&mut self, at: u64, revision: u64) {
+        if self.revisions[ORDERS] >= revision && self.touch.is_none_or(|(held, _)| held < at) {
+            self.touch = Some((at, revision));
         }
     }
 
@@ -637,7 +646,7 @@
     fn take_crowd(&mut self, crowd: letter::Crowded, out: &mut Vec<Action>) {
         let near = self.members.get(&crowd.relay).is_some_and(|known| known.member.region == self.me.region);
         let key = (crowd.relay.clone(), crowd.service.clone());
-        let number = (crowd.life, crowd.count);
+        let number = (crowd.incarnation, crowd.count);
         let newer = self.crowds.get(&key).is_none_or(|&held| held < number);
         if near && newer {
             self.crowds.insert(key, number);
@@ -648,8 +657,10 @@
 
     fn take_sign(&mut self, now: u64, sign: letter::Sign, out: &mut Vec<Action>) {
         let key = (sign.relay.clone(), sign.service.clone());
-        let news =
-            self.signs.get(&key).is_none_or(|(held, _)| (sign.life, sign.count) > (held.life, held.count));
+        let news = self
+            .signs
+            .get(&key)
+            .is_none_or(|(held, _)| (sign.incarnation, sign.count) > (held.incarnation, held.count));
         if news && sign.relay != self.me.name {
             self.signs.insert(key, (sign.clone(), now));
             self.pass_on(What::Sign(sign.clone()));
--- a/crates/beechcroft-cairns/tests/news.rs
+++ b/crates/beechcroft-cairns/tests/news.rs
@@ -28,7 +28,7 @@
     bytes: u64,
 }
 
-fn member(at: usize, life: u64) -> Member {
+fn member(at: usize, incarnation: u64) -> Member {
     let region = ["north", "south", "east"][at % 3];
     Member {
         name: format!("relay-{at}"),
@@ -39,7 +39,7 @@
         zone: format!("{region}-{}", at % 2),
         ingress: None,
         control: None,
-        life,
+        incarnation,
         mark: 0,
         standing: Standing::Ready,
     }
@@ -214,7 +214,7 @@
         net.cut[7] = false;
         net.until(2500, |cairns| (0..10).all(|unit| !cairns.open(&format!("i-{unit:08x}"))));
         net.until(2500, knows_all(12));
-        // A new life of its process knows nothing and has to outrank what is said of the former one.
+        // A new incarnation of its process knows nothing and has to outrank what is said of the former one.
         net.relays[7] = net.fresh(7);
         net.until(2500, |cairns| cairns.units.all().count() == 40);
         net.until(2500, knows_all(12));
--- a/crates/beechcroft-hut/src/desks.rs
+++ b/crates/beechcroft-hut/src/desks.rs
@@ -1,7 +1,7 @@
 //! What a core machine answers: to units and the operator, to clients that ask where to go, to other relays.
 
 use crate::keeper::{Command, Queue, ORDER_MS};
-use beechcroft_hutbook::{Op, BOOK, ORDERS};
+use beechcroft_hutbook::{Op, CONFIG, ORDERS};
 use beechcroft_kinds::{Fault, Kind};
 use beechcroft_map::Config;
 use beechcroft_pass::calls::{self, Call as Known};
@@ -99,12 +99,13 @@
         Known::Replace => {
             let config = Config::read(&call.body)?;
             let (version, base) = (config.version, config.base_version);
-            order(queue, BOOK, Op::replace(version, base, &call.body)).await
+            order(queue, CONFIG, Op::replace(version, base, &call.body)).await
         }
         Known::ShowConfig => {
-            let value = through(queue, |answer| Command::Order(BOOK, Op::Read, answer)).await??;
-            let book: beechcroft_hutbook::Book = postcard::from_bytes(&value.bytes).unwrap_or_default();
-            let body = book.body();
+            let value = through(queue, |answer| Command::Order(CONFIG, Op::Read, answer)).await??;
+            let store: beechcroft_hutbook::ConfigStore =
+                postcard::from_bytes(&value.bytes).unwrap_or_default();
+            let body = store.body();
             if body.is_empty() {
                 return Err(Fault::new(Kind::NoThing, "no configuration yet"));
             }
--- a/crates/beechcroft-hut/src/keeper.rs
+++ b/crates/beechcroft-hut/src/keeper.rs
@@ -1,8 +1,8 @@
 //! The owner of a core machine's tables: members, units, the voter, this machine's rounds, what is chosen.
 //! Everything reaches it through one queue of commands; it never waits.
 
+mod quorum;
 mod rollouts;
-mod seats;
 mod show;
 
 use crate::disk::Disk;
@@ -10,7 +10,7 @@
 use beechcroft_cache::Table;
 use beechcroft_cairns::{Action as News, Cairns, Letter, Member, Standing};
 use beechcroft_hutbook::proposer::{Action as Step, Answer, Event, OrderId};
-use beechcroft_hutbook::{Ask, Ballot, Op, Orders, Proposer, Reply, Stage, Value, Voter, BOOK, ORDERS};
+use beechcroft_hutbook::{Ask, Ballot, Op, Orders, Proposer, Reply, Stage, Value, Voter, CONFIG, ORDERS};
 use beechcroft_map::config::{Service, Unfit};
 use beechcroft_map::usual::Usual;
 use beechcroft_map::{Config, Settings};
@@ -32,7 +32,7 @@
 /// The operator asks another machine after a second of silence.
 pub const ORDER_MS: u64 = 2500;
 const FENCE_EVERY_MS: u64 = 300;
-/// A voter that has been down for so long gives its seat to a machine that waits for one.
+/// A voter that has been down for so long gives its membership to a machine that waits for one.
 const VACANT_MS: u64 = 2500;
 /// The same for one that is leaving.
 const LEFT_MS: u64 = 200;
@@ -40,7 +40,7 @@
 const PLACE_EVERY_MS: u64 = 1000;
 /// Since the last new core machine, before the first voters are named.
 const SETTLE_MS: u64 = 1000;
-/// How often at most what is known of units and members is put down for the next life of the process.
+/// How often at most what is known of units and members is put down for the next incarnation of the process.
 const JOT_EVERY_MS: u64 = 500;
 /// Between the huts' first looks after a start.
 const READ_APART_MS: u64 = 120;
@@ -64,7 +64,7 @@
     },
     Fenced {
         from: String,
-        life: u64,
+        epoch: u64,
         reply: Reply,
     },
     VotesAgain,
@@ -92,8 +92,8 @@
 pub struct Keeper {
     settings: Settings,
     usual: Usual,
-    /// The first start of the whole system, on a disk that has never held a seat: only then are voters founded. A
-    /// machine that has lost its seat is not fresh, though its first process was started as one.
+    /// The first start of the whole system, on a disk that has never held a membership: only then are voters founded. A
+    /// machine that has lost its membership is not fresh, though its first process was started as one.
     fresh: bool,
     began: Instant,
     cairns: Cairns,
@@ -110,9 +110,9 @@
     place_at: u64,
     /// Rounds that are to show that the core agrees.
     touches: BTreeSet<OrderId>,
-    /// The seats and who holds them, as told to this machine while it has none.
-    told_seats: Option<(Vec<String>, beechcroft_hutbook::Lives)>,
-    /// A seat whose machine is down, and since when.
+    /// The voters and which machine holds each membership, as told to this machine while it has none.
+    told_voters: Option<(Vec<String>, beechcroft_hutbook::Epochs)>,
+    /// A membership whose machine is down, and since when.
     vacant: Option<(String, u64)>,
     answers: BTreeMap<OrderId, oneshot::Sender<Answer>>,
     next_order: OrderId,
@@ -158,7 +158,7 @@
             wished: BTreeMap::new(),
             place_at: 0,
             touches: BTreeSet::new(),
-            told_seats: None,
+            told_voters: None,
             vacant: None,
             answers: BTreeMap::new(),
             next_order: 0,
@@ -181,19 +181,19 @@
         keeper
     }
 
-    /// Begins where a former life of the process ended: with what it knew to be chosen, its members and units.
+    /// Begins where a former incarnation of the process ended: with what it knew to be chosen, its members and units.
     fn recall(&mut self, table: &Table) {
         fn read<T: serde::de::DeserializeOwned + Default>(table: &Table, name: &str) -> T {
             table.get(name).and_then(|bytes| postcard::from_bytes(bytes).ok()).unwrap_or_default()
         }
         let now = self.now();
         self.cairns.recall(now, read(table, "members"), read(table, "units"));
-        for register in [BOOK, ORDERS] {
+        for register in [CONFIG, ORDERS] {
             self.learn(register, read(table, CHOSEN[register]));
         }
     }
 
-    /// Puts down what spares the next life a wait. Nothing is acknowledged by it.
+    /// Puts down what spares the next incarnation a wait. Nothing is acknowledged by it.
     fn jot(&mut self, now: u64) {
         if now < self.jot_at || !(self.units_new || self.members_new) {
             return;
@@ -258,12 +258,12 @@
             }
             Command::Ask(ask, answer) => self.ask(ask, answer),
             Command::Replied { from, register, ballot, reply } => {
-                if let Reply::Accepted { lives, .. } | Reply::Refused { lives, .. } = &reply {
-                    self.learn_lives(lives);
+                if let Reply::Accepted { epochs, .. } | Reply::Refused { epochs, .. } = &reply {
+                    self.learn_epochs(epochs);
                 }
                 self.propose(Event::Reply { from, register, ballot, reply });
             }
-            Command::Fenced { from, life, reply } => self.fenced(&from, life, reply),
+            Command::Fenced { from, epoch, reply } => self.fenced(&from, epoch, reply),
             Command::VotesAgain => self.votes(),
             Command::Order(register, op, answer) => self.order(register, op, Some(answer)),
             Command::Back { service, begun } => self.back(&service, begun),
@@ -297,8 +297,8 @@
         for action in news {
             match action {
                 News::Send { to, letter } => self.post.send(to, &letter),
-                News::Pull { from, register, rev }
-                    if now >= self.pulling[register] && rev > self.held[register].rev =>
+                News::Pull { from, register, revision }
+                    if now >= self.pulling[register] && revision > self.held[register].revision =>
                 {
                     self.pulling[register] = now + COPY_WITHIN.as_millis() as u64 / 2;
                     let (errands, queue) = (self.errands.clone(), self.queue.clone());
@@ -369,7 +369,7 @@
                 Step::Answer { id, answer } => {
                     let shows = self.touches.remove(&id);
                     if let (Ok(value), true) = (&answer, shows) {
-                        self.cairns.touched(now, value.rev);
+                        self.cairns.touched(now, value.revision);
                     }
                     if let Some(asked) = self.answers.remove(&id) {
                         let _ = asked.send(answer);
@@ -414,12 +414,12 @@
 
     /// A chosen value, from a round or from another relay.
     fn learn(&mut self, register: usize, value: Value) {
-        if value.rev <= self.held[register].rev {
+        if value.revision <= self.held[register].revision {
             return;
         }
-        if register == BOOK {
-            let book: Option<beechcroft_hutbook::Book> = postcard::from_bytes(&value.bytes).ok();
-            let mut config = book.and_then(|book| book.config());
+        if register == CONFIG {
+            let store: Option<beechcroft_hutbook::ConfigStore> = postcard::from_bytes(&value.bytes).ok();
+            let mut config = store.and_then(|store| store.config());
             config.iter_mut().for_each(|config| self.usual.fill(config));
             let services: Vec<Service> = config.into_iter().flat_map(|c: Config| c.services).collect();
             let ruled = services.iter().filter_map(|s| Some((s.name.clone(), s.unfit.clone()?)));
@@ -427,11 +427,11 @@
             self.services = services.into_iter().map(|s| s.name).collect();
         } else {
             self.orders = postcard::from_bytes(&value.bytes).unwrap_or_default();
-            log::info!("keeper: Orders at {}: {:?}.", value.rev, self.orders);
+            log::info!("keeper: Orders at {}: {:?}.", value.revision, self.orders);
         }
         self.put_down(vec![(CHOSEN[register].to_owned(), postcard::to_stdvec(&value).expect("plain data"))]);
         self.held[register] = value;
-        self.cairns.revs[register] = self.held[register].rev;
+        self.cairns.revisions[register] = self.held[register].revision;
         let (now, mut news) = (self.now(), Vec::new());
         self.cairns.hurry(now, &mut news);
         self.carry_out(news);
@@ -454,9 +454,9 @@
                 now + if first { 1 + before * READ_APART_MS } else { ORDER_MS + before * READ_APART_MS };
             let behind = |register: &usize| {
                 let accepted = self.voter.register(*register).accepted.as_ref();
-                accepted.is_some_and(|(_, value)| value.rev > self.held[*register].rev)
+                accepted.is_some_and(|(_, value)| value.revision > self.held[*register].revision)
             };
-            let behind: Vec<usize> = [BOOK, ORDERS].into_iter().filter(behind).collect();
+            let behind: Vec<usize> = [CONFIG, ORDERS].into_iter().filter(behind).collect();
             if !first {
                 behind.into_iter().for_each(|register| self.order(register, Op::Read, None));
             }
--- a/crates/beechcroft-hut/src/keeper/seats.rs
+++ b/crates/beechcroft-hut/src/keeper/quorum.rs
@@ -1,19 +1,21 @@
-//! Who votes: the first voters, a lost disk, a seat whose machine is gone.
+//! Who votes: the first voters, a lost disk, a membership whose machine is gone.
 
 use super::*;
 
 impl Keeper {
-    /// The machine that holds a seat, as far as is known.
-    pub(super) fn holder(&self, seat: &str) -> String {
-        let lives = self.voter.identity.as_ref().map(|identity| &identity.lives);
-        lives.and_then(|lives| lives.get(seat)).map_or_else(|| seat.to_owned(), |(_, holder)| holder.clone())
+    /// The machine that holds a membership, as far as is known.
+    pub(super) fn holder(&self, voter_id: &str) -> String {
+        let epochs = self.voter.identity.as_ref().map(|identity| &identity.epochs);
+        epochs
+            .and_then(|epochs| epochs.get(voter_id))
+            .map_or_else(|| voter_id.to_owned(), |(_, holder)| holder.clone())
     }
 
-    /// Others know of seats that have been taken over, this machine's own perhaps.
-    pub(super) fn learn_lives(&mut self, lives: &beechcroft_hutbook::Lives) {
-        let Some(records) = self.voter.learn(lives) else { return };
+    /// Others know of memberships that have been taken over, this machine's own perhaps.
+    pub(super) fn learn_epochs(&mut self, epochs: &beechcroft_hutbook::Epochs) {
+        let Some(records) = self.voter.learn(epochs) else { return };
         if self.voter.identity.is_none() {
-            log::warn!("keeper: Another machine holds this one's seat; it does not vote any more.");
+            log::warn!("keeper: Another machine holds this one's membership; it does not vote any more.");
         }
         self.put_down(records);
         self.votes();
@@ -51,9 +53,9 @@
             return;
         }
         self.fence_at = now + FENCE_EVERY_MS;
-        let Some(seat) = self.seat(now, &me_again) else { return };
-        let Some(ask) = self.voter.fence(&seat) else { return };
-        let Ask::Fence { life, .. } = ask else { return };
+        let Some(voter_id) = self.voter_id(now, &me_again) else { return };
+        let Some(ask) = self.voter.fence(&voter_id) else { return };
+        let Ask::Fence { epoch, .. } = ask else { return };
         let bytes = postcard::to_stdvec(&ask).expect("plain data");
         for from in names {
             let Some(to) = self.cairns.member(&from).map(|m| self.cairns.address(m)) else { continue };
@@ -61,51 +63,59 @@
             spawn_local(async move {
                 let reply = errands.run(to, "/ask", bytes, ASK_WITHIN).await;
                 if let Some(reply) = reply.ok().and_then(|bytes| postcard::from_bytes(&bytes).ok()) {
-                    let _ = queue.send(Command::Fenced { from, life, reply });
+                    let _ = queue.send(Command::Fenced { from, epoch, reply });
                 }
             });
         }
     }
 
-    /// The seat that a machine without one asks for: its own after a lost disk. A machine that never had one takes the
-    /// seat of one that has long been down, if it is the first of those that wait.
-    pub(super) fn seat(&mut self, now: u64, me: &str) -> Option<String> {
-        let Some((voters, lives)) = &self.told_seats else { return Some(me.to_owned()) };
-        if voters.iter().any(|seat| lives.get(seat).map_or(seat == me, |(_, holder)| holder == me)) {
+    /// The membership that a machine without one asks for: its own after a lost disk. A machine that never had one takes the
+    /// membership of one that has long been down, if it is the first of those that wait.
+    pub(super) fn voter_id(&mut self, now: u64, me: &str) -> Option<String> {
+        let Some((voters, epochs)) = &self.told_voters else { return Some(me.to_owned()) };
+        if voters
+            .iter()
+            .any(|voter_id| epochs.get(voter_id).map_or(voter_id == me, |(_, holder)| holder == me))
+        {
             return Some(me.to_owned()).filter(|me| voters.contains(me)).or_else(|| {
-                voters.iter().find(|seat| lives.get(*seat).is_some_and(|(_, holder)| holder == me)).cloned()
+                voters
+                    .iter()
+                    .find(|voter_id| epochs.get(*voter_id).is_some_and(|(_, holder)| holder == me))
+                    .cloned()
             });
         }
-        let holder = |seat: &String| lives.get(seat).map_or(seat.clone(), |(_, holder)| holder.clone());
+        let holder =
+            |voter_id: &String| epochs.get(voter_id).map_or(voter_id.clone(), |(_, holder)| holder.clone());
         let up = |name: &str| self.cairns.alive().any(|m| m.name == name && m.standing < Standing::Leaving);
         let leaving = |name: &str| self.cairns.member(name).is_some_and(|m| m.standing == Standing::Leaving);
-        let waits = |m: &&Member| m.core && m.quorum && !voters.iter().any(|seat| holder(seat) == m.name);
+        let waits =
+            |m: &&Member| m.core && m.quorum && !voters.iter().any(|voter_id| holder(voter_id) == m.name);
         let first = self.cairns.alive().filter(waits).all(|m| m.name.as_str() > me);
-        let vacant = voters.iter().find(|seat| !up(&holder(seat))).cloned();
+        let vacant = voters.iter().find(|voter_id| !up(&holder(voter_id))).cloned();
         let Some(vacant) = vacant.filter(|_| first) else {
             self.vacant = None;
             return None;
         };
         let left = leaving(&holder(&vacant));
-        let (seat, since) = self.vacant.get_or_insert((vacant.clone(), now));
-        if *seat != vacant {
-            (*seat, *since) = (vacant.clone(), now);
+        let (voter_id, since) = self.vacant.get_or_insert((vacant.clone(), now));
+        if *voter_id != vacant {
+            (*voter_id, *since) = (vacant.clone(), now);
         }
         // One that leaves by order will not be back soon; one that is down may.
         let patience = if left { LEFT_MS } else { VACANT_MS };
         (now >= *since + patience).then_some(vacant)
     }
 
-    pub(super) fn fenced(&mut self, from: &str, life: u64, reply: Reply) {
-        if let Reply::Copy { voters, lives, .. } = &reply {
-            self.told_seats = Some((voters.clone(), lives.clone()));
+    pub(super) fn fenced(&mut self, from: &str, epoch: u64, reply: Reply) {
+        if let Reply::Copy { voters, epochs, .. } = &reply {
+            self.told_voters = Some((voters.clone(), epochs.clone()));
         }
-        // What counts is the seat that the machine holds.
-        let held = self.told_seats.as_ref().and_then(|(_, lives)| {
-            lives.iter().find(|(_, (_, holder))| holder == from).map(|(seat, _)| seat.clone())
+        // What counts is the membership that the machine holds.
+        let held = self.told_voters.as_ref().and_then(|(_, epochs)| {
+            epochs.iter().find(|(_, (_, holder))| holder == from).map(|(voter_id, _)| voter_id.clone())
         });
         let from = held.as_deref().unwrap_or(from);
-        if let Some(records) = self.voter.fenced(from, life, reply) {
+        if let Some(records) = self.voter.fenced(from, epoch, reply) {
             log::info!("keeper: The lost disk is made good; this machine votes again.");
             self.keep_identity(records);
         }
--- a/crates/beechcroft-hut/src/main.rs
+++ b/crates/beechcroft-hut/src/main.rs
@@ -6,7 +6,7 @@
 use beechcroft_map::usual::Usual;
 use beechcroft_map::Settings;
 use beechcroft_pass::errand::Errands;
-use beechcroft_pass::life::{self, Outside};
+use beechcroft_pass::lifecycle::{self, Outside};
 use std::net::SocketAddrV4;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -49,7 +49,7 @@
             run.log.as_deref().unwrap_or("warn"),
             Usual { verdicts: run.verdicts, ..Usual::default() },
         ),
-        flags::HutCmd::Check(check) => life::check(&check.file),
+        flags::HutCmd::Check(check) => lifecycle::check(&check.file),
         flags::HutCmd::Show(show) => show_state(&show.what),
         flags::HutCmd::Why(why) => ask_hut(&why.hut, "/why", why.unit.into_bytes()),
     };
@@ -83,11 +83,11 @@
         beechcroft_cache::Cache::peek(std::path::Path::new(what)).map_err(|e| format!("{what}: {e}"))?;
     let voter = Voter::new("", 0, 0, &table);
     println!("identity {:?}", voter.identity);
-    for register in [beechcroft_hutbook::BOOK, beechcroft_hutbook::ORDERS] {
+    for register in [beechcroft_hutbook::CONFIG, beechcroft_hutbook::ORDERS] {
         let held = voter.register(register);
         println!("register {register} promised {:?}", held.promised);
         if let Some((ballot, value)) = &held.accepted {
-            println!("  accepted under {ballot:?}, change {}, {} bytes", value.rev, value.bytes.len());
+            println!("  accepted under {ballot:?}, change {}, {} bytes", value.revision, value.bytes.len());
         }
     }
     Ok(())
--- a/crates/beechcroft-hut/src/run.rs
+++ b/crates/beechcroft-hut/src/run.rs
@@ -10,7 +10,7 @@
 use beechcroft_map::Settings;
 use beechcroft_pass::desk::{self, Bounds};
 use beechcroft_pass::errand::Errands;
-use beechcroft_pass::life::{self, Outside};
+use beechcroft_pass::lifecycle::{self, Outside};
 use beechcroft_pass::post::Post;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -23,8 +23,8 @@
 ) -> Result<(), String> {
     let said = |e: std::io::Error| e.to_string();
     let Outside { ground, mut term, seeds } = outside;
-    let life = ground.wall().as_millis() as u64;
-    let salt: u64 = life.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ u64::from(u32::from(settings.ip)) << 20;
+    let incarnation = ground.wall().as_millis() as u64;
+    let salt: u64 = incarnation.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ u64::from(u32::from(settings.ip)) << 20;
     let me = Member {
         name: settings.node_name.clone(),
         ip: settings.ip,
@@ -34,7 +34,7 @@
         zone: settings.zone.clone(),
         ingress: None,
         control: settings.listen.control,
-        life,
+        incarnation,
         mark: 0,
         standing: Standing::Ready,
     };
@@ -78,7 +78,7 @@
 
     let every = Duration::from_millis(40);
     let tick = || Command::Tick;
-    life::feed(post, every, queue, Command::Letter, tick, seeds, Command::Seeds);
+    lifecycle::feed(post, every, queue, Command::Letter, tick, seeds, Command::Seeds);
     loop {
         tokio::select! {
             biased;
--- a/crates/beechcroft-hutbook/src/proposer.rs
+++ b/crates/beechcroft-hutbook/src/proposer.rs
@@ -1,7 +1,7 @@
 //! Rounds of ballots: how an order becomes part of a chosen value.
 
-use crate::voter::{Ask, Lives, Reply};
-use crate::{Ballot, Book, Op, Orders, Seat, Value, BOOK, ORDERS};
+use crate::voter::{Ask, Epochs, Reply};
+use crate::{Ballot, ConfigStore, Op, Orders, Value, VoterEpoch, CONFIG, ORDERS};
 use beechcroft_kinds::{Fault, Kind};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -59,15 +59,15 @@
 struct Round {
     ballot: Ballot,
     began: u64,
-    /// Who has promised: the life of its disk, and under which ballot it accepted last.
+    /// Who has promised: the epoch of its disk, and under which ballot it accepted last.
     promises: BTreeMap<String, (u64, Ballot)>,
     best: Option<(Ballot, Value)>,
     /// What this machine's own voter had accepted as the round began: others need not send it.
     have: Option<(Ballot, Value)>,
     /// Once promises of a majority are there: the value and who has accepted it.
     offered: Option<(Value, BTreeMap<String, u64>)>,
-    /// Lives that voters told of with their answers.
-    lives: Lives,
+    /// Epochs that voters told of with their answers.
+    epochs: Epochs,
     refusals: BTreeSet<String>,
     /// The orders it carries, with their outcome if it ends well.
     carried: Vec<(Waiting, Result<(), Fault>)>,
@@ -120,7 +120,7 @@
                 self.begin(now, register, own, out);
             }
             Event::Tick => {
-                for register in [BOOK, ORDERS] {
+                for register in [CONFIG, ORDERS] {
                     self.expire(now, register, out);
                     self.begin(now, register, own, out);
                 }
@@ -175,7 +175,7 @@
             best: None,
             have,
             offered: None,
-            lives: Lives::new(),
+            epochs: Epochs::new(),
             refusals: BTreeSet::new(),
             carried: Vec::new(),
         });
@@ -197,7 +197,7 @@
             return;
         };
         match (reply, &mut round.offered) {
-            (Reply::Promise { life, accepted }, None) => {
+            (Reply::Promise { epoch, accepted }, None) => {
                 let under = accepted.as_ref().map_or(Ballot::default(), |(ballot, _)| *ballot);
                 let value = match accepted {
                     None => None,
@@ -207,7 +207,7 @@
                         _ => return, // it says that we have what we have not
                     },
                 };
-                round.promises.insert(from.to_owned(), (life, under));
+                round.promises.insert(from.to_owned(), (epoch, under));
                 if value.is_some() && round.best.as_ref().is_none_or(|best| under > best.0) {
                     round.best = value.map(|value| (under, value));
                 }
@@ -215,19 +215,20 @@
                     self.offer(register, out);
                 }
             }
-            (Reply::Accepted { life, lives }, Some((_, accepted))) => {
-                accepted.insert(from.to_owned(), life);
-                for (seat, known) in lives {
-                    let held = round.lives.entry(seat).or_default();
+            (Reply::Accepted { epoch, epochs }, Some((_, accepted))) => {
+                accepted.insert(from.to_owned(), epoch);
+                for (voter_id, known) in epochs {
+                    let held = round.epochs.entry(voter_id).or_default();
                     if held.0 < known.0 {
                         *held = known;
                     }
                 }
-                // What a seat's former life has accepted is lost with it. Any majority has a voter that was asked to
-                // fence that life, so one of these answers tells of the later one.
-                let lives = &round.lives;
-                let counts =
-                    |(seat, life): &(&String, &u64)| lives.get(*seat).is_none_or(|known| known.0 <= **life);
+                // What a membership's former epoch has accepted is lost with it. Any majority has a voter that was asked to
+                // fence that epoch, so one of these answers tells of the later one.
+                let epochs = &round.epochs;
+                let counts = |(voter_id, epoch): &(&String, &u64)| {
+                    epochs.get(*voter_id).is_none_or(|known| known.0 <= **epoch)
+                };
                 if accepted.iter().filter(counts).count() >= majority {
                     self.choose(register, out);
                 }
@@ -248,14 +249,14 @@
         let Some(round) = side.round.as_mut() else { return };
         let (under, held) = round.best.take().unwrap_or_default();
         let mut changed = false;
-        let bytes = if register == BOOK {
-            let mut book: Book = postcard::from_bytes(&held.bytes).unwrap_or_default();
+        let bytes = if register == CONFIG {
+            let mut store: ConfigStore = postcard::from_bytes(&held.bytes).unwrap_or_default();
             for waiting in side.queue.drain(..) {
-                let outcome = book.apply(&waiting.op);
+                let outcome = store.apply(&waiting.op);
                 changed |= matches!(outcome, Ok(true));
                 round.carried.push((waiting, outcome.map(drop)));
             }
-            changed.then(|| postcard::to_stdvec(&book).expect("plain data"))
+            changed.then(|| postcard::to_stdvec(&store).expect("plain data"))
         } else {
             let mut orders: Orders = postcard::from_bytes(&held.bytes).unwrap_or_default();
             for waiting in side.queue.drain(..) {
@@ -266,10 +267,11 @@
             changed.then(|| postcard::to_stdvec(&orders).expect("plain data"))
         };
         let value = match bytes {
-            Some(bytes) => Value { rev: held.rev + 1, bytes },
+            Some(bytes) => Value { revision: held.revision + 1, bytes },
             None => held,
         };
-        let seats: Vec<Seat> = round.promises.iter().map(|(name, &(life, _))| (name.clone(), life)).collect();
+        let quorum: Vec<VoterEpoch> =
+            round.promises.iter().map(|(name, &(epoch, _))| (name.clone(), epoch)).collect();
         round.offered = Some((value.clone(), BTreeMap::new()));
         let ballot = round.ballot;
         // Whoever holds the very value, as nothing changes, is only told so.
@@ -280,11 +282,11 @@
         };
         let (holders, others): (Vec<String>, Vec<String>) = self.voters.iter().cloned().partition(holds);
         if !holders.is_empty() {
-            let ask = Ask::Confirm { register, ballot, of: under, seats: seats.clone() };
+            let ask = Ask::Confirm { register, ballot, of: under, quorum: quorum.clone() };
             out.push(Action::Ask { to: holders, ask });
         }
         if !others.is_empty() {
-            out.push(Action::Ask { to: others, ask: Ask::Accept { register, ballot, value, seats } });
+            out.push(Action::Ask { to: others, ask: Ask::Accept { register, ballot, value, quorum } });
         }
     }
 
@@ -293,8 +295,8 @@
         let side = &mut self.sides[register];
         let Some(Round { offered: Some((value, _)), carried, .. }) = side.round.take() else { return };
         side.tries = 0;
-        if value.rev > side.chosen {
-            side.chosen = value.rev;
+        if value.revision > side.chosen {
+            side.chosen = value.revision;
             out.push(Action::Chosen { register, value: value.clone() });
         }
         for (waiting, outcome) in carried {
--- a/crates/beechcroft-hutbook/src/state.rs
+++ b/crates/beechcroft-hutbook/src/state.rs
@@ -15,7 +15,7 @@
 
 /// The configuration in force.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Book {
+pub struct ConfigStore {
     pub version: u32,
     /// As the operator sent it, deflated: it goes through ballots, onto disks and over thin links.
     body: Vec<u8>,
@@ -105,7 +105,7 @@
 impl Op {
     pub fn register(&self) -> usize {
         if matches!(self, Op::Replace { .. }) {
-            crate::BOOK
+            crate::CONFIG
         } else {
             crate::ORDERS
         }
@@ -127,8 +127,8 @@
         .fold(0xcbf2_9ce4_8422_2325, |sum: u64, &b| (sum ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
 }
 
-impl Book {
-    /// Applies an order; whether the book has changed, or why it is refused.
+impl ConfigStore {
+    /// Applies an order; whether the store has changed, or why it is refused.
     pub fn apply(&mut self, op: &Op) -> Result<bool, Fault> {
         let Op::Replace { version, base, digest, body } = op else { return Ok(false) };
         if self.history.contains(&(*version, *digest)) {
--- a/crates/beechcroft-hutbook/src/voter.rs
+++ b/crates/beechcroft-hutbook/src/voter.rs
@@ -1,6 +1,6 @@
 //! A voter of the core: what it has promised and accepted, and how it comes back from a lost disk.
 
-use crate::{Ballot, Seat, Value};
+use crate::{Ballot, Value, VoterEpoch};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -10,24 +10,24 @@
     /// Promise to accept nothing of an earlier ballot, and tell what was accepted last; its value only if it was
     /// accepted under another ballot than the one that `have` names.
     Prepare { register: usize, ballot: Ballot, have: Ballot },
-    /// Accept a value; `seats` are the promises that the round stands on.
-    Accept { register: usize, ballot: Ballot, value: Value, seats: Vec<Seat> },
+    /// Accept a value; `quorum` are the promises that the round stands on.
+    Accept { register: usize, ballot: Ballot, value: Value, quorum: Vec<VoterEpoch> },
     /// Accept under this ballot the value that was accepted under an earlier one, which needs not be sent again.
-    Confirm { register: usize, ballot: Ballot, of: Ballot, seats: Vec<Seat> },
-    /// A seat's disk was lost, or its machine is gone for good, and a new life begins on that machine: let no round
+    Confirm { register: usize, ballot: Ballot, of: Ballot, quorum: Vec<VoterEpoch> },
+    /// A membership's disk was lost, or its machine is gone for good, and a new epoch begins on that machine: let no round
     /// stand on the former one.
-    Fence { seat: String, life: u64, holder: String },
+    Fence { voter_id: String, epoch: u64, holder: String },
 }
 
-/// Of each seat, the latest life known of its disk, and the machine that holds it.
-pub type Lives = BTreeMap<String, (u64, String)>;
+/// Of each membership of the quorum, the latest epoch known of its disk, and the machine that holds it.
+pub type Epochs = BTreeMap<String, (u64, String)>;
 
-/// Takes what another knows of lives; whether anything was new.
-pub fn learn(lives: &mut Lives, told: &Lives) -> bool {
+/// Takes what another knows of epochs; whether anything was new.
+pub fn learn(epochs: &mut Epochs, told: &Epochs) -> bool {
     let mut new = false;
-    for (seat, (life, holder)) in told {
-        if lives.get(seat).is_some_and(|held| held.0 < *life) {
-            lives.insert(seat.clone(), (*life, holder.clone()));
+    for (voter_id, (epoch, holder)) in told {
+        if epochs.get(voter_id).is_some_and(|held| held.0 < *epoch) {
+            epochs.insert(voter_id.clone(), (*epoch, holder.clone()));
             new = true;
         }
     }
@@ -37,13 +37,13 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Reply {
     /// No value where the one who asked has it.
-    Promise { life: u64, accepted: Option<(Ballot, Option<Value>)> },
-    /// With the lives that the voter knows: what a former life of another seat says does not count beside it.
-    Accepted { life: u64, lives: Lives },
+    Promise { epoch: u64, accepted: Option<(Ballot, Option<Value>)> },
+    /// With the epochs that the voter knows: what a former epoch of another membership says does not count beside it.
+    Accepted { epoch: u64, epochs: Epochs },
     /// A later ballot has been promised, or the round stands on a lost disk.
-    Refused { promised: Ballot, lives: Lives },
-    /// All that a voter holds; `life` is the highest one known of the seat that was asked for.
-    Copy { life: u64, voters: Vec<String>, lives: Lives, registers: [Register; 2] },
+    Refused { promised: Ballot, epochs: Epochs },
+    /// All that a voter holds; `epoch` is the highest one known of the membership that was asked for.
+    Copy { epoch: u64, voters: Vec<String>, epochs: Epochs, registers: [Register; 2] },
     /// Not a voter, or not yet again.
     Learner,
 }
@@ -57,21 +57,21 @@
 /// Who a voter is: kept on its disk before it first votes.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Identity {
-    /// The seat that this machine holds: named for the machine that held it first.
-    pub seat: String,
-    pub life: u64,
-    /// The seats.
+    /// The membership that this machine holds: named for the machine that held it first.
+    pub voter_id: String,
+    pub epoch: u64,
+    /// The memberships of the quorum, named for their first holders.
     pub voters: Vec<String>,
-    pub lives: Lives,
+    pub epochs: Epochs,
 }
 
 /// One core machine's part in the agreement.
 ///
-/// An empty disk where the system has run before is a learner. It draws a life above all that are known of it,
+/// An empty disk where the system has run before is a learner. It draws an epoch above all that are known of it,
 /// and asks the others to fence its former one; it votes again once n - f voters with whole disks have done so
 /// and it holds the highest promise and the highest accepted value among them. Any majority shares a voter
-/// with those n - f, so a round that still counts on the former life's promise is refused by one of its own
-/// majority, and a value that the former life helped to choose is among the copies.
+/// with those n - f, so a round that still counts on the former epoch's promise is refused by one of its own
+/// majority, and a value that the former epoch helped to choose is among the copies.
 #[derive(Clone, Debug)]
 pub struct Voter {
     name: String,
@@ -79,14 +79,14 @@
     pub identity: Option<Identity>,
     registers: [Register; 2],
     salt: u64,
-    /// While it learns: its new life, and the copies of those that have fenced the former one.
+    /// While it learns: its new epoch, and the copies of those that have fenced the former one.
     learning: Option<Learning>,
 }
 
 #[derive(Clone, Debug)]
 struct Learning {
-    seat: String,
-    life: u64,
+    voter_id: String,
+    epoch: u64,
     copies: BTreeMap<String, [Register; 2]>,
 }
 
@@ -100,11 +100,11 @@
 
 impl Voter {
     /// From what the disk holds. `losses`: how many voters may be lost at once; `salt`: drawn by each process,
-    /// so that two lives of a disk that were both lost early do not share a number.
+    /// so that two epochs of a disk that were both lost early do not share a number.
     pub fn new(name: &str, losses: usize, salt: u64, table: &BTreeMap<String, Vec<u8>>) -> Voter {
         let read = |key: &str| table.get(key).map(Vec::as_slice);
         let identity: Option<Identity> = read("identity").and_then(|bytes| postcard::from_bytes(bytes).ok());
-        // Whoever holds no seat brings nothing into the next one: what it accepted after it had lost its own was read
+        // Whoever holds no membership brings nothing into the next one: what it accepted after it had lost its own was read
         // from no majority, and may stand under a higher ballot than what was chosen.
         let held = |key| read(key).filter(|_| identity.is_some());
         let register = |key| held(key).and_then(|bytes| postcard::from_bytes(bytes).ok()).unwrap_or_default();
@@ -133,42 +133,47 @@
 
     /// At the first start of the whole system: the voters are these.
     pub fn found(&mut self, voters: Vec<String>) -> Records {
-        let lives = voters.iter().map(|name| (name.clone(), (1, name.clone()))).collect();
-        self.identity = Some(Identity { seat: self.name.clone(), life: 1, voters, lives });
+        let epochs = voters.iter().map(|name| (name.clone(), (1, name.clone()))).collect();
+        self.identity = Some(Identity { voter_id: self.name.clone(), epoch: 1, voters, epochs });
         vec![record("identity", self.identity.as_ref().expect("just set"))]
     }
 
-    /// What to ask all others for, while this machine learns: its own seat after a lost disk, or one whose machine is
+    /// What to ask all others for, while this machine learns: its own membership after a lost disk, or one whose machine is
     /// gone for good.
-    pub fn fence(&mut self, seat: &str) -> Option<Ask> {
+    pub fn fence(&mut self, voter_id: &str) -> Option<Ask> {
         if self.identity.is_some() {
             return None;
         }
-        if self.learning.as_ref().is_none_or(|learning| learning.seat != seat) {
-            let life = 2 + (self.salt >> 2);
-            self.learning = Some(Learning { seat: seat.to_owned(), life, copies: BTreeMap::new() });
+        if self.learning.as_ref().is_none_or(|learning| learning.voter_id != voter_id) {
+            let epoch = 2 + (self.salt >> 2);
+            self.learning = Some(Learning { voter_id: voter_id.to_owned(), epoch, copies: BTreeMap::new() });
         }
         let learning = self.learning.as_ref()?;
-        Some(Ask::Fence { seat: learning.seat.clone(), life: learning.life, holder: self.name.clone() })
+        Some(Ask::Fence {
+            voter_id: learning.voter_id.clone(),
+            epoch: learning.epoch,
+            holder: self.name.clone(),
+        })
     }
 
-    /// An answer to a fence, from the machine that holds another seat. Records, once this machine votes.
-    pub fn fenced(&mut self, from: &str, asked_life: u64, reply: Reply) -> Option<Records> {
-        let Reply::Copy { life, voters, mut lives, registers } = reply else { return None };
+    /// An answer to a fence, from the machine that holds another membership. Records, once this machine votes.
+    pub fn fenced(&mut self, from: &str, asked_epoch: u64, reply: Reply) -> Option<Records> {
+        let Reply::Copy { epoch, voters, mut epochs, registers } = reply else { return None };
         let learning = self.learning.as_mut()?;
-        if life > learning.life {
-            // Others know a later life: begin again above it.
-            (learning.life, learning.copies) = (life + 1, BTreeMap::new());
+        if epoch > learning.epoch {
+            // Others know a later epoch: begin again above it.
+            (learning.epoch, learning.copies) = (epoch + 1, BTreeMap::new());
             return None;
         }
-        if asked_life != learning.life || !voters.contains(&learning.seat) || from == learning.seat {
+        if asked_epoch != learning.epoch || !voters.contains(&learning.voter_id) || from == learning.voter_id
+        {
             return None;
         }
         learning.copies.insert(from.to_owned(), registers);
         if learning.copies.len() < voters.len() - self.losses {
             return None;
         }
-        let Learning { seat, life, copies } = self.learning.take()?;
+        let Learning { voter_id, epoch, copies } = self.learning.take()?;
         for copy in copies.into_values() {
             for (held, theirs) in self.registers.iter_mut().zip(copy) {
                 held.promised = held.promised.max(theirs.promised);
@@ -177,8 +182,8 @@
                 }
             }
         }
-        lives.insert(seat.clone(), (life, self.name.clone()));
-        self.identity = Some(Identity { seat, life, voters, lives });
+        epochs.insert(voter_id.clone(), (epoch, self.name.clone()));
+        self.identity = Some(Identity { voter_id, epoch, voters, epochs });
         Some(vec![
             record("register-0", &self.registers[0]),
             record("register-1", &self.registers[1]),
@@ -186,14 +191,15 @@
         ])
     }
 
-    /// Takes what others know of lives. A machine whose seat has a later life elsewhere does not vote any more: what
+    /// Takes what others know of epochs. A machine whose membership has a later epoch elsewhere does not vote any more: what
     /// is to be on disk, if anything was new.
-    pub fn learn(&mut self, told: &Lives) -> Option<Records> {
+    pub fn learn(&mut self, told: &Epochs) -> Option<Records> {
         let identity = self.identity.as_mut()?;
-        if !learn(&mut identity.lives, told) {
+        if !learn(&mut identity.epochs, told) {
             return None;
         }
-        let deposed = identity.lives.get(&identity.seat).is_some_and(|(life, _)| *life > identity.life);
+        let deposed =
+            identity.epochs.get(&identity.voter_id).is_some_and(|(epoch, _)| *epoch > identity.epoch);
         if deposed {
             self.identity = None;
             self.registers = Default::default();
@@ -209,39 +215,39 @@
             Ask::Prepare { register, ballot, have } => {
                 let held = &mut self.registers[register];
                 if ballot <= held.promised {
-                    let lives = identity.lives.clone();
-                    return (Reply::Refused { promised: held.promised, lives }, Vec::new());
+                    let epochs = identity.epochs.clone();
+                    return (Reply::Refused { promised: held.promised, epochs }, Vec::new());
                 }
                 held.promised = ballot;
                 let accepted = held.accepted.as_ref();
                 let accepted = accepted.map(|(of, value)| (*of, (*of != have).then(|| value.clone())));
-                let reply = Reply::Promise { life: identity.life, accepted };
+                let reply = Reply::Promise { epoch: identity.epoch, accepted };
                 (reply, vec![record(&format!("register-{register}"), held)])
             }
-            Ask::Accept { register, ballot, value, seats } => {
-                Self::accept(identity, &mut self.registers[register], register, ballot, &seats, |_| {
+            Ask::Accept { register, ballot, value, quorum } => {
+                Self::accept(identity, &mut self.registers[register], register, ballot, &quorum, |_| {
                     Some(value)
                 })
             }
-            Ask::Confirm { register, ballot, of, seats } => {
+            Ask::Confirm { register, ballot, of, quorum } => {
                 let held = |held: &Register| {
                     let (under, value) = held.accepted.as_ref()?;
                     (*under == of).then(|| value.clone())
                 };
-                Self::accept(identity, &mut self.registers[register], register, ballot, &seats, held)
+                Self::accept(identity, &mut self.registers[register], register, ballot, &quorum, held)
             }
-            Ask::Fence { seat, life, holder } => {
-                let known = identity.lives.entry(seat).or_insert((0, holder.clone()));
-                if life > known.0 {
-                    *known = (life, holder);
+            Ask::Fence { voter_id, epoch, holder } => {
+                let known = identity.epochs.entry(voter_id).or_insert((0, holder.clone()));
+                if epoch > known.0 {
+                    *known = (epoch, holder);
                 }
-                let life = known.0;
+                let epoch = known.0;
                 let records = vec![record("identity", identity)];
                 let identity = self.identity.as_ref().expect("checked above");
                 let reply = Reply::Copy {
-                    life,
+                    epoch,
                     voters: identity.voters.clone(),
-                    lives: identity.lives.clone(),
+                    epochs: identity.epochs.clone(),
                     registers: self.registers.clone(),
                 };
                 (reply, records)
@@ -250,18 +256,22 @@
     }
 
     fn accept(
-        identity: &Identity, held: &mut Register, register: usize, ballot: Ballot, seats: &[Seat],
+        identity: &Identity, held: &mut Register, register: usize, ballot: Ballot, quorum: &[VoterEpoch],
         value: impl FnOnce(&Register) -> Option<Value>,
     ) -> (Reply, Records) {
-        let lost =
-            seats.iter().any(|(seat, life)| identity.lives.get(seat).is_some_and(|known| known.0 > *life));
+        let lost = quorum
+            .iter()
+            .any(|(voter_id, epoch)| identity.epochs.get(voter_id).is_some_and(|known| known.0 > *epoch));
         let value = if ballot < held.promised || lost { None } else { value(held) };
-        let lives = identity.lives.clone();
+        let epochs = identity.epochs.clone();
         let Some(value) = value else {
-            return (Reply::Refused { promised: held.promised, lives }, Vec::new());
+            return (Reply::Refused { promised: held.promised, epochs }, Vec::new());
         };
         held.promised = ballot;
         held.accepted = Some((ballot, value));
-        (Reply::Accepted { life: identity.life, lives }, vec![record(&format!("register-{register}"), held)])
+        (
+            Reply::Accepted { epoch: identity.epoch, epochs },
+            vec![record(&format!("register-{register}"), held)],
+        )
     }
 }
--- a/crates/beechcroft-hutbook/tests/agreement.rs
+++ b/crates/beechcroft-hutbook/tests/agreement.rs
@@ -3,7 +3,7 @@
 //! test's own, no socket, no disk.
 
 use beechcroft_hutbook::proposer::{Action, Event, OrderId};
-use beechcroft_hutbook::{Ask, Ballot, Book, Op, Proposer, Reply, Value, Voter, BOOK};
+use beechcroft_hutbook::{Ask, Ballot, ConfigStore, Op, Proposer, Reply, Value, Voter, CONFIG};
 use beechcroft_kinds::Kind;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -46,13 +46,13 @@
     FenceReply {
         to: usize,
         from: usize,
-        life: u64,
+        epoch: u64,
         reply: Reply,
     },
     /// Records reach the disk; only then does what waits for them go out.
     Synced {
         at: usize,
-        life: u64,
+        epoch: u64,
         records: Vec<(String, Vec<u8>)>,
         then: Option<Box<Message>>,
     },
@@ -63,7 +63,7 @@
     proposer: Proposer,
     disk: Table,
     /// Rises with each start of its process.
-    life: u64,
+    epoch: u64,
 }
 
 struct Core {
@@ -98,7 +98,7 @@
                 let disk: Table = voter.found(names.clone()).into_iter().collect();
                 let mut proposer = Proposer::new(seed * 31 + at as u64);
                 proposer.voters(&names, 0);
-                Machine { voter, proposer, disk, life: 0 }
+                Machine { voter, proposer, disk, epoch: 0 }
             })
             .collect();
         Core {
@@ -137,10 +137,10 @@
                     }
                     self.answers.insert(id, answer.map_err(|fault| fault.kind));
                 }
-                Action::Chosen { register: BOOK, value } => {
+                Action::Chosen { register: CONFIG, value } => {
                     // The one thing that may never happen: two values chosen as the same change.
-                    let held = self.chosen.entry(value.rev).or_insert_with(|| value.bytes.clone());
-                    assert_eq!(*held, value.bytes, "two values are chosen as change {}", value.rev);
+                    let held = self.chosen.entry(value.revision).or_insert_with(|| value.bytes.clone());
+                    assert_eq!(*held, value.bytes, "two values are chosen as change {}", value.revision);
                 }
                 Action::Chosen { .. } => {}
             }
@@ -152,7 +152,7 @@
         self.versions.insert(id, version);
         let mut out = Vec::new();
         let until = self.now + 60_000;
-        self.tell(at, Event::Order { id, register: BOOK, op, until }, &mut out);
+        self.tell(at, Event::Order { id, register: CONFIG, op, until }, &mut out);
         self.act(at, out);
     }
 
@@ -164,7 +164,7 @@
     fn restart(&mut self, at: usize, wiped: bool) {
         let (now, losses, salt) = (self.now, self.losses, self.random(1 << 30) + 2);
         let machine = &mut self.machines[at];
-        machine.life += 1;
+        machine.epoch += 1;
         if wiped {
             machine.disk.clear();
         }
@@ -227,11 +227,11 @@
                     | Ask::Accept { register, ballot, .. } => {
                         Message::Reply { to: from, from: to, ballot, register, reply }
                     }
-                    Ask::Fence { life, .. } => Message::FenceReply { to: from, from: to, life, reply },
+                    Ask::Fence { epoch, .. } => Message::FenceReply { to: from, from: to, epoch, reply },
                 };
-                let life = self.machines[to].life;
+                let epoch = self.machines[to].epoch;
                 let then = Some(Box::new(back));
-                self.on_the_way.push_back(Message::Synced { at: to, life, records, then });
+                self.on_the_way.push_back(Message::Synced { at: to, epoch, records, then });
             }
             Message::Reply { to, from, ballot, register, reply } => {
                 let mut out = Vec::new();
@@ -239,16 +239,16 @@
                 self.tell(to, event, &mut out);
                 self.act(to, out);
             }
-            Message::FenceReply { to, from, life, reply } => {
-                if let Some(records) = self.machines[to].voter.fenced(&name(from), life, reply) {
+            Message::FenceReply { to, from, epoch, reply } => {
+                if let Some(records) = self.machines[to].voter.fenced(&name(from), epoch, reply) {
                     let machine = &mut self.machines[to];
                     machine.proposer.voters(machine.voter.voters(), machine.voter.highest());
-                    let life = machine.life;
-                    self.on_the_way.push_back(Message::Synced { at: to, life, records, then: None });
+                    let epoch = machine.epoch;
+                    self.on_the_way.push_back(Message::Synced { at: to, epoch, records, then: None });
                 }
             }
-            Message::Synced { at, life, records, then } => {
-                if self.machines[at].life == life {
+            Message::Synced { at, epoch, records, then } => {
+                if self.machines[at].epoch == epoch {
                     self.machines[at].disk.extend(records);
                     self.on_the_way.extend(then.map(|then| *then));
                 }
@@ -256,13 +256,13 @@
         }
     }
 
-    /// The last three of five machines let a voter take a seat.
-    fn seat(&mut self, voter: &mut Voter, seat: &str) {
-        let ask = voter.fence(seat).unwrap();
-        let Ask::Fence { life, .. } = ask.clone() else { panic!() };
+    /// The last three of five machines let a voter take a membership.
+    fn voter_id(&mut self, voter: &mut Voter, voter_id: &str) {
+        let ask = voter.fence(voter_id).unwrap();
+        let Ask::Fence { epoch, .. } = ask.clone() else { panic!() };
         for from in [2, 3, 4] {
             let (reply, _) = self.machines[from].voter.ask(ask.clone());
-            voter.fenced(&name(from), life, reply);
+            voter.fenced(&name(from), epoch, reply);
         }
     }
 
@@ -290,13 +290,13 @@
     }
 
     /// What a read at a machine gives in the end.
-    fn read(&mut self, at: usize) -> Book {
+    fn read(&mut self, at: usize) -> ConfigStore {
         self.wild = 0;
         self.fault = None;
         self.settle(20);
         let id = 1_000_000 + at as u64;
         let mut out = Vec::new();
-        let event = Event::Order { id, register: BOOK, op: Op::Read, until: u64::MAX };
+        let event = Event::Order { id, register: CONFIG, op: Op::Read, until: u64::MAX };
         self.tell(at, event, &mut out);
         self.act(at, out);
         self.settle(20);
@@ -307,12 +307,12 @@
     /// Everything acknowledged is there, on every machine.
     fn check(&mut self, said: &str) {
         for at in 0..self.machines.len() {
-            let book = self.read(at);
+            let store = self.read(at);
             for version in self.acked.clone() {
                 assert!(
-                    book.version >= version,
+                    store.version >= version,
                     "{said}: version {version} was acknowledged, {at} has {}",
-                    book.version
+                    store.version
                 );
             }
         }
@@ -344,8 +344,8 @@
 #[test]
 fn the_same_order_again_is_acknowledged_even_after_a_later_one() {
     let mut core = run(3, 1, None);
-    let book = core.read(0);
-    let base = book.version;
+    let store = core.read(0);
+    let base = store.version;
     core.order(2, 1, 5, 0); // as it was sent at first, now to another machine
     core.settle(5);
     assert!(core.answers[&1].is_ok());
@@ -389,14 +389,14 @@
     let mut core = Core::new(3, 1);
     let ballot = Ballot { count: 7, nonce: 1 };
     let (promise, _) =
-        core.machines[0].voter.ask(Ask::Prepare { register: BOOK, ballot, have: Ballot::default() });
-    assert!(matches!(promise, Reply::Promise { life: 1, .. }));
+        core.machines[0].voter.ask(Ask::Prepare { register: CONFIG, ballot, have: Ballot::default() });
+    assert!(matches!(promise, Reply::Promise { epoch: 1, .. }));
     core.restart(0, true);
     core.settle(3);
     assert!(core.machines[0].voter.identity.is_some(), "it votes again");
-    let seats = vec![(name(0), 1), (name(1), 1)];
-    let value = Value { rev: 1, bytes: vec![1] };
-    let (reply, _) = core.machines[1].voter.ask(Ask::Accept { register: BOOK, ballot, value, seats });
+    let quorum = vec![(name(0), 1), (name(1), 1)];
+    let value = Value { revision: 1, bytes: vec![1] };
+    let (reply, _) = core.machines[1].voter.ask(Ask::Accept { register: CONFIG, ballot, value, quorum });
     assert!(matches!(reply, Reply::Refused { .. }), "{reply:?}");
 }
 
@@ -407,33 +407,33 @@
     core.restart(1, true);
     // Two of the five are learners: three whole disks are needed, and only two answer.
     let ask = core.machines[0].voter.fence("hut-0").unwrap();
-    let Ask::Fence { life, .. } = ask.clone() else { panic!() };
+    let Ask::Fence { epoch, .. } = ask.clone() else { panic!() };
     for from in [2, 3] {
         let (reply, _) = core.machines[from].voter.ask(ask.clone());
-        assert!(core.machines[0].voter.fenced(&name(from), life, reply).is_none());
+        assert!(core.machines[0].voter.fenced(&name(from), epoch, reply).is_none());
     }
     let (reply, _) = core.machines[1].voter.ask(ask.clone());
     assert_eq!(reply, Reply::Learner);
-    assert!(core.machines[0].voter.fenced(&name(1), life, reply).is_none());
+    assert!(core.machines[0].voter.fenced(&name(1), epoch, reply).is_none());
     let (reply, _) = core.machines[4].voter.ask(ask);
-    assert!(core.machines[0].voter.fenced(&name(4), life, reply).is_some());
+    assert!(core.machines[0].voter.fenced(&name(4), epoch, reply).is_some());
 }
 
 #[test]
 fn what_a_lost_disk_accepted_in_its_former_life_does_not_count() {
-    // hut-0 accepts and loses its disk; its answer is still on the way as the others fence that life.
+    // hut-0 accepts and loses its disk; its answer is still on the way as the others fence that epoch.
     let mut core = Core::new(3, 1);
     let ballot = Ballot { count: 7, nonce: 1 };
-    let seats = vec![(name(1), 1), (name(2), 1)];
-    let value = Value { rev: 1, bytes: vec![1] };
-    let accept = Ask::Accept { register: BOOK, ballot, value: value.clone(), seats };
+    let quorum = vec![(name(1), 1), (name(2), 1)];
+    let value = Value { revision: 1, bytes: vec![1] };
+    let accept = Ask::Accept { register: CONFIG, ballot, value: value.clone(), quorum };
     let (late, _) = core.machines[0].voter.ask(accept.clone());
     core.restart(0, true);
     core.settle(3);
     let (now, _) = core.machines[1].voter.ask(accept);
-    let Reply::Accepted { lives, .. } = &now else { panic!("{now:?}") };
-    let Reply::Accepted { life, .. } = late else { panic!() };
-    assert!(lives["hut-0"].0 > life, "whoever accepts after the fence tells of the later life");
+    let Reply::Accepted { epochs, .. } = &now else { panic!("{now:?}") };
+    let Reply::Accepted { epoch, .. } = late else { panic!() };
+    assert!(epochs["hut-0"].0 > epoch, "whoever accepts after the fence tells of the later epoch");
 }
 
 #[test]
@@ -441,29 +441,29 @@
     let mut core = Core::new(5, 4);
     core.order(0, 1, 5, 0);
     core.settle(8);
-    // Two machines are gone; an empty one takes the seat of the first.
+    // Two machines are gone; an empty one takes the membership of the first.
     let mut new = Voter::new("hut-9", 2, 77, &Table::new());
-    core.seat(&mut new, "hut-0");
+    core.voter_id(&mut new, "hut-0");
     let identity = new.identity.clone().expect("three whole disks are enough for two losses");
-    assert_eq!((identity.seat.as_str(), identity.lives["hut-0"].1.as_str()), ("hut-0", "hut-9"));
+    assert_eq!((identity.voter_id.as_str(), identity.epochs["hut-0"].1.as_str()), ("hut-0", "hut-9"));
     let (reply, _) = new.ask(Ask::Prepare {
-        register: BOOK,
+        register: CONFIG,
         ballot: Ballot { count: 99, nonce: 5 },
         have: Ballot::default(),
     });
     let Reply::Promise { accepted: Some((_, Some(value))), .. } = reply else { panic!("{reply:?}") };
     assert_eq!(
-        postcard::from_bytes::<Book>(&value.bytes).unwrap().version,
+        postcard::from_bytes::<ConfigStore>(&value.bytes).unwrap().version,
         5,
         "it holds what was acknowledged"
     );
     // The former machine wakes: a round that stands on its promise is refused, and by that it learns that it is none.
-    let seats = vec![(name(0), 1), (name(1), 1), (name(2), 1)];
+    let quorum = vec![(name(0), 1), (name(1), 1), (name(2), 1)];
     let ballot = Ballot { count: 100, nonce: 1 };
-    let value = Value { rev: 9, bytes: vec![9] };
-    let (reply, _) = core.machines[2].voter.ask(Ask::Accept { register: BOOK, ballot, value, seats });
-    let Reply::Refused { lives, .. } = reply else { panic!("{reply:?}") };
-    assert!(core.machines[0].voter.learn(&lives).is_some());
+    let value = Value { revision: 9, bytes: vec![9] };
+    let (reply, _) = core.machines[2].voter.ask(Ask::Accept { register: CONFIG, ballot, value, quorum });
+    let Reply::Refused { epochs, .. } = reply else { panic!("{reply:?}") };
+    assert!(core.machines[0].voter.learn(&epochs).is_some());
     assert!(core.machines[0].voter.identity.is_none(), "it does not vote any more");
 }
 
@@ -519,19 +519,23 @@
     core.order(0, 1, 5, 0);
     core.settle(8);
     let mut new = Voter::new("hut-9", 2, 77, &Table::new());
-    core.seat(&mut new, "hut-0");
+    core.voter_id(&mut new, "hut-0");
     // The former holder does not know yet, and accepts a value of a round that nobody else lets through.
-    let stray = Value { rev: 9, bytes: vec![9] };
-    let (ballot, seats) = (Ballot { count: 900, nonce: 1 }, vec![(name(0), 1), (name(1), 1), (name(2), 1)]);
+    let stray = Value { revision: 9, bytes: vec![9] };
+    let (ballot, quorum) = (Ballot { count: 900, nonce: 1 }, vec![(name(0), 1), (name(1), 1), (name(2), 1)]);
     let (_, records) =
-        core.machines[0].voter.ask(Ask::Accept { register: BOOK, ballot, value: stray, seats });
+        core.machines[0].voter.ask(Ask::Accept { register: CONFIG, ballot, value: stray, quorum });
     core.machines[0].disk.extend(records);
-    let told = new.identity.as_ref().unwrap().lives.clone();
+    let told = new.identity.as_ref().unwrap().epochs.clone();
     let records = core.machines[0].voter.learn(&told).expect("it learns that it is none");
     core.machines[0].disk.extend(records);
-    // It starts again and takes the seat of another machine that is gone.
+    // It starts again and takes the membership of another machine that is gone.
     let mut again = Voter::new(&name(0), 2, 5, &core.machines[0].disk);
-    core.seat(&mut again, "hut-1");
-    let held = again.register(BOOK).accepted.as_ref().expect("what the others hold");
-    assert_eq!(postcard::from_bytes::<Book>(&held.1.bytes).unwrap().version, 5, "not what it held alone");
+    core.voter_id(&mut again, "hut-1");
+    let held = again.register(CONFIG).accepted.as_ref().expect("what the others hold");
+    assert_eq!(
+        postcard::from_bytes::<ConfigStore>(&held.1.bytes).unwrap().version,
+        5,
+        "not what it held alone"
+    );
 }
--- a/crates/beechcroft-hutbook/tests/model.rs
+++ b/crates/beechcroft-hutbook/tests/model.rs
@@ -5,7 +5,7 @@
 //! states; what was explored is printed and at least the stated number must have been.
 
 use beechcroft_hutbook::proposer::{Action as Step, Event, OrderId};
-use beechcroft_hutbook::{Ask, Ballot, Op, Proposer, Reply, Voter, BOOK};
+use beechcroft_hutbook::{Ask, Ballot, Op, Proposer, Reply, Voter, CONFIG};
 use stateright::{Checker, Model, Property, UniformChooser};
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
@@ -17,7 +17,7 @@
     Ask { to: usize, from: usize, ask: Ask },
     Reply { to: usize, from: usize, ballot: Ballot, reply: Reply },
     Fence { to: usize, from: usize, ask: Ask },
-    Fenced { to: usize, from: usize, life: u64, reply: Reply },
+    Fenced { to: usize, from: usize, epoch: u64, reply: Reply },
 }
 
 #[derive(Clone, Debug)]
@@ -111,8 +111,8 @@
                         state.acked.insert(id);
                     }
                 }
-                Step::Chosen { register: BOOK, value } => {
-                    state.chosen.entry(value.rev).or_default().insert(value.bytes);
+                Step::Chosen { register: CONFIG, value } => {
+                    state.chosen.entry(value.revision).or_default().insert(value.bytes);
                 }
                 Step::Chosen { .. } => {}
             }
@@ -170,7 +170,7 @@
         };
         for at in [0, 1] {
             let op = Op::replace(1 + at as u32, 0, format!("from {at}").as_bytes());
-            let event = Event::Order { id: 1 + at as u64, register: BOOK, op, until: 1_000_000 };
+            let event = Event::Order { id: 1 + at as u64, register: CONFIG, op, until: 1_000_000 };
             Core::tell(&mut state, at, event);
         }
         vec![state]
@@ -231,18 +231,18 @@
                     state.send(Message::Reply { to: from, from: to, ballot, reply });
                 }
                 Message::Reply { to, from, ballot, reply } => {
-                    let event = Event::Reply { from: name(from), register: BOOK, ballot, reply };
+                    let event = Event::Reply { from: name(from), register: CONFIG, ballot, reply };
                     Core::tell(&mut state, to, event);
                 }
                 Message::Fence { to, from, ask } => {
-                    let Ask::Fence { life, .. } = ask else { return None };
+                    let Ask::Fence { epoch, .. } = ask else { return None };
                     let (reply, records) = state.machines[to].voter.ask(ask);
                     state.machines[to].disk.extend(records);
-                    state.send(Message::Fenced { to: from, from: to, life, reply });
+                    state.send(Message::Fenced { to: from, from: to, epoch, reply });
                 }
-                Message::Fenced { to, from, life, reply } => {
+                Message::Fenced { to, from, epoch, reply } => {
                     let machine = &mut state.machines[to];
-                    if let Some(records) = machine.voter.fenced(&name(from), life, reply) {
+                    if let Some(records) = machine.voter.fenced(&name(from), epoch, reply) {
                         machine.disk.extend(records);
                         machine.proposer.voters(machine.voter.voters(), machine.voter.highest());
                     }
--- a/crates/beechcroft-pass/src/lib.rs
+++ b/crates/beechcroft-pass/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod errand;
 pub mod ground;
 pub mod guard;
-pub mod life;
+pub mod lifecycle;
 pub mod line;
 pub mod post;
 mod wire;
--- a/crates/beechcroft-range/src/crowd.rs
+++ b/crates/beechcroft-range/src/crowd.rs
@@ -143,7 +143,7 @@
     region: usize,
     yard: Yard,
     crowd: Crowd,
-    life: u64,
+    incarnation: u64,
     count: u32,
     trial_due: f64,
 }
@@ -189,7 +189,7 @@
     Told {
         relay: usize,
         from: usize,
-        life: u64,
+        incarnation: u64,
         count: u32,
         word: beechcroft_saddle::Word,
     },
@@ -287,17 +287,17 @@
         world
     }
 
-    fn relay(&self, at: usize, life: u64) -> Relay {
+    fn relay(&self, at: usize, incarnation: u64) -> Relay {
         let (region, zone) = (at % REGIONS, at / REGIONS % ZONES);
         let mut yard = Yard::new(
             &format!("r{region}"),
             &format!("r{region}z{zone}"),
-            self.night.seed * 31 + at as u64 + life,
+            self.night.seed * 31 + at as u64 + incarnation,
         );
         for (number, unit) in self.units.iter().enumerate().filter(|(_, unit)| unit.alive) {
             yard.service(SERVICE).push(self.place(number, unit));
         }
-        Relay { region, yard, crowd: Crowd::default(), life, count: 0, trial_due: 0.0 }
+        Relay { region, yard, crowd: Crowd::default(), incarnation, count: 0, trial_due: 0.0 }
     }
 
     fn place(&self, number: usize, unit: &Unit) -> Place {
@@ -357,9 +357,9 @@
             }
             Event::Tick => self.tick(),
             Event::Tell => self.tell(),
-            Event::Told { relay, from, life, count, word } => {
+            Event::Told { relay, from, incarnation, count, word } => {
                 let now = self.agenda.ms();
-                self.relays[relay].crowd.hear(now, &format!("relay-{from}"), life, count, word);
+                self.relays[relay].crowd.hear(now, &format!("relay-{from}"), incarnation, count, word);
             }
             Event::TroubleBegins => self.trouble(true),
             Event::TroubleEnds => self.trouble(false),
@@ -501,7 +501,7 @@
     }
 
     fn comes(&mut self, id: u64) {
-        // What a relay had under way is gone with its life.
+        // What a relay had under way is gone with its incarnation.
         let Some(unit) = self.requests.get(&id).map(|request| request.unit) else { return };
         let way = self.way(id);
         if self.crowded() {
@@ -655,12 +655,13 @@
             let Some(word) = self.relays[from].crowd.word(now) else { continue };
             let relay = &mut self.relays[from];
             relay.count += 1;
-            let (life, count, region) = (relay.life, relay.count, relay.region);
+            let (incarnation, count, region) = (relay.incarnation, relay.count, relay.region);
             for to in 0..self.relays.len() {
                 if to != from && self.relays[to].region == region && !self.rng.random_bool(0.02) {
                     let wait = self.rng.random_range(20_000..400_000);
                     self.seen.news_bytes += 24 + 14 * word.keys.len() as u64;
-                    self.agenda.after(wait, Event::Told { relay: to, from, life, count, word: word.clone() });
+                    self.agenda
+                        .after(wait, Event::Told { relay: to, from, incarnation, count, word: word.clone() });
                 }
             }
         }
@@ -700,8 +701,8 @@
             (Trouble::Cut, begins) => self.cut = begins.then_some(2),
             (Trouble::Restart, true) => {
                 for at in (0..self.relays.len()).step_by(3) {
-                    let life = self.relays[at].life + 1;
-                    self.relays[at] = self.relay(at, life);
+                    let incarnation = self.relays[at].incarnation + 1;
+                    self.relays[at] = self.relay(at, incarnation);
                     self.requests.retain(|_, request| request.relay != at);
                     for connection in self.connections.iter_mut().filter(|connection| connection.relay == at)
                     {
--- a/crates/beechcroft-range/src/sight.rs
+++ b/crates/beechcroft-range/src/sight.rs
@@ -125,7 +125,14 @@
             let units = owns[relay].tells(units, &asked);
             if !units.is_empty() {
                 let (relay, region) = (format!("relay-{relay}"), REGIONS[relay % 3].to_owned());
-                words.push(Word { relay, region, life: 1, number: second, service: "s".into(), units });
+                words.push(Word {
+                    relay,
+                    region,
+                    incarnation: 1,
+                    number: second,
+                    service: "s".into(),
+                    units,
+                });
             }
         }
         for (from, word) in words.into_iter().enumerate() {
@@ -223,7 +230,7 @@
                 bench.hear(&Word {
                     relay: name,
                     region,
-                    life: 1,
+                    incarnation: 1,
                     number: second,
                     service: "s".into(),
                     units,
--- a/crates/beechcroft-range/src/whole/day.rs
+++ b/crates/beechcroft-range/src/whole/day.rs
@@ -14,7 +14,7 @@
 use beechcroft_hut::disk::Disk;
 use beechcroft_map::usual::Usual;
 use beechcroft_map::Settings;
-use beechcroft_pass::life::Outside;
+use beechcroft_pass::lifecycle::Outside;
 use beechcroft_pass::Ground;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
--- a/crates/beechcroft-range/tests/readers.rs
+++ b/crates/beechcroft-range/tests/readers.rs
@@ -61,8 +61,9 @@
 
 #[test]
 fn letters_between_relays() {
-    let from = Who { name: "a".into(), life: 1, mark: 2, standing: beechcroft_cairns::Standing::Ready };
-    let sums = Sums { members: 1, units: 2, revs: [3, 4], settled: [true, false], touch: Some((5, 6)) };
+    let from =
+        Who { name: "a".into(), incarnation: 1, mark: 2, standing: beechcroft_cairns::Standing::Ready };
+    let sums = Sums { members: 1, units: 2, revisions: [3, 4], settled: [true, false], touch: Some((5, 6)) };
     let letter = Letter { from, ask: true, sums, ranges: None, items: Vec::new() };
     let sound = postcard::to_stdvec(&letter).unwrap();
     bolero::check!().with_type::<Vec<u8>>().for_each(|bytes| {
--- a/crates/beechcroft-saddle/src/lib.rs
+++ b/crates/beechcroft-saddle/src/lib.rs
@@ -50,7 +50,7 @@
     pub keys: Vec<(u64, f32)>,
 }
 
-/// Who told a word, in which life of its process, and its number there: each is counted once, and the latest holds.
+/// Who told a word, in which incarnation of its process, and its number there: each is counted once, and the latest holds.
 type Told = (u64, u32, u64, Word);
 
 struct Spread {
@@ -143,10 +143,10 @@
     }
 
     /// Another relay of the region tells.
-    pub fn hear(&mut self, now: u64, relay: &str, life: u64, number: u32, word: Word) {
-        let newer = self.told.get(relay).is_none_or(|told| (told.0, told.1) < (life, number));
+    pub fn hear(&mut self, now: u64, relay: &str, incarnation: u64, number: u32, word: Word) {
+        let newer = self.told.get(relay).is_none_or(|told| (told.0, told.1) < (incarnation, number));
         if newer {
-            self.told.insert(relay.to_owned(), (life, number, now, word));
+            self.told.insert(relay.to_owned(), (incarnation, number, now, word));
         }
     }
 
@@ -350,7 +350,7 @@
         assert_eq!(crowd.rate(9), 89.0 * 4.0);
         crowd.hear(now, "relay-3", 1, 4, Word { all: 1.0, keys: vec![(9, 900.0)] });
         crowd.hear(now, "relay-3", 0, 9, Word { all: 1.0, keys: vec![(9, 900.0)] });
-        assert_eq!(crowd.rate(9), 89.0 * 4.0, "a late word or one of a former life");
+        assert_eq!(crowd.rate(9), 89.0 * 4.0, "a late word or one of a former incarnation");
         for _ in 0..30 {
             now += 100;
             crowd.tick(now, 2, 50.0, 100, 90);
--- a/crates/beechcroft-trail/src/guide.rs
+++ b/crates/beechcroft-trail/src/guide.rs
@@ -6,7 +6,7 @@
 use beechcroft_cairns::letter::{Crowded, Sign};
 use beechcroft_cairns::{Action, Cairns, Letter, Member, Standing, EVERY_BEAT};
 use beechcroft_hutbook::state::Admits;
-use beechcroft_hutbook::{Book, Orders, Stage, Value, BOOK, ORDERS};
+use beechcroft_hutbook::{ConfigStore, Orders, Stage, Value, CONFIG, ORDERS};
 use beechcroft_junction::Table;
 use beechcroft_pace::{Place, Side};
 use beechcroft_pass::errand::Errands;
@@ -138,8 +138,8 @@
         for action in news {
             match action {
                 Action::Send { to, letter } => self.post.send(to, &letter),
-                Action::Pull { from, register, rev }
-                    if now >= self.pulling[register] && rev > self.held[register].rev =>
+                Action::Pull { from, register, revision }
+                    if now >= self.pulling[register] && revision > self.held[register].revision =>
                 {
                     self.pulling[register] = now + COPY_WITHIN.as_millis() as u64 / 2;
                     let (errands, queue) = (self.errands.clone(), self.queue.clone());
@@ -160,7 +160,7 @@
                 Action::Crowd(crowd) => {
                     let mut crowds = self.shared.crowds.borrow_mut();
                     if let Some(held) = crowds.get_mut(&crowd.service) {
-                        held.hear(now, &crowd.relay, crowd.life, crowd.count, crowd.word);
+                        held.hear(now, &crowd.relay, crowd.incarnation, crowd.count, crowd.word);
                     }
                 }
                 Action::Pull { .. } | Action::Sign(_) => {}
@@ -170,24 +170,24 @@
 
     /// A chosen value that is newer than the one held; never an older one, and always whole.
     fn learn(&mut self, now: u64, register: usize, value: Value, news: &mut Vec<Action>) {
-        if value.rev <= self.held[register].rev {
+        if value.revision <= self.held[register].revision {
             return;
         }
-        if register == BOOK {
-            let book: Option<Book> = postcard::from_bytes(&value.bytes).ok();
-            let Some(mut config) = book.and_then(|book| book.config()) else { return };
+        if register == CONFIG {
+            let store: Option<ConfigStore> = postcard::from_bytes(&value.bytes).ok();
+            let Some(mut config) = store.and_then(|store| store.config()) else { return };
             self.shared.usual.fill(&mut config);
             log::info!("guide: Configuration {:08x} is in force.", config.version);
             *self.shared.table.borrow_mut() = Some(Rc::new(Table::new(&config)));
         } else {
             let Ok(orders) = postcard::from_bytes::<Orders>(&value.bytes) else { return };
-            log::info!("guide: Orders at {}: {orders:?}.", value.rev);
+            log::info!("guide: Orders at {}: {orders:?}.", value.revision);
             let before = self.shared.orders.replace(orders);
             self.note_moves(now, &before);
             self.doubt_returned(now, &before);
         }
         self.held[register] = value;
-        self.cairns.revs[register] = self.held[register].rev;
+        self.cairns.revisions[register] = self.held[register].revision;
         self.cairns.hurry(now, news);
         self.sync_all(now);
     }
@@ -322,7 +322,7 @@
                 yard.places().map(|(_, place)| (&*place.id, place.open_to_all)).collect();
             self.shared.pool.borrow_mut().sweep(now, |unit| used.get(unit).copied().unwrap_or(false));
         }
-        let told = self.held[BOOK].rev > 0 && self.held[ORDERS].rev > 0;
+        let told = self.held[CONFIG].revision > 0 && self.held[ORDERS].revision > 0;
         if self.shared.phase.get() == Phase::Coming
             && told
             && self.units_at.is_some_and(|at| now >= at + SETTLE_MS)
@@ -405,7 +405,7 @@
                 self.count += 1;
                 signs.push(Sign {
                     relay: me.clone(),
-                    life: self.cairns.me.life,
+                    incarnation: self.cairns.me.incarnation,
                     count: self.count,
                     service: service.clone(),
                     begun: rollout.begun,
@@ -452,8 +452,14 @@
             crowd.tick(now, service.usual_places, bears, units, beside);
             if let Some(word) = crowd.word(now) {
                 self.count += 1;
-                let (relay, life) = (self.cairns.me.name.clone(), self.cairns.me.life);
-                words.push(Crowded { relay, life, count: self.count, service: service.name.clone(), word });
+                let (relay, incarnation) = (self.cairns.me.name.clone(), self.cairns.me.incarnation);
+                words.push(Crowded {
+                    relay,
+                    incarnation,
+                    count: self.count,
+                    service: service.name.clone(),
+                    word,
+                });
             }
         }
         drop(crowds);
@@ -481,13 +487,13 @@
             let mine = seen.remove(&service.name).unwrap_or_default();
             let counts = mine.into_iter().map(|(id, count)| (short(&id), count)).collect();
             let units = self.owns.entry(service.name.clone()).or_default().tells(counts, &asked);
-            let Member { name, region, life, .. } = &self.cairns.me;
+            let Member { name, region, incarnation, .. } = &self.cairns.me;
             if !units.is_empty() {
                 let (relay, region, service) = (name.clone(), region.clone(), service.name.clone());
                 let word = beechcroft_belvedere::Word {
                     relay,
                     region,
-                    life: *life,
+                    incarnation: *incarnation,
                     number: clock as u32,
                     service,
                     units,
--- a/crates/beechcroft-trail/src/main.rs
+++ b/crates/beechcroft-trail/src/main.rs
@@ -2,7 +2,7 @@
 
 use beechcroft_map::usual::Usual;
 use beechcroft_map::Settings;
-use beechcroft_pass::life::{self, Outside};
+use beechcroft_pass::lifecycle::{self, Outside};
 use beechcroft_trail::run::run;
 use std::process::ExitCode;
 
@@ -37,7 +37,7 @@
             run.log.as_deref().unwrap_or("warn"),
             Usual { places: run.places.unwrap_or(0), verdicts: run.verdicts },
         ),
-        flags::TrailCmd::Check(check) => life::check(&check.file),
+        flags::TrailCmd::Check(check) => lifecycle::check(&check.file),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/beechcroft-trail/src/run.rs
+++ b/crates/beechcroft-trail/src/run.rs
@@ -11,7 +11,7 @@
 use beechcroft_pass::calls;
 use beechcroft_pass::desk::{self, Answer, Bounds};
 use beechcroft_pass::errand::Errands;
-use beechcroft_pass::life::{self, Outside};
+use beechcroft_pass::lifecycle::{self, Outside};
 use beechcroft_pass::post::Post;
 use std::future::Future;
 use std::net::SocketAddrV4;
@@ -31,8 +31,8 @@
 pub async fn run(settings: Settings, usual: Usual, outside: Outside) -> Result<(), String> {
     let said = |e: std::io::Error| e.to_string();
     let Outside { ground, term, seeds } = outside;
-    let life = ground.wall().as_millis() as u64;
-    let salt: u64 = life.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ u64::from(u32::from(settings.ip)) << 20;
+    let incarnation = ground.wall().as_millis() as u64;
+    let salt: u64 = incarnation.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ u64::from(u32::from(settings.ip)) << 20;
     let me = Member {
         name: settings.node_name.clone(),
         ip: settings.ip,
@@ -42,7 +42,7 @@
         zone: settings.zone.clone(),
         ingress: settings.listen.ingress,
         control: None,
-        life,
+        incarnation,
         mark: 0,
         standing: Standing::Coming,
     };
@@ -89,7 +89,7 @@
     }
     let every = Duration::from_millis(50);
     let tick = || Command::Tick;
-    life::feed(post, every, queue.clone(), Command::Letter, tick, seeds, Command::Seeds);
+    lifecycle::feed(post, every, queue.clone(), Command::Letter, tick, seeds, Command::Seeds);
     let mut left = std::pin::pin!(leave(shared.clone(), queue, term));
     loop {
         tokio::select! {
