Guards of the control side have names, and tests can take each out

Cause: a test of a guard proves something only if it fails on the text without the guard; the toolbox's broken parts stand beside the programs and cannot show that. Ruled out: a copy of the text with the line left out (two texts drift apart), cfg flags (one build a guard). Change: beechcroft-railing, a closed list of guards and stands(guard); with the feature removable, which only tests and the world have, one can be out on a thread. Scenario key without. The two fences of epochs are the first.

--- a/crates/beechcroft-hutbook/src/proposer.rs
+++ b/crates/beechcroft-hutbook/src/proposer.rs
@@ -3,6 +3,7 @@
 use crate::voter::{Ask, Epochs, Reply};
 use crate::{Ballot, ConfigStore, Op, Orders, Value, VoterEpoch, CONFIG, ORDERS};
 use beechcroft_kinds::{Fault, Kind};
+use beechcroft_railing::{stands, Guard};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -227,7 +228,8 @@
                 // fence that epoch, so one of these answers tells of the later one.
                 let epochs = &round.epochs;
                 let counts = |(voter_id, epoch): &(&String, &u64)| {
-                    epochs.get(*voter_id).is_none_or(|known| known.0 <= **epoch)
+                    !stands(Guard::FencedAcceptances)
+                        || epochs.get(*voter_id).is_none_or(|known| known.0 <= **epoch)
                 };
                 if accepted.iter().filter(counts).count() >= majority {
                     self.choose(register, out);
--- a/crates/beechcroft-hutbook/src/voter.rs
+++ b/crates/beechcroft-hutbook/src/voter.rs
@@ -1,6 +1,7 @@
 //! A voter of the core: what it has promised and accepted, and how it comes back from a lost disk.
 
 use crate::{Ballot, Value, VoterEpoch};
+use beechcroft_railing::{stands, Guard};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -259,9 +260,10 @@
         identity: &Identity, held: &mut Register, register: usize, ballot: Ballot, quorum: &[VoterEpoch],
         value: impl FnOnce(&Register) -> Option<Value>,
     ) -> (Reply, Records) {
-        let lost = quorum
-            .iter()
-            .any(|(voter_id, epoch)| identity.epochs.get(voter_id).is_some_and(|known| known.0 > *epoch));
+        let fenced = |(voter_id, epoch): &VoterEpoch| {
+            identity.epochs.get(voter_id).is_some_and(|known| known.0 > *epoch)
+        };
+        let lost = stands(Guard::FencedPromises) && quorum.iter().any(fenced);
         let value = if ballot < held.promised || lost { None } else { value(held) };
         let epochs = identity.epochs.clone();
         let Some(value) = value else {
--- a/crates/beechcroft-range/src/whole/day.rs
+++ b/crates/beechcroft-range/src/whole/day.rs
@@ -107,6 +107,7 @@
         .build()
         .expect("a runtime without sockets");
     let scenario = scenario.clone();
+    let _out = beechcroft_railing::without(scenario.without);
     runtime.block_on(LocalSet::new().run_until(async move { run(scenario).await }))
 }
 
--- a/crates/beechcroft-range/src/whole/scenario.rs
+++ b/crates/beechcroft-range/src/whole/scenario.rs
@@ -72,6 +72,9 @@
     /// Of the system's parts, one that is broken: the auditor must find it.
     #[serde(default)]
     pub mutant: Option<Mutant>,
+    /// Of the control side's guards, one that is taken out of the programs' own text: tests must find it missing.
+    #[serde(default)]
+    pub without: Option<beechcroft_railing::Guard>,
 }
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
