A disk's damage is told from a torn end, named, and made good from the others

Cause: the table's log was read up to the first entry that could not be read, whatever stood behind it: a flipped byte dropped what a voter had promised and accepted, without a word. A value that could not be decoded became an empty one. After a write of a new identity had failed, what was written again were the registers as they had been at the first try, over what had been promised since; and answers went out under an identity that was not on disk.

Ruled out: a second sync of each entry (twice the price); a mark inside the log (one more block in each sync); keeping okaywal beside numbers of our own (it hands out no place of a fault, asks for as much memory as a damaged length says, and panics when a write fails under an entry).

Change: the log is the cache's own: entries with rising numbers, heads and values with checksums of their own, and a mark of the last synced entry beside it. An unreadable end beyond the mark is torn and cut off; all else is damage, named by file, offset and record, and kept beside. A voter whose tables are damaged has lost its disk: an identity that is kept and empty says so. Values carry the version of their format. An identity goes to disk with the registers as they are, and no answer before it. The world's disk can lose a record; a sync that hangs holds back those behind it, as a disk does.

The test of torn writes puts the mark back to before the write, or takes it away.

--- /dev/null
+++ b/crates/beechcroft-cache/tests/damage.rs
@@ -0,0 +1,302 @@
+//! Files that were synced and came back different. Whatever is lost of them is named, or is not lost: a record that is
+//! not named has the value that was written last.
+
+use beechcroft_cache::{Cache, Damage, Files, Table};
+use beechcroft_railing::{without, Guard};
+use std::fs;
+use tempfile::TempDir;
+
+const FILES: [&str; 3] = ["state", "log", "mark"];
+
+fn file(files: &mut Files, nth: usize) -> &mut Option<Vec<u8>> {
+    match nth {
+        0 => &mut files.snapshot,
+        1 => &mut files.log,
+        _ => &mut files.mark,
+    }
+}
+
+fn write(cache: &mut Cache, records: &[(&str, &str)]) {
+    let records = records.iter().map(|(name, value)| ((*name).to_owned(), value.as_bytes().to_vec()));
+    cache.write(&records.collect::<Vec<_>>()).unwrap();
+}
+
+/// A folder with records in the snapshot only, in the log only, and in both.
+fn folder() -> (TempDir, Table) {
+    let folder = TempDir::new().unwrap();
+    let mut cache = Cache::open(folder.path()).unwrap();
+    write(&mut cache, &[("identity", "who votes"), ("units", "before")]);
+    write(&mut cache, &[("register-0", "an older value"), ("chosen-0", "an older one")]);
+    drop(cache);
+    let mut cache = Cache::open(folder.path()).unwrap();
+    write(&mut cache, &[("register-0", "promised"), ("register-1", "promised")]);
+    write(&mut cache, &[("register-0", "accepted")]);
+    write(&mut cache, &[("chosen-0", "accepted"), ("units", "after")]);
+    write(&mut cache, &[("register-1", "accepted")]);
+    // Of what is laid out in zeros ahead, a little is enough, and is read sooner.
+    let log = fs::read(folder.path().join("log")).unwrap();
+    fs::write(folder.path().join("log"), &log[..used(&log) + 600]).unwrap();
+    (folder, cache.table().clone())
+}
+
+fn used(bytes: &[u8]) -> usize {
+    bytes.iter().rposition(|&byte| byte != 0).map_or(0, |last| last + 1)
+}
+
+/// What is not named is as it was; what opens without a word is whole.
+fn holds(files: &Files, expected: &Table, said: &str) -> Result<Damage, String> {
+    let (table, damage) = files.read();
+    for name in ["identity", "register-0", "register-1", "chosen-0", "units", "members"] {
+        if !damage.of(name) && table.get(name) != expected.get(name) {
+            let text = table.get(name).map(|value| String::from_utf8_lossy(value).into_owned());
+            return Err(format!("{said}: {name} is {text:?} without a word ({damage})"));
+        }
+        if damage.of(name) && damage.is_none() {
+            return Err(format!("{said}: {name} is lost at no place"));
+        }
+    }
+    Ok(damage)
+}
+
+/// Every change of one file: the first that loses something without a word.
+fn each_change() -> Result<(usize, usize), String> {
+    let (folder, expected) = folder();
+    each_change_of(&Files::load(folder.path()).unwrap(), &expected, usize::MAX)
+}
+
+/// The same after a loss of power that the mark did not outlast, in all that stands before the last entry.
+fn each_change_before_the_last_entry() -> Result<(usize, usize), String> {
+    let (folder, expected) = folder();
+    let files = Files { mark: None, ..Files::load(folder.path()).unwrap() };
+    let log = files.log.as_ref().unwrap();
+    let last = log.windows(10).rposition(|window| window == b"register-1").unwrap() - 20;
+    each_change_of(&files, &expected, last)
+}
+
+/// `until`: the place in the log that is left alone, and all behind it.
+fn each_change_of(sound: &Files, expected: &Table, until: usize) -> Result<(usize, usize), String> {
+    let (mut tried, mut named) = (0, 0);
+    for (nth, name) in FILES.iter().enumerate() {
+        let Some(bytes) = file(&mut sound.clone(), nth).clone() else { continue };
+        let whole = until == usize::MAX || *name != "log";
+        let until = if whole { bytes.len() } else { until };
+        let mut check = |changed: Option<Vec<u8>>, said: &str| {
+            let mut files = sound.clone();
+            *file(&mut files, nth) = changed;
+            tried += 1;
+            holds(&files, expected, said).map(|damage| named += usize::from(!damage.is_none()))
+        };
+        for at in 0..until {
+            for flip in [0x01, 0x02, 0x40, 0xff] {
+                let mut changed = bytes.clone();
+                changed[at] ^= flip;
+                check(Some(changed), &format!("{name}: byte {at} flipped by {flip:x}"))?;
+            }
+            if whole {
+                check(Some(bytes[..at].to_vec()), &format!("{name}: cut short at {at}"))?;
+            }
+            for length in [2, 5, 16, 64, 512] {
+                let end = (at + length).min(until);
+                for fill in [0, 0xff, 2] {
+                    let mut changed = bytes.clone();
+                    changed[at..end].fill(fill);
+                    check(Some(changed), &format!("{name}: {fill:x} from {at} to {end}"))?;
+                }
+            }
+        }
+        check(None, &format!("{name} is missing"))?;
+    }
+    Ok((tried, named))
+}
+
+#[test]
+fn each_byte_flipped_cut_off_or_zeroed_is_named_or_changes_nothing() {
+    let (tried, named) = each_change().unwrap();
+    println!("{tried} changes, {named} of them named");
+    // Half of the log is not written yet: what changes there changes nothing.
+    assert!(named > tried / 3, "{named} of {tried}");
+}
+
+#[test]
+fn without_the_mark_a_change_of_the_end_is_taken_for_a_torn_one() {
+    let _out = without(Some(Guard::SyncedMark));
+    let said = each_change().unwrap_err();
+    assert!(said.contains("without a word"), "{said}");
+}
+
+#[test]
+fn after_a_loss_of_power_that_took_the_mark_only_the_last_entry_may_be_taken_for_torn() {
+    let (tried, named) = each_change_before_the_last_entry().unwrap();
+    println!("{tried} changes, {named} of them named");
+    assert!(named > tried / 2, "{named} of {tried}");
+    let _out = without(Some(Guard::EntriesWithoutGaps));
+    let said = each_change_before_the_last_entry().unwrap_err();
+    assert!(said.contains("without a word"), "{said}");
+}
+
+/// Copies of the folder after each write and each opening; one file of each is put beside the newest others.
+fn each_older_file() -> Result<usize, String> {
+    let folder = TempDir::new().unwrap();
+    let mut copies = Vec::new();
+    let mut expected = Table::new();
+    for round in 0..4 {
+        let mut cache = Cache::open(folder.path()).unwrap();
+        for nth in 0..3 {
+            copies.push(Files::load(folder.path()).unwrap());
+            write(&mut cache, &[("register-0", &format!("{round} {nth}"))]);
+            if nth == 1 {
+                write(&mut cache, &[("identity", &format!("{round}"))]);
+            }
+        }
+        expected = cache.table().clone();
+    }
+    let newest = Files::load(folder.path()).unwrap();
+    let mut named = 0;
+    for (nth, copy) in copies.iter().enumerate() {
+        for (at, name) in FILES.iter().enumerate() {
+            let mut files = newest.clone();
+            *file(&mut files, at) = file(&mut copy.clone(), at).clone();
+            let damage = holds(&files, &expected, &format!("{name} is the copy {nth}"))?;
+            named += usize::from(!damage.is_none());
+        }
+    }
+    Ok(named)
+}
+
+#[test]
+fn an_older_copy_of_one_file_is_named_or_changes_nothing() {
+    assert!(each_older_file().unwrap() > 10);
+}
+
+#[test]
+fn without_the_mark_an_older_copy_is_gone_by() {
+    let _out = without(Some(Guard::SyncedMark));
+    let said = each_older_file().unwrap_err();
+    assert!(said.contains("without a word"), "{said}");
+}
+
+#[test]
+fn an_older_snapshot_is_named_though_the_mark_is_lost_as_well() {
+    let folder = TempDir::new().unwrap();
+    let mut cache = Cache::open(folder.path()).unwrap();
+    write(&mut cache, &[("register-0", "an older value")]);
+    drop(Cache::open(folder.path()).unwrap());
+    let older = fs::read(folder.path().join("state")).unwrap();
+    let mut cache = Cache::open(folder.path()).unwrap();
+    write(&mut cache, &[("register-0", "promised")]);
+    drop(Cache::open(folder.path()).unwrap());
+    fs::write(folder.path().join("state"), older).unwrap();
+    fs::remove_file(folder.path().join("mark")).unwrap();
+    let said = Cache::open(folder.path()).err().expect("it is an error").to_string();
+    assert!(said.contains("it is an older one"), "{said}");
+    let _out = without(Some(Guard::EntriesWithoutGaps));
+    assert_eq!(Cache::open(folder.path()).unwrap().table()["register-0"], b"an older value");
+}
+
+#[test]
+fn many_bytes_changed_at_once_are_named_or_change_nothing() {
+    let (folder, expected) = folder();
+    let sound = Files::load(folder.path()).unwrap();
+    bolero::check!().with_type::<(u8, Vec<(u16, u8)>)>().with_iterations(20_000).for_each(
+        |(nth, changes)| {
+            let mut files = sound.clone();
+            let bytes = file(&mut files, usize::from(nth % 3)).as_mut().unwrap();
+            for &(place, to) in changes {
+                let place = usize::from(place) % bytes.len();
+                bytes[place] = to;
+            }
+            holds(&files, &expected, FILES[usize::from(nth % 3)]).unwrap();
+        },
+    );
+}
+
+#[test]
+fn a_place_is_named_by_file_offset_and_record() {
+    let (sound, _) = folder();
+    let path = sound.path().join("log");
+    let mut bytes = fs::read(&path).unwrap();
+    let at = bytes.windows(5).position(|window| window == b"after").unwrap();
+    bytes[at] ^= 1;
+    fs::write(&path, &bytes).unwrap();
+    let (table, damage) = Cache::peek(sound.path()).unwrap();
+    let said = damage.to_string();
+    assert!(said.contains(&format!("log at {at}: ")) && said.contains("record units of entry"), "{said}");
+    // What is beside it in the entry, and before and behind it, stands.
+    assert!(
+        damage.of("units") && !damage.of("chosen-0") && !damage.of("register-1") && !damage.of("identity")
+    );
+    assert_eq!(table.get("units"), None, "no older value is handed out");
+    assert_eq!(Cache::open(sound.path()).err().map(|e| e.to_string()), Some(said));
+}
+
+#[test]
+fn what_was_written_whole_after_the_damage_stands() {
+    let (sound, _) = folder();
+    let path = sound.path().join("log");
+    let mut bytes = fs::read(&path).unwrap();
+    let at = bytes.windows(8).position(|window| window == b"promised").unwrap();
+    bytes[at - 30..at + 8].fill(0xee);
+    fs::write(&path, &bytes).unwrap();
+    let (table, damage) = Cache::peek(sound.path()).unwrap();
+    assert!(!damage.is_none(), "an entry is gone");
+    assert_eq!(table["register-0"], b"accepted");
+    assert!(!damage.of("register-0") && !damage.of("register-1"), "both were written whole since: {damage}");
+    assert!(damage.of("identity") && damage.of("members"), "they may have been in it: {damage}");
+}
+
+#[test]
+fn a_folder_of_another_version_of_the_program_is_named_and_not_misread() {
+    let folder = TempDir::new().unwrap();
+    fs::write(folder.path().join("state"), b"BCHUT001\x12\x34\x56\x78 and its records").unwrap();
+    fs::write(folder.path().join("wal-1"), b"okw\0\0").unwrap();
+    let said = Cache::open(folder.path()).err().expect("it is refused").to_string();
+    assert!(said.contains("another version of the program: format BCHUT001"), "{said}");
+    assert!(Cache::peek(folder.path()).unwrap().1.of("identity"));
+    fs::remove_file(folder.path().join("state")).unwrap();
+    let said = Cache::open(folder.path()).err().expect("it is refused").to_string();
+    assert!(said.contains("format 001"), "{said}");
+}
+
+#[test]
+fn a_repair_is_on_disk_before_the_folder_opens_and_the_damaged_files_stay_beside() {
+    let (sound, _) = folder();
+    let path = sound.path().join("state");
+    let damaged = fs::read(&path).map(|mut bytes| {
+        bytes[10] ^= 1;
+        bytes
+    });
+    fs::write(&path, damaged.as_ref().unwrap()).unwrap();
+    let repair = |damage: &Damage, table: &mut Table| {
+        assert!(damage.of("identity"));
+        table.insert("identity".into(), b"made good".to_vec());
+    };
+    drop(Cache::open_repaired(sound.path(), repair).unwrap());
+    let again = Cache::open(sound.path()).unwrap();
+    assert_eq!(again.table()["identity"], b"made good");
+    assert_eq!(again.table()["register-0"], b"accepted", "what was whole stands");
+    assert_eq!(fs::read(sound.path().join("state.damaged")).unwrap(), damaged.unwrap());
+}
+
+#[test]
+fn a_folder_that_cannot_be_written_refuses_and_goes_on_once_it_can() {
+    let (sound, mut expected) = folder();
+    let mut cache = Cache::open(sound.path()).unwrap();
+    let away = TempDir::new().unwrap();
+    // A file in the place of the folder: the fold that a large entry asks for finds none.
+    write(&mut cache, &[("units", &"x".repeat(5 << 20))]);
+    let hidden = away.path().join("hidden");
+    fs::rename(sound.path(), &hidden).unwrap();
+    fs::write(sound.path(), b"").unwrap();
+    for _ in 0..3 {
+        let refused = cache.write(&[("register-0".into(), b"refused".to_vec())]);
+        assert!(refused.is_err());
+        assert_eq!(cache.table()["register-0"], b"accepted");
+    }
+    fs::remove_file(sound.path()).unwrap();
+    fs::rename(&hidden, sound.path()).unwrap();
+    write(&mut cache, &[("register-0", "taken"), ("units", "small")]);
+    expected.insert("register-0".into(), b"taken".to_vec());
+    expected.insert("units".into(), b"small".to_vec());
+    drop(cache);
+    assert_eq!(*Cache::open(sound.path()).unwrap().table(), expected);
+}
--- a/crates/beechcroft-cache/tests/power.rs
+++ b/crates/beechcroft-cache/tests/power.rs
@@ -19,8 +19,7 @@
 }
 
 fn log(folder: &Path) -> PathBuf {
-    let mut paths = fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path());
-    paths.find(|path| path.file_name().unwrap().to_string_lossy().starts_with("wal-")).unwrap()
+    folder.join("log")
 }
 
 fn text(table: &Table, name: &str) -> Option<String> {
@@ -52,6 +51,7 @@
     let mut cache = Cache::open(folder.path()).unwrap();
     cache.write(&record("first", "synced")).unwrap();
     let synced = used(&log(folder.path()));
+    let mark = fs::read(folder.path().join("mark")).unwrap();
     cache.write(&record("second", "torn")).unwrap();
     drop(cache);
     let whole = used(&log(folder.path()));
@@ -59,6 +59,12 @@
         for garbage in [false, true] {
             let left = copy(folder.path());
             let path = log(left.path());
+            // Power went before the write was synced, so nothing marks it as synced; that mark may be lost as well.
+            match cut % 3 {
+                0 => fs::remove_file(left.path().join("mark")).unwrap(),
+                1 => fs::write(left.path().join("mark"), &mark[..cut % mark.len()]).unwrap(),
+                _ => fs::write(left.path().join("mark"), &mark).unwrap(),
+            }
             let mut bytes = fs::read(&path).unwrap();
             bytes[cut..whole].iter_mut().for_each(|byte| *byte = if garbage { 0xa5 } else { 0 });
             fs::write(&path, &bytes).unwrap();
@@ -79,7 +85,7 @@
 }
 
 #[test]
-fn a_log_that_is_cut_short_or_absent_leaves_the_snapshot() {
+fn a_log_that_is_cut_short_or_absent_is_said_and_leaves_the_snapshot() {
     let folder = TempDir::new().unwrap();
     let mut cache = Cache::open(folder.path()).unwrap();
     cache.write(&record("old", "in the snapshot")).unwrap();
@@ -89,12 +95,17 @@
     for left in (0..64).chain([length - 1]) {
         let lost = copy(folder.path());
         fs::File::options().write(true).open(log(lost.path())).unwrap().set_len(left).unwrap();
-        let cache = Cache::open(lost.path()).unwrap();
-        assert_eq!(text(cache.table(), "old"), Some("in the snapshot".into()), "{left} bytes of log");
+        let (table, damage) = Cache::peek(lost.path()).unwrap();
+        assert_eq!(text(&table, "old"), Some("in the snapshot".into()), "{left} bytes of log");
+        // Without its head nobody knows whether it held anything.
+        assert_eq!(damage.is_none(), left >= 20, "{left} bytes of log: {damage}");
+        assert_eq!(Cache::open(lost.path()).is_ok(), left >= 20, "{left} bytes of log");
     }
     let lost = copy(folder.path());
     fs::remove_file(log(lost.path())).unwrap();
-    assert_eq!(text(Cache::open(lost.path()).unwrap().table(), "old"), Some("in the snapshot".into()));
+    let said = Cache::open(lost.path()).err().expect("no log is an error").to_string();
+    assert!(said.contains("log: the file is missing"), "{said}");
+    assert_eq!(text(&Cache::peek(lost.path()).unwrap().0, "old"), Some("in the snapshot".into()));
 }
 
 /// A compaction: beside, synced, renamed, folder synced, old log removed, new log begun. Each state that a loss
@@ -132,9 +143,32 @@
     let left = copy(after.path());
     fs::write(log(left.path()), &old_log).unwrap();
     whole(left.path(), "the old log is back, its removal did not last");
-    let left = copy(after.path());
-    fs::remove_file(log(left.path())).unwrap();
-    whole(left.path(), "no log begun yet");
+    let empty_log = fs::read(log(after.path())).unwrap();
+    for cut in (0..empty_log.len()).step_by(4093) {
+        let left = copy(before.path());
+        fs::write(left.path().join("state"), &snapshot).unwrap();
+        fs::write(left.path().join("log-new"), &empty_log[..cut]).unwrap();
+        whole(left.path(), &format!("the new log torn at {cut}"));
+    }
+}
+
+/// The first start: log beside, renamed, snapshot beside, renamed, mark. Nothing was acknowledged before the end of it.
+#[test]
+fn a_first_start_interrupted_at_any_step_is_a_first_start_again() {
+    let done = TempDir::new().unwrap();
+    drop(Cache::open(done.path()).unwrap());
+    let file = |name: &str| fs::read(done.path().join(name)).unwrap();
+    let steps: [&[(&str, &str)]; 4] = [
+        &[("log", "log-new")],
+        &[("log", "log")],
+        &[("log", "log"), ("state", "state-new")],
+        &[("log", "log"), ("state", "state")],
+    ];
+    for step in steps {
+        let left = TempDir::new().unwrap();
+        step.iter().for_each(|(from, to)| fs::write(left.path().join(to), file(from)).unwrap());
+        assert_eq!(*Cache::open(left.path()).unwrap().table(), Table::new(), "{step:?}");
+    }
 }
 
 #[test]
@@ -182,6 +216,6 @@
         all.into_iter().map(|path| (path.clone(), fs::read(path).unwrap())).collect::<Vec<_>>()
     };
     let before = files();
-    assert_eq!(text(&Cache::peek(folder.path()).unwrap(), "a"), Some("b".into()));
+    assert_eq!(text(&Cache::peek(folder.path()).unwrap().0, "a"), Some("b".into()));
     assert_eq!(files(), before);
 }
--- a/crates/beechcroft-hut/src/keeper.rs
+++ b/crates/beechcroft-hut/src/keeper.rs
@@ -10,12 +10,15 @@
 use beechcroft_cache::Table;
 use beechcroft_cairns::{Action as News, Cairns, Letter, Member, Standing};
 use beechcroft_hutbook::proposer::{Action as Step, Answer, Event, OrderId};
-use beechcroft_hutbook::{Ask, Ballot, Op, Orders, Proposer, Reply, Stage, Value, Voter, CONFIG, ORDERS};
+use beechcroft_hutbook::{
+    bytes, Ask, Ballot, Op, Orders, Proposer, Reply, Stage, Value, Voter, CONFIG, ORDERS,
+};
 use beechcroft_map::config::{Service, Unfit};
 use beechcroft_map::usual::Usual;
 use beechcroft_map::{Config, Settings};
 use beechcroft_pass::errand::Errands;
 use beechcroft_pass::post::Post;
+use beechcroft_railing::{stands, Guard};
 use beechcroft_ropes::conduct::{conduct, Next, View};
 use beechcroft_waymarks::{News as UnitNews, Note, State};
 use std::collections::{BTreeMap, BTreeSet};
@@ -68,6 +71,8 @@
         reply: Reply,
     },
     VotesAgain,
+    /// The identity could not be written.
+    NotKept,
     Order(usize, Op, oneshot::Sender<Answer>),
     Back {
         service: String,
@@ -129,6 +134,8 @@
     units_new: bool,
     members_new: bool,
     disk: Disk,
+    /// The identity is not known to be on disk yet: no answer goes out that is not written together with it.
+    unkept: bool,
     post: Post,
     errands: Errands,
     queue: Queue,
@@ -173,6 +180,7 @@
             units_new: false,
             members_new: false,
             disk,
+            unkept: false,
             post,
             errands,
             queue,
@@ -183,8 +191,18 @@
 
     /// Begins where a former incarnation of the process ended: with what it knew to be chosen, its members and units.
     fn recall(&mut self, table: &Table) {
+        // All of this is only a help: what cannot be read is said, and come by again.
         fn read<T: serde::de::DeserializeOwned + Default>(table: &Table, name: &str) -> T {
-            table.get(name).and_then(|bytes| postcard::from_bytes(bytes).ok()).unwrap_or_default()
+            let read = table.get(name).map(|held| bytes::decode(held));
+            read.unwrap_or_else(|| Ok(T::default())).unwrap_or_else(|why| {
+                log::error!("keeper: {name} on disk is left out: {why}.");
+                T::default()
+            })
+        }
+        for said in &self.voter.unreadable {
+            log::error!(
+                "keeper: On disk, {said}. This counts as a lost disk: the machine learns before it votes."
+            );
         }
         let now = self.now();
         self.cairns.recall(now, read(table, "members"), read(table, "units"));
@@ -203,11 +221,11 @@
         if std::mem::take(&mut self.units_new) {
             let units = self.cairns.units.all().map(|unit| unit.note.id.as_str());
             let notes: Vec<Note> = units.filter_map(|id| self.cairns.units.note(now, id)).collect();
-            records.push(("units".to_owned(), postcard::to_stdvec(&notes).expect("plain data")));
+            records.push(("units".to_owned(), bytes::encode(&notes)));
         }
         if std::mem::take(&mut self.members_new) {
             let members: Vec<&Member> = self.cairns.known().collect();
-            records.push(("members".to_owned(), postcard::to_stdvec(&members).expect("plain data")));
+            records.push(("members".to_owned(), bytes::encode(&members)));
         }
         self.put_down(records);
     }
@@ -264,7 +282,11 @@
                 self.propose(Event::Reply { from, register, ballot, reply });
             }
             Command::Fenced { from, epoch, reply } => self.fenced(&from, epoch, reply),
-            Command::VotesAgain => self.votes(),
+            Command::NotKept => self.keep_identity(),
+            Command::VotesAgain => {
+                self.unkept = false;
+                self.votes();
+            }
             Command::Order(register, op, answer) => self.order(register, op, Some(answer)),
             Command::Back { service, begun } => self.back(&service, begun),
             Command::Copy(register, answer) => {
@@ -340,10 +362,15 @@
 
     /// This machine's own part as a voter: the reply goes out once what it says is on disk.
     fn ask(&mut self, ask: Ask, answer: oneshot::Sender<Reply>) {
-        let (reply, records) = self.voter.ask(ask);
+        let (reply, mut records) = self.voter.ask(ask);
+        if self.unkept && stands(Guard::IdentityBeforeAnswers) {
+            records = self.voter.records();
+        }
         let disk = self.disk.clone();
         spawn_local(async move {
-            if disk.keep(records).await {
+            // After a write that failed the voter holds more in memory than on disk: it only promises more than it has
+            // said. Whatever it says of it later comes with a write of the whole register.
+            if disk.keep(records).await || !stands(Guard::AnswerAfterSync) {
                 let _ = answer.send(reply);
             }
         });
@@ -429,7 +456,7 @@
             self.orders = postcard::from_bytes(&value.bytes).unwrap_or_default();
             log::info!("keeper: Orders at {}: {:?}.", value.revision, self.orders);
         }
-        self.put_down(vec![(CHOSEN[register].to_owned(), postcard::to_stdvec(&value).expect("plain data"))]);
+        self.put_down(vec![(CHOSEN[register].to_owned(), bytes::encode(&value))]);
         self.held[register] = value;
         self.cairns.revisions[register] = self.held[register].revision;
         let (now, mut news) = (self.now(), Vec::new());
--- a/crates/beechcroft-hut/src/keeper/quorum.rs
+++ b/crates/beechcroft-hut/src/keeper/quorum.rs
@@ -44,8 +44,8 @@
                 }
                 log::info!("keeper: The first voters are {names:?}.");
                 self.fresh = false;
-                let records = self.voter.found(names);
-                self.keep_identity(records);
+                self.voter.found(names);
+                self.keep_identity();
             }
             return;
         }
@@ -115,20 +115,24 @@
             epochs.iter().find(|(_, (_, holder))| holder == from).map(|(voter_id, _)| voter_id.clone())
         });
         let from = held.as_deref().unwrap_or(from);
-        if let Some(records) = self.voter.fenced(from, epoch, reply) {
+        if self.voter.fenced(from, epoch, reply).is_some() {
             log::info!("keeper: The lost disk is made good; this machine votes again.");
-            self.keep_identity(records);
+            self.keep_identity();
         }
     }
 
-    /// The voter answers nobody before its identity is on disk: its replies wait behind it in the disk's queue.
-    pub(super) fn keep_identity(&mut self, records: beechcroft_hutbook::voter::Records) {
-        let (disk, queue) = (self.disk.clone(), self.queue.clone());
+    /// The voter answers nobody before its identity is on disk: until then each answer is written together with it. What is
+    /// written again after a failure is what the voter holds by then.
+    pub(super) fn keep_identity(&mut self) {
+        self.unkept = true;
+        let (disk, queue, records) = (self.disk.clone(), self.queue.clone(), self.voter.records());
         spawn_local(async move {
-            while !disk.keep(records.clone()).await {
+            if disk.keep(records).await {
+                let _ = queue.send(Command::VotesAgain);
+            } else {
                 tokio::time::sleep(Duration::from_millis(100)).await;
+                let _ = queue.send(Command::NotKept);
             }
-            let _ = queue.send(Command::VotesAgain);
         });
     }
 
--- a/crates/beechcroft-hut/src/main.rs
+++ b/crates/beechcroft-hut/src/main.rs
@@ -79,9 +79,11 @@
     if what.parse::<SocketAddrV4>().is_ok() {
         return ask_hut(what, "/show", Vec::new());
     }
-    let table =
+    let (table, damage) =
         beechcroft_cache::Cache::peek(std::path::Path::new(what)).map_err(|e| format!("{what}: {e}"))?;
+    damage.places().iter().for_each(|place| println!("damage: {place}"));
     let voter = Voter::new("", 0, 0, &table);
+    voter.unreadable.iter().for_each(|said| println!("unreadable: {said}"));
     println!("identity {:?}", voter.identity);
     for register in [beechcroft_hutbook::CONFIG, beechcroft_hutbook::ORDERS] {
         let held = voter.register(register);
--- a/crates/beechcroft-hutbook/src/lib.rs
+++ b/crates/beechcroft-hutbook/src/lib.rs
@@ -11,6 +11,7 @@
 //! A voter's disk that is lost takes promises with it. Each disk has an epoch; [`Voter`] says how an empty one
 //! comes to vote again, and why no round may stand on what its former epoch promised.
 
+pub mod bytes;
 pub mod proposer;
 pub mod state;
 pub mod voter;
--- a/crates/beechcroft-hutbook/src/voter.rs
+++ b/crates/beechcroft-hutbook/src/voter.rs
@@ -1,6 +1,6 @@
 //! A voter of the core: what it has promised and accepted, and how it comes back from a lost disk.
 
-use crate::{Ballot, Value, VoterEpoch};
+use crate::{bytes, Ballot, Value, VoterEpoch};
 use beechcroft_railing::{stands, Guard};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -78,6 +78,8 @@
     name: String,
     losses: usize,
     pub identity: Option<Identity>,
+    /// Tables of the disk that this version of the program cannot read, each with why.
+    pub unreadable: Vec<String>,
     registers: [Register; 2],
     salt: u64,
     /// While it learns: its new epoch, and the copies of those that have fenced the former one.
@@ -96,27 +98,35 @@
 
 /// A record of the table. Each name has one type, stated where [`Voter::new`] reads it.
 fn record<T: Serialize>(name: &str, value: &T) -> (String, Vec<u8>) {
-    (name.to_owned(), postcard::to_stdvec(value).expect("plain data"))
+    (name.to_owned(), bytes::encode(value))
+}
+
+/// What a disk holds: an identity, unless it is none or was given up, and registers.
+fn read_all(
+    table: &BTreeMap<String, Vec<u8>>, unreadable: &mut Vec<String>,
+) -> (Option<Identity>, [Register; 2]) {
+    let mut said = |name: &str, why: bytes::Unreadable| unreadable.push(format!("{name}: {why}"));
+    let identity = table.get("identity").filter(|held| !held.is_empty());
+    let identity = identity.and_then(|held| bytes::decode(held).map_err(|why| said("identity", why)).ok());
+    let registers = ["register-0", "register-1"].map(|name| {
+        let read = table.get(name).map(|held| bytes::decode(held).map_err(|why| said(name, why)));
+        read.and_then(Result::ok).unwrap_or_default()
+    });
+    (identity, registers)
 }
 
 impl Voter {
     /// From what the disk holds. `losses`: how many voters may be lost at once; `salt`: drawn by each process,
     /// so that two epochs of a disk that were both lost early do not share a number.
     pub fn new(name: &str, losses: usize, salt: u64, table: &BTreeMap<String, Vec<u8>>) -> Voter {
-        let read = |key: &str| table.get(key).map(Vec::as_slice);
-        let identity: Option<Identity> = read("identity").and_then(|bytes| postcard::from_bytes(bytes).ok());
+        let mut unreadable = Vec::new();
+        let (found, registers) = read_all(table, &mut unreadable);
+        // One table that cannot be read is a lost disk: what the others say was perhaps never promised together with it.
+        let identity = found.filter(|_| unreadable.is_empty());
         // Whoever holds no membership brings nothing into the next one: what it accepted after it had lost its own was read
         // from no majority, and may stand under a higher ballot than what was chosen.
-        let held = |key| read(key).filter(|_| identity.is_some());
-        let register = |key| held(key).and_then(|bytes| postcard::from_bytes(bytes).ok()).unwrap_or_default();
-        Voter {
-            name: name.to_owned(),
-            losses,
-            registers: [register("register-0"), register("register-1")],
-            identity,
-            salt,
-            learning: None,
-        }
+        let registers = identity.as_ref().map(|_| registers).unwrap_or_default();
+        Voter { name: name.to_owned(), losses, registers, identity, unreadable, salt, learning: None }
     }
 
     pub fn voters(&self) -> &[String] {
@@ -132,6 +142,16 @@
         &self.registers[register]
     }
 
+    /// All that a voter stands on, as it is now.
+    pub fn records(&self) -> Records {
+        let Some(identity) = &self.identity else { return Vec::new() };
+        vec![
+            record("register-0", &self.registers[0]),
+            record("register-1", &self.registers[1]),
+            record("identity", identity),
+        ]
+    }
+
     /// At the first start of the whole system: the voters are these.
     pub fn found(&mut self, voters: Vec<String>) -> Records {
         let epochs = voters.iter().map(|name| (name.clone(), (1, name.clone()))).collect();
--- a/crates/beechcroft-railing/src/lib.rs
+++ b/crates/beechcroft-railing/src/lib.rs
@@ -17,6 +17,18 @@
     /// A proposer does not count an acceptance of an epoch that has been fenced.
     FencedAcceptances,
     // State on disk.
+    /// An end of the log that cannot be read is torn only beyond the last entry that is known to be synced.
+    SyncedMark,
+    /// Entries are numbered: what is missing or unreadable before a later one is damage.
+    EntriesWithoutGaps,
+    /// A voter whose tables are damaged has lost its disk: it learns before it votes, and founds nothing.
+    DamageIsALostDisk,
+    /// A value of another version of the program is an error, and no empty value.
+    VersionOfValues,
+    /// Nothing is answered that is not on disk.
+    AnswerAfterSync,
+    /// Nothing is answered under an identity that is not on disk.
+    IdentityBeforeAnswers,
     // Answers and their owners.
 }
 
--- a/crates/beechcroft-range/src/whole/day.rs
+++ b/crates/beechcroft-range/src/whole/day.rs
@@ -271,7 +271,7 @@
             let _kept = told; // the settings file does not change
             let done = match plate {
                 Some(plate) => {
-                    let table = plate.state.borrow().table.clone();
+                    let table = plate.open();
                     let disk = Disk::world(Rc::new(plate));
                     if mutant == Some(Mutant::BothWin) {
                         spawn_local(mutants::hut(ground, SocketAddrV4::new(ip, CONTROL)));
--- a/crates/beechcroft-range/src/whole/day/events.rs
+++ b/crates/beechcroft-range/src/whole/day/events.rs
@@ -111,6 +111,12 @@
             What::Kill { on, down_s } => self.down(&on, down_s, false, false).await,
             What::Power { on, down_s } => self.down(&on, down_s, true, false).await,
             What::Wipe { on, down_s } => self.down(&on, down_s, true, true).await,
+            What::Damage { on, record, down_s } => {
+                for plate in self.named(&on).iter().filter_map(|machine| machine.plate.as_ref()) {
+                    plate.damage(&record);
+                }
+                self.down(&on, down_s, false, false).await;
+            }
             What::Term { on } => {
                 for machine in self.named(&on) {
                     spawn_local(self.clone().stops(machine));
--- a/crates/beechcroft-range/src/whole/disk.rs
+++ b/crates/beechcroft-range/src/whole/disk.rs
@@ -4,7 +4,7 @@
 use super::fabric::Fabric;
 use beechcroft_hut::disk::{Keeps, Records};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -17,7 +17,7 @@
 pub enum Sync {
     /// It is refused; nothing is written.
     Fails,
-    /// It takes so long that its caller gives up, and is done then.
+    /// It takes so long that its caller gives up, and is done then; what comes after it waits behind it.
     Hangs,
     /// It says that it is done and is not: a mutant, as no disk of the deployments does so.
     Lies,
@@ -33,6 +33,8 @@
     /// Of the syncs that are under way: each may last or not if power goes.
     pending: BTreeMap<u64, Records>,
     next: u64,
+    /// Records that cannot be read any more; each is seen at the next start of a process.
+    damaged: BTreeSet<String>,
     /// Several writes wait for one sync.
     busy_until: Option<tokio::time::Instant>,
 }
@@ -71,10 +73,24 @@
         state.busy_until = None;
     }
 
+    /// A record turns unreadable.
+    pub fn damage(&self, record: &str) {
+        self.state.borrow_mut().damaged.insert(record.to_owned());
+    }
+
+    /// What a process that starts goes by: the table, with what is damaged made good or given up.
+    pub fn open(&self) -> Table {
+        let mut state = self.state.borrow_mut();
+        let damaged = std::mem::take(&mut state.damaged);
+        beechcroft_hut::disk::repair(|name| damaged.contains(name), &mut state.table);
+        state.table.clone()
+    }
+
     /// The disk is lost.
     pub fn wipe(&self) {
         let mut state = self.state.borrow_mut();
         (state.table, state.pending) = (Table::new(), BTreeMap::new());
+        state.damaged.clear();
     }
 }
 
@@ -99,18 +115,15 @@
                 // One sync after the other.
                 let now = tokio::time::Instant::now();
                 let from = state.busy_until.map_or(now, |until| until.max(now));
-                let done = from + Duration::from_millis(state.sync_ms);
+                let hangs = Duration::from_secs(if fault == Some(Sync::Hangs) { 3 } else { 0 });
+                let done = from + Duration::from_millis(state.sync_ms) + hangs;
                 state.busy_until = Some(done);
                 (nth, done - now)
             };
             sleep(wait).await;
-            match fault {
-                Some(Sync::Fails) => {
-                    plate.state.borrow_mut().pending.remove(&nth);
-                    return false;
-                }
-                Some(Sync::Hangs) => sleep(Duration::from_secs(3)).await,
-                _ => {}
+            if fault == Some(Sync::Fails) {
+                plate.state.borrow_mut().pending.remove(&nth);
+                return false;
             }
             let mut state = plate.state.borrow_mut();
             if let Some(records) = state.pending.remove(&nth) {
--- a/crates/beechcroft-range/src/whole/draw.rs
+++ b/crates/beechcroft-range/src/whole/draw.rs
@@ -43,7 +43,7 @@
             if core_free + APART_S > last {
                 continue;
             }
-            let wipes = matches!(event.what, What::Wipe { .. } | What::Replace { .. });
+            let wipes = matches!(event.what, What::Wipe { .. } | What::Damage { .. } | What::Replace { .. });
             if wipes && wiped {
                 continue;
             }
@@ -72,7 +72,9 @@
         What::Kill { on, .. } | What::Power { on, .. } | What::Wipe { on, .. } | What::Freeze { on, .. } => {
             core(on)
         }
-        What::Term { on } | What::Replace { on } | What::SlowDisk { on, .. } => core(on),
+        What::Term { on } | What::Replace { on } | What::SlowDisk { on, .. } | What::Damage { on, .. } => {
+            core(on)
+        }
         What::Cut { from, .. } => core(from),
         _ => false,
     }
@@ -133,6 +135,11 @@
         16 => What::Term { on: if rng.random_bool(0.6) { edge } else { core } },
         17 => What::Freeze { on: if rng.random_bool(0.6) { edge } else { core }, for_s: down_s },
         18 => What::Power { on: if rng.random_bool(0.5) { zone } else { edge }, down_s },
+        19 if down_s < 1.5 => {
+            let records = ["identity", "register-0", "register-1", "chosen-0"];
+            let record = records[(down_s * 10.0) as usize % records.len()].to_owned();
+            What::Damage { on: core, record, down_s }
+        }
         19 => What::Wipe { on: core, down_s },
         20 => What::Replace { on: core },
         21 => What::Cut { from: edge, to: "*".into(), for_s, one_way: rng.random_bool(0.4) },
--- a/crates/beechcroft-range/src/whole/scenario.rs
+++ b/crates/beechcroft-range/src/whole/scenario.rs
@@ -198,6 +198,13 @@
         #[serde(default = "down")]
         down_s: f64,
     },
+    /// Processes are killed, and a record on their disks cannot be read any more as they start again.
+    Damage {
+        on: String,
+        record: String,
+        #[serde(default = "down")]
+        down_s: f64,
+    },
     /// A core machine is gone for good; an empty one comes at another address.
     Replace {
         on: String,
