Core machines with damaged disks: tests on real files find no answer from an empty state

Cause: no test ran the core program on files that came back different.

Ruled out: the world's table of records alone (it has no bytes to flip); the program's own disk thread (its syncs take real time).

Change: a core of machines on folders of real files, with the world's clock and what a sync takes. Two of three damaged, all damaged and started as at the first start, one damaged beside one whole voter, helps alone damaged, a folder of the former format, an identity that the disk refuses, registers that a majority of the disks refuses. Values of another version, cut short or too long. Each of the guards is taken out and found missing.

--- /dev/null
+++ b/crates/beechcroft-range/tests/damaged_disks.rs
@@ -0,0 +1,235 @@
+//! Disks of core machines that come back damaged. A voter that has lost a table of its own learns before it votes; with
+//! more than f of them, nobody answers from an empty state.
+
+mod core;
+
+use self::core::{config, play, Core, Hut};
+use beechcroft_cache::Cache;
+use beechcroft_railing::{without, Guard};
+use std::collections::BTreeSet;
+use std::fs;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, Instant};
+
+/// Flips the first byte of a record's value wherever it stands in a hut's files; at how many places.
+fn damage(hut: &Hut, record: &str) -> usize {
+    let (table, sound) = Cache::peek(hut.folder.path()).unwrap();
+    assert!(sound.is_none(), "{sound}");
+    let mut flipped = 0;
+    for name in ["state", "log"] {
+        let path = hut.folder.path().join(name);
+        let mut bytes = fs::read(&path).unwrap();
+        let value = &table[record];
+        let places = bytes.windows(value.len()).enumerate().filter(|(_, window)| window == value);
+        let places: Vec<usize> = places.map(|(at, _)| at).collect();
+        places.iter().for_each(|&at| bytes[at] ^= 0x10);
+        flipped += places.len();
+        fs::write(&path, bytes).unwrap();
+    }
+    flipped
+}
+
+fn names(core: &Core) -> Vec<Rc<Hut>> {
+    core.huts.borrow().clone()
+}
+
+/// Three huts, a configuration acknowledged, all killed, and the first `count` damaged.
+async fn damaged(core: &Core, count: usize, record: &str) {
+    assert_eq!(core.replace(0, &config(1, 0, "/first/")).await, Some(200));
+    sleep(Duration::from_secs(1)).await;
+    for hut in names(core) {
+        core.kill(&hut);
+    }
+    for hut in &names(core)[..count] {
+        assert!(damage(hut, record) > 0, "{record} is on the disk of {}", hut.name);
+    }
+}
+
+/// What huts that run answer for so long to reads and to an order on an empty state, and whether anyone took it.
+async fn answers(core: &Core, huts: &[Rc<Hut>], seconds: u64) -> BTreeSet<Option<u16>> {
+    let until = Instant::now() + Duration::from_secs(seconds);
+    let mut seen = BTreeSet::new();
+    while Instant::now() < until {
+        for hut in huts {
+            seen.insert(core.show(hut).await.map(|(status, _)| status));
+            let order = config(9, 0, "/on-nothing/");
+            seen.insert(core.ask(hut, "POST", "/config/replace", &order).await.map(|(status, _)| status));
+        }
+        sleep(Duration::from_millis(300)).await;
+    }
+    seen
+}
+
+fn only_errors(seen: &BTreeSet<Option<u16>>) -> bool {
+    seen.iter().all(|status| status.is_none_or(|status| status >= 500))
+}
+
+#[test]
+fn two_damaged_of_three_and_the_third_down_answer_nothing_from_an_empty_state() {
+    let two = |record: &'static str, bootstrap| {
+        move |core: Rc<Core>| async move {
+            damaged(&core, 2, record).await;
+            let huts = names(&core);
+            huts[..2].iter().for_each(|hut| core.start(hut, bootstrap));
+            answers(&core, &huts[..2], 12).await
+        }
+    };
+    for record in ["register-0", "register-1", "identity"] {
+        for bootstrap in [false, true] {
+            let seen = play(3, 1, two(record, bootstrap));
+            assert!(only_errors(&seen), "{record}, bootstrap {bootstrap}: {seen:?}");
+        }
+    }
+    let _out = without(Some(Guard::DamageIsALostDisk));
+    let seen = play(3, 1, two("register-0", false));
+    assert!(!only_errors(&seen), "without the guard an acknowledged configuration is unknown: {seen:?}");
+}
+
+#[test]
+fn three_damaged_disks_found_nothing_anew_whatever_the_settings_say() {
+    let three = |core: Rc<Core>| async move {
+        damaged(&core, 3, "identity").await;
+        let huts = names(&core);
+        huts.iter().for_each(|hut| core.start(hut, true));
+        let first = answers(&core, &huts, 10).await;
+        // A second restart finds files that are whole again, and no voter in them.
+        for hut in &huts {
+            core.kill(hut);
+            core.start(hut, true);
+        }
+        first.into_iter().chain(answers(&core, &huts, 10).await).collect()
+    };
+    let seen = play(3, 1, three);
+    assert!(only_errors(&seen), "{seen:?}");
+    let _out = without(Some(Guard::DamageIsALostDisk));
+    let seen: BTreeSet<Option<u16>> = play(3, 1, three);
+    assert!(seen.contains(&Some(200)), "without the guard the system is founded a second time: {seen:?}");
+}
+
+/// Whether one whole voter and one damaged one took an order, what followed once the third was there, and when.
+async fn one_of_three(core: Rc<Core>, record: &str) -> (bool, Option<u16>, Duration) {
+    damaged(&core, 1, record).await;
+    let huts = names(&core);
+    huts[..2].iter().for_each(|hut| core.start(hut, false));
+    let alone = answers(&core, &huts[..2], 10).await;
+    core.start(&huts[2], false);
+    let began = Instant::now();
+    let order = config(2, 1, "/second/");
+    let taken = core.replace(0, &order).await;
+    // The damaged one votes again: without one of the others the order after it is taken.
+    while fs::read(huts[0].folder.path().join("log")).unwrap().windows(10).all(|w| w != b"register-0") {
+        assert!(began.elapsed() < Duration::from_secs(20), "the damaged one never votes again");
+        sleep(Duration::from_millis(10)).await;
+    }
+    let votes = began.elapsed();
+    core.kill(&huts[1]);
+    assert_eq!(core.replace(0, &config(3, 2, "/third/")).await, Some(200));
+    for hut in [&huts[0], &huts[2]] {
+        assert_eq!(core.show(hut).await, Some((200, config(3, 2, "/third/"))));
+    }
+    (only_errors(&alone), taken, votes)
+}
+
+#[test]
+fn a_damaged_voter_votes_only_once_two_whole_ones_have_fenced_its_former_epoch() {
+    for record in ["register-0", "register-1", "identity"] {
+        let (silent, taken, votes) = play(3, 1, |core| one_of_three(core, record));
+        assert!(silent, "{record}: one whole voter and a damaged one are no majority");
+        assert_eq!(taken, Some(200), "{record}");
+        println!("{record}: votes again {votes:?} after the second whole voter's start");
+        assert!(votes < Duration::from_secs(3), "{record}: {votes:?}");
+    }
+}
+
+#[test]
+fn a_damaged_help_is_dropped_and_the_voter_votes_on() {
+    for record in ["chosen-0", "members"] {
+        play(3, 1, |core| async move {
+            damaged(&core, 3, record).await;
+            let huts = names(&core);
+            huts[..2].iter().for_each(|hut| core.start(hut, false));
+            let began = Instant::now();
+            assert_eq!(core.replace(0, &config(2, 1, "/second/")).await, Some(200), "{record}");
+            println!("{record}: an order is taken {:?} after the start", began.elapsed());
+            assert!(began.elapsed() < Duration::from_secs(6), "{record}: {:?}", began.elapsed());
+        });
+    }
+}
+
+#[test]
+fn a_disk_of_another_version_of_the_program_is_made_good_from_the_others() {
+    play(3, 1, |core| async move {
+        damaged(&core, 0, "identity").await;
+        let huts = names(&core);
+        for name in ["state", "log", "mark"] {
+            fs::remove_file(huts[0].folder.path().join(name)).unwrap();
+        }
+        fs::write(huts[0].folder.path().join("state"), b"BCHUT001 and so on").unwrap();
+        fs::write(huts[0].folder.path().join("wal-1"), b"okw\0\0").unwrap();
+        huts.iter().for_each(|hut| core.start(hut, true));
+        sleep(Duration::from_secs(3)).await;
+        core.kill(&huts[2]);
+        assert_eq!(core.replace(0, &config(2, 1, "/second/")).await, Some(200));
+    });
+}
+
+/// A register is on some disk without the identity under which it was promised.
+fn register_without_identity(core: &Core) -> bool {
+    let reads = |hut: &Rc<Hut>| Cache::peek(hut.folder.path()).unwrap().0;
+    names(core).iter().map(reads).any(|table| {
+        !table.contains_key("identity")
+            && (table.contains_key("register-0") || table.contains_key("register-1"))
+    })
+}
+
+async fn identity_refused(core: Rc<Core>) -> bool {
+    core.replace(0, &config(1, 0, "/first/")).await;
+    register_without_identity(&core)
+}
+
+#[test]
+fn an_answer_waits_for_the_identity_that_the_disk_refused() {
+    let refusing = || {
+        play(3, 1, |core| async move {
+            // All begin again on empty disks, and the first one's refuses the first write of an identity alone.
+            for hut in names(&core) {
+                core.kill(&hut);
+                for name in ["state", "log", "mark"] {
+                    fs::remove_file(hut.folder.path().join(name)).unwrap();
+                }
+            }
+            let huts = names(&core);
+            huts[0].plate.refuses.set(|records| records.iter().any(|(name, _)| name == "identity"));
+            huts.iter().for_each(|hut| core.start(hut, true));
+            sleep(Duration::from_secs(4)).await;
+            identity_refused(core).await
+        })
+    };
+    assert!(!refusing());
+    let _out = without(Some(Guard::IdentityBeforeAnswers));
+    assert!(refusing(), "without the guard a promise stands on a disk that does not know whose it is");
+}
+
+/// A majority's disks refuse a register; what is acknowledged then is gone after a restart of all.
+async fn refused_and_acknowledged(core: Rc<Core>) -> bool {
+    assert_eq!(core.replace(0, &config(1, 0, "/first/")).await, Some(200));
+    let huts = names(&core);
+    let refuses: fn(&beechcroft_hut::disk::Records) -> bool =
+        |records| records.iter().any(|(name, _)| name != "units" && name != "members");
+    huts[..2].iter().for_each(|hut| hut.plate.refuses.set(refuses));
+    let answer = core.ask(&huts[0], "POST", "/config/replace", &config(2, 1, "/second/")).await;
+    huts.iter().for_each(|hut| core.kill(hut));
+    huts.iter().for_each(|hut| hut.plate.refuses.set(|_| false));
+    huts[..2].iter().for_each(|hut| core.start(hut, false));
+    sleep(Duration::from_secs(4)).await;
+    let read = core.show(&huts[0]).await.map(|(_, body)| body);
+    answer.is_some_and(|(status, _)| status == 200) && read != Some(config(2, 1, "/second/"))
+}
+
+#[test]
+fn nothing_is_acknowledged_that_a_majority_of_the_disks_refused() {
+    assert!(!play(3, 1, refused_and_acknowledged));
+    let _out = without(Some(Guard::AnswerAfterSync));
+    assert!(play(3, 1, refused_and_acknowledged), "without the guard it is acknowledged and gone");
+}
