--- a/crates/beechcroft-pace/src/yard.rs
+++ b/crates/beechcroft-pace/src/yard.rs
@@ -208,6 +208,9 @@
         () => Near::Zone,
     };
     let ranked = rank(keyed.key, usual.iter().map(|&at| (at, &*places[at].id, near(&places[at]))));
+    if ranked.is_empty() {
+        return None; // all are cold: those have their own bound
+    }
     if keyed.sole {
         return ranked.into_iter().find(|&at| full(at) <= most);
     }
--- a/crates/beechcroft-range/src/whole/audit.rs
+++ b/crates/beechcroft-range/src/whole/audit.rs
@@ -93,6 +93,7 @@
     audit.rollouts();
     audit.denied();
     audit.recovery();
+    audit.faults();
     let mut verdict = Verdict { breaches: audit.found.into_values().collect(), ..Verdict::default() };
     served(wires, &mut verdict);
     verdict
@@ -537,6 +538,13 @@
         }
     }
 
+    /// Fault: a program that panicked, or ended by itself, whatever went on around it.
+    fn faults(&mut self) {
+        for fault in &self.wires.faults {
+            self.breach("Fault", || format!("{} at {} ms: {}", fault.on, fault.at, fault.said));
+        }
+    }
+
     /// RECOVER, after a closing fault.
     fn recovery(&mut self) {
         let Some(back) = self.wires.closing else { return };
--- a/crates/beechcroft-range/src/whole/day.rs
+++ b/crates/beechcroft-range/src/whole/day.rs
@@ -8,7 +8,7 @@
 use super::disk::{Plate, Sync};
 use super::fabric::{Counts, Cut, Fabric, Spot};
 use super::mutants;
-use super::process::Process;
+use super::process::{self, Process};
 use super::scenario::{Event, Mutant, Scenario, What};
 use super::wires::{self, Life, Order, Sent, Trouble};
 use beechcroft_hut::disk::Disk;
@@ -64,6 +64,8 @@
     plate: Option<Plate>,
     process: RefCell<Option<Process>>,
     term: RefCell<Option<Arc<Notify>>>,
+    /// Its process was told to leave.
+    told: Rc<Cell<bool>>,
     gone: Cell<bool>,
 }
 
@@ -116,6 +118,7 @@
 }
 
 async fn run(scenario: Scenario) -> Report {
+    process::watch();
     let fabric = Fabric::new(scenario.seed, scenario.zone_ms, scenario.region_ms);
     {
         let mut inner = fabric.with();
@@ -208,6 +211,7 @@
             plate,
             process: RefCell::default(),
             term: RefCell::default(),
+            told: Rc::default(),
             gone: Cell::new(false),
         };
         Rc::new(machine)
@@ -265,8 +269,11 @@
         let outside = Outside { ground: ground.clone(), term: Box::pin(left), seeds };
         *machine.term.borrow_mut() = Some(term);
         let (stage, mutant, name) = (self.stage.clone(), self.scenario.mutant, machine.name.clone());
+        let faulty = stage.clone();
         let ip = machine.ip;
         let plate = machine.plate.clone();
+        machine.told.set(false);
+        let told_to_leave = machine.told.clone();
         let main = async move {
             let _kept = told; // the settings file does not change
             let done = match plate {
@@ -282,12 +289,23 @@
                     if let Some(mutant) = mutant {
                         spawn_local(mutants::edge(stage, ground, SocketAddrV4::new(ip, INGRESS), mutant));
                     }
-                    beechcroft_trail::run::run(settings, usual, outside).await
+                    let run = beechcroft_trail::run::run(settings, usual, outside);
+                    match mutant {
+                        Some(Mutant::Quits) => tokio::select! {
+                            done = run => done,
+                            () = sleep(Duration::from_secs(12)) => Ok(()),
+                        },
+                        _ => run.await,
+                    }
                 }
             };
-            if let Err(said) = done {
-                log::error!("range: {name} ends: {said}");
-            }
+            let said = match done {
+                Ok(()) if told_to_leave.get() => return,
+                Ok(()) => "it ended by itself".to_owned(),
+                Err(said) => format!("it ended: {said}"),
+            };
+            log::error!("range: {name}: {said}");
+            faulty.wires.borrow_mut().faults.push(wires::Fault { at: faulty.now(), on: name, said });
         };
         *machine.process.borrow_mut() = Some(Process::start(&self.stage.fabric, ip, main));
     }
@@ -645,9 +663,9 @@
     // ---- the end
 
     fn report(&self) -> Report {
-        let counts = self.stage.fabric.with().counts;
         let seconds = self.now() as f64 / 1000.0;
         let inner = self.stage.fabric.with();
+        let counts = inner.counts;
         let sent: Vec<f64> = self
             .machines
             .borrow()
@@ -655,9 +673,14 @@
             .filter(|machine| !machine.core)
             .map(|machine| inner.sent_by.get(&machine.ip).copied().unwrap_or(0) as f64 / seconds)
             .collect();
-        drop(inner);
         let edge_bytes =
             (sent.iter().sum::<f64>() / sent.len().max(1) as f64, sent.iter().copied().fold(0.0, f64::max));
+        let panics = process::watched().into_iter().map(|(ip, at, said)| {
+            let on = ip.and_then(|ip| inner.spots.get(&ip)).map_or("the world", |spot| &spot.name);
+            wires::Fault { at, on: on.to_owned(), said }
+        });
+        self.stage.wires.borrow_mut().faults.extend(panics);
+        drop(inner);
         let wires = self.stage.wires.borrow().clone();
         let verdict = judge(&wires, &Bounds::default());
         Report {
--- a/crates/beechcroft-range/src/whole/day/events.rs
+++ b/crates/beechcroft-range/src/whole/day/events.rs
@@ -141,7 +141,7 @@
                     self.trouble(&other.name, self.now(), self.now(), "new");
                 }
             }
-            What::Cut { from, to, for_s, one_way } => {
+            What::Cut { from, to, for_s, one_way, how } => {
                 let now = self.now();
                 let until = Instant::now() + Duration::from_secs_f64(for_s);
                 let touched =
@@ -149,7 +149,7 @@
                 for machine in touched {
                     self.trouble(&machine.name, now, now + (for_s * 1000.0) as u64, "cut off");
                 }
-                self.stage.fabric.with().cuts.push(Cut { from, to, until, one_way });
+                self.stage.fabric.with().begin(Cut { from, to, until, one_way, how });
             }
             What::SlowDisk { on, sync_ms, for_s } => {
                 let now = self.now();
@@ -247,6 +247,7 @@
     pub(super) async fn stops(self: Rc<Self>, machine: Rc<Machine>) {
         let from = self.now();
         self.trouble(&machine.name, from, from + 1000, "SIGTERM");
+        machine.told.set(true);
         if let Some(term) = machine.term.borrow().as_ref() {
             term.notify_one();
         }
--- a/crates/beechcroft-range/src/whole/draw.rs
+++ b/crates/beechcroft-range/src/whole/draw.rs
@@ -2,6 +2,7 @@
 //! same time is `faultTolerance` of the core, or everything's power with the disks left.
 
 use super::disk::Sync;
+use super::fabric::CutHow;
 use super::scenario::{Event, Scenario, SyncFault, What};
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
@@ -135,9 +136,27 @@
         18 => What::Power { on: if rng.random_bool(0.5) { zone } else { edge }, down_s },
         19 => What::Wipe { on: core, down_s },
         20 => What::Replace { on: core },
-        21 => What::Cut { from: edge, to: "*".into(), for_s, one_way: rng.random_bool(0.4) },
-        22 => What::Cut { from: core, to: "*".into(), for_s, one_way: rng.random_bool(0.4) },
-        23 => What::Cut { from: region, to: "*".into(), for_s, one_way: rng.random_bool(0.3) },
+        21 => What::Cut {
+            from: edge,
+            to: "*".into(),
+            for_s,
+            one_way: rng.random_bool(0.4),
+            how: CutHow::Silent,
+        },
+        22 => What::Cut {
+            from: core,
+            to: "*".into(),
+            for_s,
+            one_way: rng.random_bool(0.4),
+            how: CutHow::Silent,
+        },
+        23 => What::Cut {
+            from: region,
+            to: "*".into(),
+            for_s,
+            one_way: rng.random_bool(0.3),
+            how: CutHow::Silent,
+        },
         24 => What::SlowDisk { on: core, sync_ms: rng.random_range(50..800), for_s },
         25 => What::Burst { times: rng.random_range(2.0..4.0), for_s },
         _ => What::Skew { on: edge, ms: rng.random_range(-3000..3000) },
--- a/crates/beechcroft-range/src/whole/fabric.rs
+++ b/crates/beechcroft-range/src/whole/fabric.rs
@@ -40,6 +40,19 @@
     pub wakers: Vec<Waker>,
 }
 
+/// What is seen of a cut by those whom it parts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CutHow {
+    /// Nothing: bytes under way come later, new connections wait, datagrams are lost.
+    #[default]
+    Silent,
+    /// Connections are reset when it begins, and new ones as they come up.
+    Reset,
+    /// New connections are refused at once; what is under way on others comes later.
+    Refused,
+}
+
 /// Who is cut off from whom: machines whose name begins so, or whose zone or region it is.
 #[derive(Clone, Debug)]
 pub struct Cut {
@@ -48,6 +61,7 @@
     pub until: Instant,
     /// Only what goes from the one to the other is lost.
     pub one_way: bool,
+    pub how: CutHow,
 }
 
 impl Spot {
@@ -91,6 +105,8 @@
     ended: bool,
     /// The reader has gone: what is written breaks.
     deaf: bool,
+    /// Reset by a cut.
+    broken: bool,
     /// Its reader lost power: once the machine is back, what comes is answered by a reset.
     orphan: bool,
     /// The lane of the other direction.
@@ -204,13 +220,42 @@
     }
 
     pub fn is_cut(&self, from: Ipv4Addr, to: Ipv4Addr) -> bool {
-        let (Some(a), Some(b)) = (self.spots.get(&from), self.spots.get(&to)) else { return true };
+        self.cut(from, to).is_some()
+    }
+
+    /// How one is cut off from another, if it is.
+    fn cut(&self, from: Ipv4Addr, to: Ipv4Addr) -> Option<CutHow> {
+        let (Some(a), Some(b)) = (self.spots.get(&from), self.spots.get(&to)) else {
+            return Some(CutHow::Silent);
+        };
         let now = Instant::now();
-        self.cuts.iter().filter(|cut| cut.until > now).any(|cut| {
+        let parts = |cut: &&Cut| {
             let there = a.is(&cut.from) && b.is(&cut.to) && !(cut.to == "*" && b.is(&cut.from));
             let back = b.is(&cut.from) && a.is(&cut.to) && !(cut.to == "*" && a.is(&cut.from));
             there || back && !cut.one_way
-        })
+        };
+        self.cuts.iter().filter(|cut| cut.until > now).find(parts).map(|cut| cut.how)
+    }
+
+    /// A cut begins.
+    pub fn begin(&mut self, cut: Cut) {
+        let resets = cut.how == CutHow::Reset;
+        self.cuts.push(cut);
+        if !resets {
+            return;
+        }
+        let parted: Vec<u64> = self
+            .lanes
+            .iter()
+            .filter(|(_, lane)| self.cut(lane.from, lane.to) == Some(CutHow::Reset))
+            .flat_map(|(id, lane)| [*id, lane.other])
+            .collect();
+        for id in parted {
+            let Some(lane) = self.lanes.get_mut(&id) else { continue };
+            (lane.broken, lane.deaf) = (true, true);
+            lane.ready.clear();
+            lane.reader.take().into_iter().chain(lane.writer.take()).for_each(Waker::wake);
+        }
     }
 
     fn is_dark(&self, ip: Ipv4Addr) -> bool {
@@ -301,6 +346,9 @@
     fn try_read(&self, buf: &mut [u8]) -> io::Result<usize> {
         let mut inner = self.fabric.with();
         let Some(lane) = inner.lanes.get_mut(&self.input) else { return Ok(0) };
+        if lane.broken {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
         if lane.ready.is_empty() {
             return if lane.ended { Ok(0) } else { Err(io::ErrorKind::WouldBlock.into()) };
         }
@@ -314,7 +362,7 @@
     fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<()> {
         let mut inner = self.fabric.with();
         let Some(lane) = inner.lanes.get_mut(&self.input) else { return Poll::Ready(()) };
-        if !lane.ready.is_empty() || lane.ended {
+        if !lane.ready.is_empty() || lane.ended || lane.broken {
             return Poll::Ready(());
         }
         lane.reader = Some(cx.waker().clone());
@@ -389,6 +437,16 @@
         Box::pin(async move {
             let way = fabric.with().way(from, *to.ip());
             sleep(way).await;
+            let parted = {
+                let inner = fabric.with();
+                let cut = inner.cut(from, *to.ip()).or(inner.cut(*to.ip(), from));
+                cut.filter(|_| !inner.is_dark(*to.ip()))
+            };
+            match parted {
+                Some(CutHow::Reset) => return Err(io::ErrorKind::ConnectionReset.into()),
+                Some(CutHow::Refused) => return Err(io::ErrorKind::ConnectionRefused.into()),
+                Some(CutHow::Silent) | None => {}
+            }
             let held_up = || {
                 let inner = fabric.with();
                 let cut = inner.is_cut(from, *to.ip()) || inner.is_cut(*to.ip(), from);
@@ -418,6 +476,7 @@
                     ready: VecDeque::new(),
                     ended: false,
                     deaf: false,
+                    broken: false,
                     orphan: false,
                     other,
                     reader: None,
--- a/crates/beechcroft-range/src/whole/mutants.rs
+++ b/crates/beechcroft-range/src/whole/mutants.rs
@@ -24,7 +24,13 @@
 pub async fn edge(stage: Rc<Stage>, ground: Ground, at: SocketAddrV4, mutant: Mutant) {
     let carries = !matches!(
         mutant,
-        Mutant::NoNews | Mutant::HastyEnds | Mutant::LyingDisks | Mutant::BothWin | Mutant::StaysDown
+        Mutant::NoNews
+            | Mutant::HastyEnds
+            | Mutant::LyingDisks
+            | Mutant::BothWin
+            | Mutant::StaysDown
+            | Mutant::Panics
+            | Mutant::Quits
     );
     if mutant == Mutant::NoNews {
         sleep(Duration::from_secs(7)).await;
@@ -33,6 +39,10 @@
         // Copies go by connections: the relays' own are cut as well.
         return;
     }
+    if mutant == Mutant::Panics {
+        sleep(Duration::from_secs(9)).await;
+        panic!("a task of the edge at {at}");
+    }
     if !carries {
         return;
     }
--- a/crates/beechcroft-range/src/whole/process.rs
+++ b/crates/beechcroft-range/src/whole/process.rs
@@ -1,13 +1,62 @@
 //! Processes: a program's tasks, which run, freeze, and are gone at once when it is killed.
 
 use super::fabric::Fabric;
+use std::cell::RefCell;
 use std::future::Future;
 use std::net::Ipv4Addr;
 use std::pin::Pin;
+use std::sync::Once;
 use std::task::{Context, Poll};
 use tokio::task::{spawn_local, AbortHandle, LocalSet};
 use tokio::time::{sleep_until, Instant, Sleep};
 
+thread_local! {
+    /// The day that this thread plays, if it does.
+    static WATCH: RefCell<Option<Watch>> = const { RefCell::new(None) };
+}
+
+/// What panics on a thread that plays a day. The runtime swallows the panic of a task, so it is seen by the hook.
+struct Watch {
+    runs: Option<Ipv4Addr>,
+    panics: Vec<(Option<Ipv4Addr>, u64, String)>,
+    began: Instant,
+}
+
+/// From here to [`watched`] panics on this thread are written down.
+pub fn watch() {
+    static HOOK: Once = Once::new();
+    HOOK.call_once(|| {
+        let usual = std::panic::take_hook();
+        std::panic::set_hook(Box::new(move |info| {
+            let noted = WATCH.try_with(|watch| {
+                let mut watch = watch.try_borrow_mut().ok()?;
+                let watch = watch.as_mut()?;
+                let at = watch.began.elapsed().as_millis() as u64;
+                watch.panics.push((watch.runs, at, info.to_string().replace('\n', " ")));
+                watch.runs
+            });
+            if !matches!(noted, Ok(Some(_))) {
+                usual(info); // the world's own, or another thread's
+            }
+        }));
+    });
+    let watch = Watch { runs: None, panics: Vec::new(), began: Instant::now() };
+    WATCH.with(|held| *held.borrow_mut() = Some(watch));
+}
+
+/// What panicked since [`watch`]: on which machine (none: the world's own tasks), when, what it said.
+pub fn watched() -> Vec<(Option<Ipv4Addr>, u64, String)> {
+    WATCH.with(|watch| watch.borrow_mut().take()).map(|watch| watch.panics).unwrap_or_default()
+}
+
+fn runs(ip: Option<Ipv4Addr>) {
+    WATCH.with(|watch| {
+        if let Some(watch) = watch.borrow_mut().as_mut() {
+            watch.runs = ip;
+        }
+    });
+}
+
 /// A program that runs. Dropping the handle leaves it running.
 pub struct Process {
     abort: AbortHandle,
@@ -53,6 +102,9 @@
             }
         }
         self.sleep = None;
-        self.inner.as_mut().poll(cx)
+        runs(Some(self.ip));
+        let polled = self.inner.as_mut().poll(cx);
+        runs(None);
+        polled
     }
 }
--- a/crates/beechcroft-range/src/whole/scenario.rs
+++ b/crates/beechcroft-range/src/whole/scenario.rs
@@ -2,6 +2,7 @@
 //! checks; a fault is named by key and line.
 
 use super::disk::Sync;
+use super::fabric::CutHow;
 use garde::Validate;
 use serde::{Deserialize, Serialize};
 
@@ -208,6 +209,8 @@
         for_s: f64,
         #[serde(default)]
         one_way: bool,
+        #[serde(default)]
+        how: CutHow,
     },
     SlowDisk {
         on: String,
@@ -275,6 +278,10 @@
     StaysDown,
     /// Requests go to units whose address another service has now, without naming the unit.
     AnyUnit,
+    /// A task of an edge panics; the others go on.
+    Panics,
+    /// An edge ends by itself, as if all were well.
+    Quits,
 }
 
 fn one() -> u64 {
--- a/crates/beechcroft-range/src/whole/wires.rs
+++ b/crates/beechcroft-range/src/whole/wires.rs
@@ -120,6 +120,14 @@
     pub planned: bool,
 }
 
+/// A program that panicked, or ended by itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fault {
+    pub at: u64,
+    pub on: String,
+    pub said: String,
+}
+
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Wires {
     pub asked: BTreeMap<String, Asked>,
@@ -128,6 +136,7 @@
     pub configs: Vec<Sent>,
     pub orders: Vec<Order>,
     pub troubles: Vec<Trouble>,
+    pub faults: Vec<Fault>,
     /// SIGTERM of an edge machine, and when its process was gone.
     pub leaves: Vec<(String, u64, u64)>,
     /// The configuration as read back at the end, if it came; and states of rollouts.
--- a/crates/beechcroft-range/tests/whole.rs
+++ b/crates/beechcroft-range/tests/whole.rs
@@ -27,6 +27,7 @@
         Mutant::GoesBack | Mutant::BothWin => "CONFIG",
         Mutant::StaysDown => "RECOVER",
         Mutant::AnyUnit => "ROUTE",
+        Mutant::Panics | Mutant::Quits => "Fault",
     }
 }
 
