Values are decoded in one place; none falls back to an empty one; repeats by BLAKE3

Cause: a register's value that does not decode was taken for an empty one by the proposer and the desks, so a round could put an empty configuration in its place. A rollout to a version that was reverted before counted as a repeat and was confirmed without being begun. Versions that the history had dropped were refused (412) when they came again. Bodies were told apart by 64 bits of FNV-1a.

Ruled out: an empty value for what cannot be read (it loses what was acknowledged); a history without bound (it goes through each ballot); a new id for each rollout order on the wire (the protocol has none).

Change: `ConfigStore::decode/encode` and `Orders::decode/encode` are the only way to bytes, and fail with a fault. A round that meets such a value answers 503 and offers nothing. Digests are 128 bits of BLAKE3, and a body read back is held against its own. What the history has forgotten ends in 504, not 412. A rollout that was reverted is begun anew when the same order comes later than the time within which it is sent again, and is a repeat within it; one with another ramp than the active one is refused with 409. An order whose time is over enters no round, and can be withdrawn.

--- a/crates/beechcroft-hut/src/desks.rs
+++ b/crates/beechcroft-hut/src/desks.rs
@@ -1,17 +1,21 @@
 //! What a core machine answers: to units and the operator, to clients that ask where to go, to other relays.
 
 use crate::keeper::{Command, Queue, ORDER_MS};
-use beechcroft_hutbook::{Op, CONFIG, ORDERS};
+use beechcroft_hutbook::{ConfigStore, Op, Orders, CONFIG, ORDERS};
 use beechcroft_kinds::{Fault, Kind};
 use beechcroft_map::Config;
 use beechcroft_pass::calls::{self, Call as Known};
 use beechcroft_pass::desk::{Answer, Call};
+use beechcroft_pass::Ground;
 use beechcroft_waymarks::{Note, State};
 use serde::Deserialize;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 use tokio::sync::oneshot;
 
+/// How far the clocks of core machines may differ for a repeat to be known by the time of day.
+pub const CLOCKS_APART_MS: u64 = 2000;
+
 /// A unit's beat.
 #[derive(Deserialize)]
 struct Beat {
@@ -60,14 +64,24 @@
     Fault::new(Kind::Invalid, e.to_string())
 }
 
-pub async fn control(queue: Queue, call: Call) -> Answer {
-    match answer(&queue, call).await {
+/// What the operator's and the units' desk stands on.
+#[derive(Clone)]
+pub struct Control {
+    pub queue: Queue,
+    pub ground: Ground,
+    /// The same rollout asked for again within this time is a repeat.
+    pub repeat_ms: u64,
+}
+
+pub async fn control(control: Control, call: Call) -> Answer {
+    match answer(&control, call).await {
         Ok(answer) => answer,
         Err(fault) => fault.into(),
     }
 }
 
-async fn answer(queue: &Queue, call: Call) -> Result<Answer, Fault> {
+async fn answer(control: &Control, call: Call) -> Result<Answer, Fault> {
+    let queue = &control.queue;
     let known = calls::find(&call.method, &call.path);
     match known.ok_or_else(|| Fault::new(Kind::NoCall, format!("{} {}", call.method, call.path)))? {
         Known::Beat(id) => {
@@ -103,9 +117,7 @@
         }
         Known::ShowConfig => {
             let value = through(queue, |answer| Command::Order(CONFIG, Op::Read, answer)).await??;
-            let store: beechcroft_hutbook::ConfigStore =
-                postcard::from_bytes(&value.bytes).unwrap_or_default();
-            let body = store.body();
+            let body = ConfigStore::decode(&value)?.body()?;
             if body.is_empty() {
                 return Err(Fault::new(Kind::NoThing, "no configuration yet"));
             }
@@ -114,12 +126,13 @@
         Known::BeginRollout => {
             let begin: Begin = serde_json::from_slice(&call.body).map_err(invalid)?;
             let ramp_ms = (begin.ramp_s.clamp(0.0, 1e6) * 1000.0) as u64;
-            order(queue, ORDERS, Op::Begin { service: begin.service, target: begin.target_version, ramp_ms })
-                .await
+            let (service, target) = (begin.service, begin.target_version);
+            let (at_ms, repeat_ms) = (control.ground.wall().as_millis() as u64, control.repeat_ms);
+            order(queue, ORDERS, Op::Begin { service, target, ramp_ms, at_ms, repeat_ms }).await
         }
         Known::ShowRollout(service) => {
             let value = through(queue, |answer| Command::Order(ORDERS, Op::Read, answer)).await??;
-            let orders: beechcroft_hutbook::Orders = postcard::from_bytes(&value.bytes).unwrap_or_default();
+            let orders = Orders::decode(&value)?;
             let held = orders.rollouts.get(&service);
             let held = held.ok_or_else(|| Fault::new(Kind::NoThing, format!("no rollout of {service}")))?;
             let state = match held.stage {
--- a/crates/beechcroft-hut/src/keeper.rs
+++ b/crates/beechcroft-hut/src/keeper.rs
@@ -10,7 +10,9 @@
 use beechcroft_cache::Table;
 use beechcroft_cairns::{Action as News, Cairns, Letter, Member, Standing};
 use beechcroft_hutbook::proposer::{Action as Step, Answer, Event, OrderId};
-use beechcroft_hutbook::{Ask, Ballot, Op, Orders, Proposer, Reply, Stage, Value, Voter, CONFIG, ORDERS};
+use beechcroft_hutbook::{
+    Ask, Ballot, ConfigStore, Op, Orders, Proposer, Reply, Stage, Value, Voter, CONFIG, ORDERS,
+};
 use beechcroft_map::config::{Service, Unfit};
 use beechcroft_map::usual::Usual;
 use beechcroft_map::{Config, Settings};
@@ -418,15 +420,23 @@
             return;
         }
         if register == CONFIG {
-            let store: Option<beechcroft_hutbook::ConfigStore> = postcard::from_bytes(&value.bytes).ok();
-            let mut config = store.and_then(|store| store.config());
-            config.iter_mut().for_each(|config| self.usual.fill(config));
-            let services: Vec<Service> = config.into_iter().flat_map(|c: Config| c.services).collect();
+            let config = match ConfigStore::decode(&value).and_then(|store| store.body()) {
+                Ok(body) => Config::read(&body).ok(),
+                Err(fault) => return log::error!("keeper: A chosen value is left out: {fault}."),
+            };
+            let services = config.into_iter().flat_map(|mut config| {
+                self.usual.fill(&mut config);
+                config.services
+            });
+            let services: Vec<Service> = services.collect();
             let ruled = services.iter().filter_map(|s| Some((s.name.clone(), s.unfit.clone()?)));
             self.unfit = ruled.collect();
             self.services = services.into_iter().map(|s| s.name).collect();
         } else {
-            self.orders = postcard::from_bytes(&value.bytes).unwrap_or_default();
+            match Orders::decode(&value) {
+                Ok(orders) => self.orders = orders,
+                Err(fault) => return log::error!("keeper: A chosen value is left out: {fault}."),
+            }
             log::info!("keeper: Orders at {}: {:?}.", value.revision, self.orders);
         }
         self.put_down(vec![(CHOSEN[register].to_owned(), postcard::to_stdvec(&value).expect("plain data"))]);
--- a/crates/beechcroft-hut/src/run.rs
+++ b/crates/beechcroft-hut/src/run.rs
@@ -60,9 +60,10 @@
     let ttl_s = settings.bounds.ttl_max_s.min(5.0);
     let mut desks = Vec::new();
     if let Some(at) = settings.listen.control {
-        let queue = queue.clone();
+        let repeat_ms = settings.bounds.ack_ms + desks::CLOCKS_APART_MS;
+        let control = desks::Control { queue: queue.clone(), ground: ground.clone(), repeat_ms };
         desks.push(spawn_local(desk::serve(ground.clone(), at, Bounds::default(), move |call| {
-            desks::control(queue.clone(), call)
+            desks::control(control.clone(), call)
         })));
     }
     if let Some(at) = settings.listen.directory {
--- a/crates/beechcroft-hutbook/src/proposer.rs
+++ b/crates/beechcroft-hutbook/src/proposer.rs
@@ -20,8 +20,23 @@
 
 #[derive(Debug)]
 pub enum Event {
-    Order { id: OrderId, register: usize, op: Op, until: u64 },
-    Reply { from: String, register: usize, ballot: Ballot, reply: Reply },
+    /// `until`: by then it has entered a round, or enters none.
+    Order {
+        id: OrderId,
+        register: usize,
+        op: Op,
+        until: u64,
+    },
+    /// Nobody waits for the order any more.
+    Withdrawn {
+        id: OrderId,
+    },
+    Reply {
+        from: String,
+        register: usize,
+        ballot: Ballot,
+        reply: Reply,
+    },
     Tick,
 }
 
@@ -56,6 +71,9 @@
     until: u64,
 }
 
+/// The orders that a round carries, with their outcome if it ends well.
+type Carried = Vec<(Waiting, Result<(), Fault>)>;
+
 #[derive(Clone, Debug)]
 struct Round {
     ballot: Ballot,
@@ -70,8 +88,7 @@
     /// Epochs that voters told of with their answers.
     epochs: Epochs,
     refusals: BTreeSet<String>,
-    /// The orders it carries, with their outcome if it ends well.
-    carried: Vec<(Waiting, Result<(), Fault>)>,
+    carried: Carried,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -83,6 +100,17 @@
     chosen: u64,
 }
 
+/// Applies the orders that wait, each with its outcome; whether any changed the value.
+fn carry(queue: VecDeque<Waiting>, mut apply: impl FnMut(&Op) -> Result<bool, Fault>) -> (Carried, bool) {
+    let mut changed = false;
+    let carried = queue.into_iter().map(|waiting| {
+        let outcome = apply(&waiting.op);
+        changed |= matches!(outcome, Ok(true));
+        (waiting, outcome.map(drop))
+    });
+    (carried.collect(), changed)
+}
+
 /// Runs this machine's rounds, one at a time for each register.
 #[derive(Clone, Debug)]
 pub struct Proposer {
@@ -116,6 +144,17 @@
                 self.sides[register].queue.push_back(Waiting { id, op, until });
                 self.begin(now, register, own, out);
             }
+            Event::Withdrawn { id } => {
+                // One that was offered is on its way and may be chosen. It is offered under no further ballot.
+                for side in &mut self.sides {
+                    side.queue.retain(|waiting| waiting.id != id);
+                    for (waiting, _) in side.round.iter_mut().flat_map(|round| &mut round.carried) {
+                        if waiting.id == id {
+                            waiting.until = 0;
+                        }
+                    }
+                }
+            }
             Event::Reply { from, register, ballot, reply } => {
                 self.reply(now, &from, register, ballot, reply, out);
                 self.begin(now, register, own, out);
@@ -135,8 +174,12 @@
         if side.round.as_ref().is_some_and(|round| now.saturating_sub(round.began) > ROUND_MS) {
             self.give_up(now, register);
         }
-        let side = &mut self.sides[register];
-        side.queue.retain(|waiting| {
+        self.drop_late(now, register, out);
+    }
+
+    /// Orders whose time is over enter no round any more. They may still be part of what an earlier round of theirs offered.
+    fn drop_late(&mut self, now: u64, register: usize, out: &mut Vec<Action>) {
+        self.sides[register].queue.retain(|waiting| {
             let keep = waiting.until > now;
             if !keep {
                 let fault = Fault::new(Kind::NoMajority, "no majority of the core answered in time");
@@ -213,7 +256,7 @@
                     round.best = value.map(|value| (under, value));
                 }
                 if round.promises.len() >= majority {
-                    self.offer(register, out);
+                    self.offer(now, register, out);
                 }
             }
             (Reply::Accepted { epoch, epochs }, Some((_, accepted))) => {
@@ -246,28 +289,46 @@
     }
 
     /// A majority has promised: applies the orders to the newest accepted value and offers the result.
-    fn offer(&mut self, register: usize, out: &mut Vec<Action>) {
+    fn offer(&mut self, now: u64, register: usize, out: &mut Vec<Action>) {
+        if stands(Guard::OrderLimit) {
+            self.drop_late(now, register, out);
+        }
         let side = &mut self.sides[register];
         let Some(round) = side.round.as_mut() else { return };
         let (under, held) = round.best.take().unwrap_or_default();
-        let mut changed = false;
-        let bytes = if register == CONFIG {
-            let mut store: ConfigStore = postcard::from_bytes(&held.bytes).unwrap_or_default();
-            for waiting in side.queue.drain(..) {
-                let outcome = store.apply(&waiting.op);
-                changed |= matches!(outcome, Ok(true));
-                round.carried.push((waiting, outcome.map(drop)));
+        let queue = std::mem::take(&mut side.queue);
+        let applied = if register == CONFIG {
+            match ConfigStore::decode(&held) {
+                Ok(mut store) => {
+                    let (carried, changed) = carry(queue, |op| store.apply(op));
+                    Ok((carried, changed.then(|| store.encode())))
+                }
+                Err(fault) => Err((queue, fault)),
             }
-            changed.then(|| postcard::to_stdvec(&store).expect("plain data"))
         } else {
-            let mut orders: Orders = postcard::from_bytes(&held.bytes).unwrap_or_default();
-            for waiting in side.queue.drain(..) {
-                let outcome = orders.apply(&waiting.op, &mut self.rng);
-                changed |= matches!(outcome, Ok(true));
-                round.carried.push((waiting, outcome.map(drop)));
+            match Orders::decode(&held) {
+                Ok(mut orders) => {
+                    let (carried, changed) = carry(queue, |op| orders.apply(op, &mut self.rng));
+                    Ok((carried, changed.then(|| orders.encode())))
+                }
+                Err(fault) => Err((queue, fault)),
             }
-            changed.then(|| postcard::to_stdvec(&orders).expect("plain data"))
         };
+        let bytes = match applied {
+            Ok((carried, bytes)) => {
+                round.carried = carried;
+                bytes
+            }
+            // What cannot be read is left as it is: nothing is put in its place.
+            Err((queue, fault)) => {
+                side.round = None;
+                side.not_before = now + ROUND_MS;
+                let answers = queue.into_iter().map(|waiting| (waiting.id, Err(fault.clone())));
+                out.extend(answers.map(|(id, answer)| Action::Answer { id, answer }));
+                return;
+            }
+        };
+        let changed = bytes.is_some();
         let value = match bytes {
             Some(bytes) => Value { revision: held.revision + 1, bytes },
             None => held,
@@ -275,6 +336,12 @@
         let quorum: Vec<VoterEpoch> =
             round.promises.iter().map(|(name, &(epoch, _))| (name.clone(), epoch)).collect();
         round.offered = Some((value.clone(), BTreeMap::new()));
+        if !stands(Guard::ConfirmedRefusals) {
+            let refused = round.carried.iter().filter_map(|(waiting, outcome)| {
+                Some(Action::Answer { id: waiting.id, answer: Err(outcome.clone().err()?) })
+            });
+            out.extend(refused);
+        }
         let ballot = round.ballot;
         // Whoever holds the very value, as nothing changes, is only told so.
         let holds = |voter: &String| {
--- a/crates/beechcroft-hutbook/src/state.rs
+++ b/crates/beechcroft-hutbook/src/state.rs
@@ -1,11 +1,14 @@
 //! What the registers hold, and the orders that change it.
 
+use crate::Value;
 use beechcroft_kinds::{Fault, Kind};
 use beechcroft_map::Config;
+use beechcroft_railing::{stands, Guard};
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
 use flate2::Compression;
 use rand::RngExt;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::{Read, Write};
@@ -13,14 +16,19 @@
 /// Versions taken before, that an identical repeat is still acknowledged for.
 const HISTORY: usize = 512;
 
+/// Of what an operator sent: 128 bits of BLAKE3.
+pub type Digest = [u8; 16];
+
 /// The configuration in force.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ConfigStore {
     pub version: u32,
     /// As the operator sent it, deflated: it goes through ballots, onto disks and over thin links.
     body: Vec<u8>,
-    /// Versions taken, each with the digest of its body.
-    history: VecDeque<(u32, u64)>,
+    /// Versions taken, each with the digest of its body: the newest ones.
+    history: VecDeque<(u32, Digest)>,
+    /// The newest version taken that the history no longer holds.
+    forgotten: u32,
 }
 
 /// How far a rollout has come. Trial requests go to a few units; then steps of the ramp; then all, while what
@@ -37,6 +45,8 @@
     pub target: String,
     /// Tells this rollout from later ones of the service.
     pub begun: u64,
+    /// When it was asked for, as the core machine's clock had it: ms since 1970.
+    pub begun_at_ms: u64,
     pub ramp_ms: u64,
     pub stage: Stage,
 }
@@ -72,13 +82,16 @@
     Replace {
         version: u32,
         base: u32,
-        digest: u64,
+        digest: Digest,
         body: Vec<u8>,
     },
+    /// `at_ms`: the time of day, since 1970; within `repeat_ms` of it the same order is the same rollout's.
     Begin {
         service: String,
         target: String,
         ramp_ms: u64,
+        at_ms: u64,
+        repeat_ms: u64,
     },
     Move {
         service: String,
@@ -113,6 +126,11 @@
 }
 
 impl Op {
+    /// Whether the order says by itself on what it builds, so that one that comes late changes nothing.
+    pub fn is_fenced(&self) -> bool {
+        !matches!(self, Op::Begin { .. } | Op::Evacuate { .. })
+    }
+
     /// The order to put a configuration in place.
     pub fn replace(version: u32, base: u32, sent: &[u8]) -> Op {
         let mut body = Vec::new();
@@ -122,17 +140,48 @@
     }
 }
 
-fn digest(body: &[u8]) -> u64 {
-    body.iter()
-        .fold(0xcbf2_9ce4_8422_2325, |sum: u64, &b| (sum ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+fn digest(body: &[u8]) -> Digest {
+    let mut digest = Digest::default();
+    digest.copy_from_slice(&blake3::hash(body).as_bytes()[..16]);
+    digest
+}
+
+/// A register's value as it was encoded. One that was never written is the empty one; one that cannot be read whole is a
+/// fault, never an empty one.
+fn decode<T: Default + DeserializeOwned>(value: &Value, what: &str) -> Result<T, Fault> {
+    if value.revision == 0 && value.bytes.is_empty() {
+        return Ok(T::default());
+    }
+    match postcard::take_from_bytes(&value.bytes) {
+        Ok((held, [])) => Ok(held),
+        _ if !stands(Guard::UnreadableValues) => Ok(T::default()),
+        _ => {
+            let said = format!("{what} at revision {}: {} bytes", value.revision, value.bytes.len());
+            Err(Fault::new(Kind::Unreadable, said))
+        }
+    }
 }
 
 impl ConfigStore {
+    pub fn decode(value: &Value) -> Result<ConfigStore, Fault> {
+        decode(value, "the configuration")
+    }
+
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("plain data")
+    }
+
     /// Applies an order; whether the store has changed, or why it is refused.
     pub fn apply(&mut self, op: &Op) -> Result<bool, Fault> {
         let Op::Replace { version, base, digest, body } = op else { return Ok(false) };
-        if self.history.contains(&(*version, *digest)) {
-            return Ok(false);
+        let same =
+            |held: &(u32, Digest)| held.0 == *version && (held.1 == *digest || !stands(Guard::SameBody));
+        if self.history.iter().any(same) {
+            return Ok(false); // a repeat
+        }
+        if *version <= self.forgotten && stands(Guard::ForgottenVersions) {
+            let said = format!("version {version:08x} is from before what is still remembered");
+            return Err(Fault::new(Kind::Forgotten, said));
         }
         if *base != self.version {
             let said = format!("version {:08x} is in place, the base is {base:08x}", self.version);
@@ -143,7 +192,7 @@
             return Err(Fault::new(Kind::Invalid, said));
         }
         if self.history.len() >= HISTORY {
-            self.history.pop_front();
+            self.forgotten = self.history.pop_front().map_or(self.forgotten, |(version, _)| version);
         }
         self.history.push_back((*version, *digest));
         (self.version, self.body) = (*version, body.clone());
@@ -151,40 +200,69 @@
     }
 
     /// The configuration as the operator sent it; empty before the first.
-    pub fn body(&self) -> Vec<u8> {
+    pub fn body(&self) -> Result<Vec<u8>, Fault> {
         let mut body = Vec::new();
-        if !self.body.is_empty() {
-            // What was agreed was deflated here: it is whole.
-            let _ = DeflateDecoder::new(&self.body[..]).read_to_end(&mut body);
+        let Some((version, sent)) = self.history.back() else { return Ok(body) };
+        let whole = DeflateDecoder::new(&self.body[..]).read_to_end(&mut body).is_ok();
+        if !whole || (*version, *sent) != (self.version, digest(&body)) {
+            let said = format!("version {:08x} is not what was sent", self.version);
+            return Err(Fault::new(Kind::Unreadable, said));
         }
-        body
+        Ok(body)
     }
 
+    /// None before the first.
     pub fn config(&self) -> Option<Config> {
-        Config::read(&self.body()).ok()
+        Config::read(&self.body().ok()?).ok()
     }
 }
 
 impl Orders {
+    pub fn decode(value: &Value) -> Result<Orders, Fault> {
+        decode(value, "orders")
+    }
+
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("plain data")
+    }
+
     pub fn apply(&mut self, op: &Op, rng: &mut impl RngExt) -> Result<bool, Fault> {
         match op {
             Op::Read | Op::Replace { .. } => Ok(false),
-            Op::Begin { service, target, ramp_ms } => {
-                if self.rollouts.get(service).is_some_and(|held| held.target == *target) {
-                    return Ok(false); // a repeat
+            Op::Begin { service, target, ramp_ms, at_ms, repeat_ms } => {
+                let based = self.bases.get(service) == Some(target);
+                let mut stage = Stage::Active(0);
+                if let Some(held) = self.rollouts.get(service) {
+                    let same = held.target == *target;
+                    let within = held.begun_at_ms.abs_diff(*at_ms) <= *repeat_ms;
+                    match held.stage {
+                        Stage::Active(_) if same && held.ramp_ms == *ramp_ms => return Ok(false), // a repeat
+                        Stage::Active(_) => {
+                            let said = format!(
+                                "a rollout of {service} to {} over {} ms is active",
+                                held.target, held.ramp_ms
+                            );
+                            return Err(Fault::new(Kind::UnderWay, said));
+                        }
+                        Stage::Complete if same && based => return Ok(false), // nothing is left to move
+                        Stage::Reverted if same && !stands(Guard::BegunAnew) => return Ok(false),
+                        Stage::Reverted if same && within && stands(Guard::RepeatWindow) => return Ok(false),
+                        _ => {}
+                    }
                 }
-                if let Some(Rollout { stage: Stage::Active(_), target, .. }) = self.rollouts.get(service) {
-                    return Err(Fault::new(
-                        Kind::UnderWay,
-                        format!("a rollout of {service} to {target} is active"),
-                    ));
+                if based {
+                    stage = Stage::Complete; // as asked for, and nothing is to be moved
                 }
                 if let Some(withdrawn) = self.withdrawn.get_mut(service) {
                     withdrawn.remove(target);
                 }
-                let begun = rng.random();
-                let rollout =
-                    Rollout { target: target.clone(), begun, ramp_ms: *ramp_ms, stage: Stage::Active(0) };
+                let rollout = Rollout {
+                    target: target.clone(),
+                    begun: rng.random(),
+                    begun_at_ms: *at_ms,
+                    ramp_ms: *ramp_ms,
+                    stage,
+                };
                 self.rollouts.insert(service.clone(), rollout);
                 Ok(true)
             }
--- a/crates/beechcroft-hutbook/tests/agreement.rs
+++ b/crates/beechcroft-hutbook/tests/agreement.rs
@@ -301,7 +301,7 @@
         self.act(at, out);
         self.settle(20);
         let value = self.answers[&id].clone().expect("a read with all machines up");
-        postcard::from_bytes(&value.bytes).unwrap_or_default()
+        ConfigStore::decode(&value).expect("a whole value")
     }
 
     /// Everything acknowledged is there, on every machine.
@@ -452,11 +452,7 @@
         have: Ballot::default(),
     });
     let Reply::Promise { accepted: Some((_, Some(value))), .. } = reply else { panic!("{reply:?}") };
-    assert_eq!(
-        postcard::from_bytes::<ConfigStore>(&value.bytes).unwrap().version,
-        5,
-        "it holds what was acknowledged"
-    );
+    assert_eq!(ConfigStore::decode(&value).unwrap().version, 5, "it holds what was acknowledged");
     // The former machine wakes: a round that stands on its promise is refused, and by that it learns that it is none.
     let quorum = vec![(name(0), 1), (name(1), 1), (name(2), 1)];
     let ballot = Ballot { count: 100, nonce: 1 };
@@ -533,9 +529,5 @@
     let mut again = Voter::new(&name(0), 2, 5, &core.machines[0].disk);
     core.voter_id(&mut again, "hut-1");
     let held = again.register(CONFIG).accepted.as_ref().expect("what the others hold");
-    assert_eq!(
-        postcard::from_bytes::<ConfigStore>(&held.1.bytes).unwrap().version,
-        5,
-        "not what it held alone"
-    );
+    assert_eq!(ConfigStore::decode(&held.1).unwrap().version, 5, "not what it held alone");
 }
--- a/crates/beechcroft-kinds/src/lib.rs
+++ b/crates/beechcroft-kinds/src/lib.rs
@@ -47,6 +47,12 @@
     NoThing,
     /// no majority of the core answered in time; the order may still be carried out
     NoMajority,
+    /// whether the order was taken before is no longer known; it is not carried out now
+    Forgotten,
+    /// the machine stood still while the order waited; it has not run
+    StoodStill,
+    /// what the core holds cannot be read; the order has not run
+    Unreadable,
 }
 
 impl Kind {
@@ -62,7 +68,8 @@
             Kind::HeadTooLarge => 431,
             Kind::Lost => 502,
             Kind::NoUnit | Kind::Full | Kind::NotYet | Kind::Leaving | Kind::OutOfTouch | Kind::Moving => 503,
-            Kind::TimeOver | Kind::NoMajority => 504,
+            Kind::StoodStill | Kind::Unreadable => 503,
+            Kind::TimeOver | Kind::NoMajority | Kind::Forgotten => 504,
         }
     }
 
--- a/crates/beechcroft-railing/src/lib.rs
+++ b/crates/beechcroft-railing/src/lib.rs
@@ -11,6 +11,24 @@
 pub enum Guard {
     // Contact with a majority.
     // Orders and their repeats.
+    /// An order whose caller has gone is not begun.
+    GoneCallers,
+    /// An order that has no base to build on enters no round once its caller may have gone elsewhere.
+    OrderLimit,
+    /// What came while the process stood still is turned away.
+    StoodStill,
+    /// A version is a repeat only with the very body that was taken under it.
+    SameBody,
+    /// A version from before what the history holds is not refused.
+    ForgottenVersions,
+    /// A refusal is told only once the value that it speaks of is confirmed.
+    ConfirmedRefusals,
+    /// A rollout that was reverted is begun anew when it is asked for anew.
+    BegunAnew,
+    /// A rollout that is sent again soon after it was reverted is not begun anew.
+    RepeatWindow,
+    /// A value that cannot be read is not taken for an empty one.
+    UnreadableValues,
     // Membership of the quorum.
     /// A voter accepts nothing of a round that stands on a promise of a fenced epoch.
     FencedPromises,
--- a/crates/beechcroft-trail/src/guide.rs
+++ b/crates/beechcroft-trail/src/guide.rs
@@ -174,13 +174,14 @@
             return;
         }
         if register == CONFIG {
-            let store: Option<ConfigStore> = postcard::from_bytes(&value.bytes).ok();
-            let Some(mut config) = store.and_then(|store| store.config()) else { return };
+            let Some(mut config) = ConfigStore::decode(&value).ok().and_then(|store| store.config()) else {
+                return;
+            };
             self.shared.usual.fill(&mut config);
             log::info!("guide: Configuration {:08x} is in force.", config.version);
             *self.shared.table.borrow_mut() = Some(Rc::new(Table::new(&config)));
         } else {
-            let Ok(orders) = postcard::from_bytes::<Orders>(&value.bytes) else { return };
+            let Ok(orders) = Orders::decode(&value) else { return };
             log::info!("guide: Orders at {}: {orders:?}.", value.revision);
             let before = self.shared.orders.replace(orders);
             self.note_moves(now, &before);
