--- a/crates/beechcroft-hut/src/desks.rs
+++ b/crates/beechcroft-hut/src/desks.rs
@@ -7,11 +7,13 @@
 use beechcroft_pass::calls::{self, Call as Known};
 use beechcroft_pass::desk::{Answer, Call};
 use beechcroft_pass::Ground;
+use beechcroft_railing::{stands, Guard};
 use beechcroft_waymarks::{Note, State};
 use serde::Deserialize;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 /// How far the clocks of core machines may differ for a repeat to be known by the time of day.
 pub const CLOCKS_APART_MS: u64 = 2000;
@@ -113,10 +115,10 @@
         Known::Replace => {
             let config = Config::read(&call.body)?;
             let (version, base) = (config.version, config.base_version);
-            order(queue, CONFIG, Op::replace(version, base, &call.body)).await
+            order(queue, CONFIG, Op::replace(version, base, &call.body), &call).await
         }
         Known::ShowConfig => {
-            let value = through(queue, |answer| Command::Order(CONFIG, Op::Read, answer)).await??;
+            let value = through(queue, ask(CONFIG, Op::Read, call.read)).await??;
             let body = ConfigStore::decode(&value)?.body()?;
             if body.is_empty() {
                 return Err(Fault::new(Kind::NoThing, "no configuration yet"));
@@ -128,10 +130,11 @@
             let ramp_ms = (begin.ramp_s.clamp(0.0, 1e6) * 1000.0) as u64;
             let (service, target) = (begin.service, begin.target_version);
             let (at_ms, repeat_ms) = (control.ground.wall().as_millis() as u64, control.repeat_ms);
-            order(queue, ORDERS, Op::Begin { service, target, ramp_ms, at_ms, repeat_ms }).await
+            let op = Op::Begin { service, target, ramp_ms, at_ms, repeat_ms };
+            order(queue, ORDERS, op, &call).await
         }
         Known::ShowRollout(service) => {
-            let value = through(queue, |answer| Command::Order(ORDERS, Op::Read, answer)).await??;
+            let value = through(queue, ask(ORDERS, Op::Read, call.read)).await??;
             let orders = Orders::decode(&value)?;
             let held = orders.rollouts.get(&service);
             let held = held.ok_or_else(|| Fault::new(Kind::NoThing, format!("no rollout of {service}")))?;
@@ -143,14 +146,34 @@
             let body = serde_json::json!({ "state": state, "targetVersion": held.target });
             Ok(Answer::json(body.to_string()))
         }
-        Known::BeginEvacuation(zone) => order(queue, ORDERS, Op::Evacuate { zone, begin: true }).await,
-        Known::FinishEvacuation(zone) => order(queue, ORDERS, Op::Evacuate { zone, begin: false }).await,
+        Known::BeginEvacuation(zone) => order(queue, ORDERS, Op::Evacuate { zone, begin: true }, &call).await,
+        Known::FinishEvacuation(zone) => {
+            order(queue, ORDERS, Op::Evacuate { zone, begin: false }, &call).await
+        }
         Known::Resolve | Known::Ready => Err(Fault::new(Kind::NoCall, call.path)),
     }
 }
 
-async fn order(queue: &Queue, register: usize, op: Op) -> Result<Answer, Fault> {
-    through(queue, |answer| Command::Order(register, op, answer)).await??;
+fn ask(
+    register: usize, op: Op, read: Instant,
+) -> impl FnOnce(oneshot::Sender<beechcroft_hutbook::proposer::Answer>) -> Command {
+    move |answer| Command::Order { register, op, read, answer }
+}
+
+/// An order that builds on nothing is begun only while its caller waits here: one that has closed may have given the same
+/// order, and later ones, elsewhere. What is dropped here the owner takes out of its queue.
+async fn order(queue: &Queue, register: usize, op: Op, call: &Call) -> Result<Answer, Fault> {
+    let watched = !op.is_fenced() && stands(Guard::GoneCallers);
+    if watched && call.caller.is_gone().await {
+        return Err(Fault::new(Kind::CallerGone, "keep the connection open until the answer has come"));
+    }
+    tokio::select! {
+        biased;
+        () = call.caller.gone(), if watched => {
+            return Err(Fault::new(Kind::NoMajority, "the caller has closed its side"));
+        }
+        done = through(queue, ask(register, op, call.read)) => done??,
+    };
     Ok(Answer::json("{}"))
 }
 
--- a/crates/beechcroft-hut/src/keeper.rs
+++ b/crates/beechcroft-hut/src/keeper.rs
@@ -13,11 +13,13 @@
 use beechcroft_hutbook::{
     Ask, Ballot, ConfigStore, Op, Orders, Proposer, Reply, Stage, Value, Voter, CONFIG, ORDERS,
 };
+use beechcroft_kinds::{Fault, Kind};
 use beechcroft_map::config::{Service, Unfit};
 use beechcroft_map::usual::Usual;
 use beechcroft_map::{Config, Settings};
 use beechcroft_pass::errand::Errands;
 use beechcroft_pass::post::Post;
+use beechcroft_railing::{stands, Guard};
 use beechcroft_ropes::conduct::{conduct, Next, View};
 use beechcroft_waymarks::{News as UnitNews, Note, State};
 use std::collections::{BTreeMap, BTreeSet};
@@ -31,8 +33,14 @@
 const CHOSEN: [&str; 2] = ["chosen-0", "chosen-1"];
 pub const ASK_WITHIN: Duration = Duration::from_millis(900);
 const COPY_WITHIN: Duration = Duration::from_millis(1500);
-/// The operator asks another machine after a second of silence.
+/// For as long an order that says on what it builds may begin a round.
 pub const ORDER_MS: u64 = 2500;
+/// The operator asks another machine after a second of silence. By then an order that builds on nothing is in a round, or
+/// enters none; what its way here and a stop of this process that goes unseen may take is left.
+const UNFENCED_MS: u64 = 700;
+/// A stop of this process, from which on what waited is turned away, and for how long after it.
+const STOP_MS: u64 = 250;
+const AFTER_STOP_MS: u64 = 400;
 const FENCE_EVERY_MS: u64 = 300;
 /// A voter that has been down for so long gives its membership to a machine that waits for one.
 const VACANT_MS: u64 = 2500;
@@ -70,7 +78,13 @@
         reply: Reply,
     },
     VotesAgain,
-    Order(usize, Op, oneshot::Sender<Answer>),
+    /// `read`: when the order was read off its connection.
+    Order {
+        register: usize,
+        op: Op,
+        read: Instant,
+        answer: oneshot::Sender<Answer>,
+    },
     Back {
         service: String,
         begun: u64,
@@ -98,6 +112,9 @@
     /// machine that has lost its membership is not fresh, though its first process was started as one.
     fresh: bool,
     began: Instant,
+    /// When this machine last did anything, and until when it turns away what waited while it did nothing.
+    awake_at: u64,
+    stopped_until: u64,
     cairns: Cairns,
     voter: Voter,
     proposer: Proposer,
@@ -149,6 +166,8 @@
             settings,
             usual,
             began: Instant::now(),
+            awake_at: 0,
+            stopped_until: 0,
             cairns,
             voter,
             proposer,
@@ -220,11 +239,25 @@
     }
 
     fn now(&self) -> u64 {
-        self.began.elapsed().as_millis() as u64 + 10_000 // ages before the start stay above 0
+        self.at(Instant::now())
+    }
+
+    fn at(&self, moment: Instant) -> u64 {
+        moment.saturating_duration_since(self.began).as_millis() as u64 + 10_000
+        // ages before the start stay above 0
+    }
+
+    /// Ticks come every few hundredths of a second: where nothing was done for longer, the process did not run.
+    fn wake(&mut self, now: u64) {
+        if self.awake_at > 0 && now > self.awake_at + STOP_MS {
+            self.stopped_until = now + AFTER_STOP_MS;
+        }
+        self.awake_at = now;
     }
 
     pub fn on(&mut self, command: Command) {
         let now = self.now();
+        self.wake(now);
         let mut news = Vec::new();
         match command {
             Command::Letter(from, letter) => self.cairns.letter(now, from, *letter, &mut news),
@@ -267,7 +300,7 @@
             }
             Command::Fenced { from, epoch, reply } => self.fenced(&from, epoch, reply),
             Command::VotesAgain => self.votes(),
-            Command::Order(register, op, answer) => self.order(register, op, Some(answer)),
+            Command::Order { register, op, read, answer } => self.asked(register, op, read, answer),
             Command::Back { service, begun } => self.back(&service, begun),
             Command::Copy(register, answer) => {
                 let _ = answer.send(self.held[register.min(1)].clone());
@@ -351,17 +384,47 @@
         });
     }
 
-    fn order(&mut self, register: usize, op: Op, answer: Option<oneshot::Sender<Answer>>) {
-        self.next_order += 1;
-        let id = self.next_order;
-        if let Some(answer) = answer {
-            self.answers.insert(id, answer);
+    /// An order from outside. One that builds on nothing would be carried out whenever it is read, after later ones too: it is
+    /// only for as long as its caller waits here for it.
+    fn asked(&mut self, register: usize, op: Op, read: Instant, answer: oneshot::Sender<Answer>) {
+        let mut until = self.at(read) + ORDER_MS;
+        if !op.is_fenced() {
+            if stands(Guard::OrderLimit) {
+                until = self.at(read) + UNFENCED_MS;
+            }
+            if self.now() < self.stopped_until && stands(Guard::StoodStill) {
+                let fault = Fault::new(Kind::StoodStill, "ask another core machine");
+                return drop(answer.send(Err(fault)));
+            }
         }
+        let id = self.next_order + 1;
+        self.answers.insert(id, answer);
+        self.order_until(register, op, until);
+    }
+
+    /// An order of this machine's own.
+    fn order(&mut self, register: usize, op: Op) {
         let until = self.now() + ORDER_MS;
-        self.propose(Event::Order { id, register, op, until });
+        self.order_until(register, op, until);
+    }
+
+    fn order_until(&mut self, register: usize, op: Op, until: u64) {
+        self.next_order += 1;
+        self.propose(Event::Order { id: self.next_order, register, op, until });
+    }
+
+    /// Orders whose callers have gone are not begun.
+    fn withdraw(&mut self) {
+        let gone = self.answers.iter().filter(|(_, answer)| answer.is_closed()).map(|(id, _)| *id);
+        for id in gone.collect::<Vec<OrderId>>() {
+            self.answers.remove(&id);
+            let own = |_: usize| None;
+            self.proposer.on(self.now(), Event::Withdrawn { id }, &own, &mut Vec::new());
+        }
     }
 
     fn propose(&mut self, event: Event) {
+        self.withdraw();
         let mut steps = Vec::new();
         let (now, voter) = (self.now(), &self.voter);
         self.proposer.on(now, event, &|register| voter.register(register).accepted.clone(), &mut steps);
@@ -468,7 +531,7 @@
             };
             let behind: Vec<usize> = [CONFIG, ORDERS].into_iter().filter(behind).collect();
             if !first {
-                behind.into_iter().for_each(|register| self.order(register, Op::Read, None));
+                behind.into_iter().for_each(|register| self.order(register, Op::Read));
             }
         }
         if now >= self.conduct_at {
--- a/crates/beechcroft-hut/src/keeper/rollouts.rs
+++ b/crates/beechcroft-hut/src/keeper/rollouts.rs
@@ -29,7 +29,7 @@
             self.unbased.values_mut().for_each(|since| *since = now);
         }
         for op in due {
-            self.order(ORDERS, op, None);
+            self.order(ORDERS, op);
         }
     }
 
@@ -44,7 +44,7 @@
         let first = self.cairns.alive().filter(|m| m.core).all(|m| m.name.as_str() > me);
         // One core machine shows it; another does once that one's word stays out.
         if first || self.cairns.touched_at().is_none_or(|at| now > at + 2 * PLACE_EVERY_MS) {
-            self.order(ORDERS, Op::Read, None);
+            self.order(ORDERS, Op::Read);
             self.touches.insert(self.next_order);
         }
         let clock = self.errands.ground().wall().as_secs() as u32;
@@ -74,7 +74,7 @@
             }
         }
         for op in due {
-            self.order(ORDERS, op, None);
+            self.order(ORDERS, op);
         }
     }
 
@@ -130,7 +130,7 @@
             due.push(Op::Move { service: service.clone(), begun: rollout.begun, from: rollout.stage, to });
         }
         for op in due {
-            self.order(ORDERS, op, None);
+            self.order(ORDERS, op);
         }
     }
 
@@ -142,6 +142,6 @@
         };
         log::info!("keeper: Rollout of {service} is voted back.");
         let op = Op::Move { service: service.to_owned(), begun, from, to: Stage::Reverted };
-        self.order(ORDERS, op, None);
+        self.order(ORDERS, op);
     }
 }
--- a/crates/beechcroft-hutbook/src/voter.rs
+++ b/crates/beechcroft-hutbook/src/voter.rs
@@ -264,7 +264,8 @@
             identity.epochs.get(voter_id).is_some_and(|known| known.0 > *epoch)
         };
         let lost = stands(Guard::FencedPromises) && quorum.iter().any(fenced);
-        let value = if ballot < held.promised || lost { None } else { value(held) };
+        let prior = stands(Guard::PriorBallots) && ballot < held.promised;
+        let value = if prior || lost { None } else { value(held) };
         let epochs = identity.epochs.clone();
         let Some(value) = value else {
             return (Reply::Refused { promised: held.promised, epochs }, Vec::new());
--- a/crates/beechcroft-kinds/src/lib.rs
+++ b/crates/beechcroft-kinds/src/lib.rs
@@ -51,6 +51,8 @@
     Forgotten,
     /// the machine stood still while the order waited; it has not run
     StoodStill,
+    /// the caller had closed its side before the order was begun; it has not run
+    CallerGone,
     /// what the core holds cannot be read; the order has not run
     Unreadable,
 }
@@ -68,7 +70,7 @@
             Kind::HeadTooLarge => 431,
             Kind::Lost => 502,
             Kind::NoUnit | Kind::Full | Kind::NotYet | Kind::Leaving | Kind::OutOfTouch | Kind::Moving => 503,
-            Kind::StoodStill | Kind::Unreadable => 503,
+            Kind::StoodStill | Kind::CallerGone | Kind::Unreadable => 503,
             Kind::TimeOver | Kind::NoMajority | Kind::Forgotten => 504,
         }
     }
--- a/crates/beechcroft-pass/src/desk.rs
+++ b/crates/beechcroft-pass/src/desk.rs
@@ -13,7 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// A call that was read whole.
 #[derive(Debug)]
@@ -23,6 +23,30 @@
     pub query: String,
     pub body: Vec<u8>,
     pub from: std::net::SocketAddr,
+    /// When it was read whole.
+    pub read: Instant,
+    pub caller: Caller,
+}
+
+/// Who waits for the answer.
+#[derive(Clone, Debug)]
+pub struct Caller(Wire);
+
+impl Caller {
+    /// Ends once the caller has closed its side: it has stopped waiting, and may be somewhere else with the same call by now.
+    /// Only while the call is worked on.
+    pub async fn gone(&self) {
+        self.0 .0.ended().await
+    }
+
+    /// Whether it has closed already.
+    pub async fn is_gone(&self) -> bool {
+        tokio::select! {
+            biased;
+            () = self.gone() => true,
+            () = std::future::ready(()) => false,
+        }
+    }
 }
 
 impl Call {
@@ -143,7 +167,9 @@
         Ok(Ok(body)) => {
             let url = request.url();
             let (path, query) = (url.path().to_owned(), url.query().unwrap_or("").to_owned());
-            handler(Call { method: method.to_string(), path, query, body, from }).await
+            let read = Instant::now();
+            let caller = Caller(wire.clone());
+            handler(Call { method: method.to_string(), path, query, body, from, read, caller }).await
         }
         Ok(Err(fault)) => {
             keep = false;
--- a/crates/beechcroft-pass/src/ground.rs
+++ b/crates/beechcroft-pass/src/ground.rs
@@ -8,15 +8,20 @@
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
+use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::mpsc::UnboundedReceiver;
 
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+
 /// One end of a connection in a world.
 pub trait Pipe: Send + Sync {
     /// Bytes that have come; `WouldBlock` if none have, 0 once the other side has closed.
     fn try_read(&self, buf: &mut [u8]) -> io::Result<usize>;
     /// Ready once [`Pipe::try_read`] would not block.
     fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<()>;
+    /// Ready once the other side has closed, though bytes may still be unread.
+    fn poll_ended(&self, cx: &mut Context<'_>) -> Poll<()>;
     fn try_write(&self, bytes: &[u8]) -> io::Result<usize>;
     fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<()>;
     fn shut(&self);
@@ -264,6 +269,24 @@
         }
     }
 
+    /// Ends once the other side has closed or broken the connection. Nobody reads meanwhile.
+    pub async fn ended(&self) {
+        match self {
+            Stream::Socket(stream) => loop {
+                match stream.peek(&mut [0; 1]).await {
+                    Ok(0) | Err(_) => return,
+                    Ok(_) => {}
+                }
+                // More has come: whether an end lies behind it shows by the state of the socket alone.
+                match stream.ready(Interest::READABLE).await {
+                    Ok(ready) if !ready.is_read_closed() => tokio::time::sleep(LOOK_AGAIN).await,
+                    _ => return,
+                }
+            },
+            Stream::Pipe(pipe) => std::future::poll_fn(|cx| pipe.poll_ended(cx)).await,
+        }
+    }
+
     /// Nothing more will be written.
     pub fn shut(&self) -> io::Result<()> {
         match self {
--- a/crates/beechcroft-railing/src/lib.rs
+++ b/crates/beechcroft-railing/src/lib.rs
@@ -23,6 +23,8 @@
     ForgottenVersions,
     /// A refusal is told only once the value that it speaks of is confirmed.
     ConfirmedRefusals,
+    /// A voter accepts nothing under an earlier ballot than it has promised.
+    PriorBallots,
     /// A rollout that was reverted is begun anew when it is asked for anew.
     BegunAnew,
     /// A rollout that is sent again soon after it was reverted is not begun anew.
--- a/crates/beechcroft-range/src/whole/day.rs
+++ b/crates/beechcroft-range/src/whole/day.rs
@@ -2,6 +2,9 @@
 //! what the scenario plans and lets go wrong. One seed, one run.
 
 mod events;
+mod hand;
+
+pub use hand::{by_hand, Hand};
 
 use super::actors::{self, call, Clients, Ill, Kind, Stage, CONTROL, DIRECTORY, INGRESS, READY};
 use super::audit::{judge, Bounds, Verdict};
@@ -116,6 +119,11 @@
 }
 
 async fn run(scenario: Scenario) -> Report {
+    stand(scenario).traffic().await
+}
+
+/// Machines and units, started.
+fn stand(scenario: Scenario) -> Rc<Day> {
     let fabric = Fabric::new(scenario.seed, scenario.zone_ms, scenario.region_ms);
     {
         let mut inner = fabric.with();
@@ -155,7 +163,7 @@
     });
     day.clone().machines_start();
     day.units_start();
-    day.clone().traffic().await
+    day
 }
 
 fn operator() -> Ipv4Addr {
--- /dev/null
+++ b/crates/beechcroft-range/src/whole/day/hand.rs
@@ -0,0 +1,104 @@
+//! A world without traffic, where orders are given by hand: each to a core machine of choice, with what goes wrong between
+//! them. The programs are those of any day.
+
+use super::*;
+use tokio::task::JoinHandle;
+
+/// What an order came to: status and body, none if no whole answer came in time.
+pub type Heard = Option<(u16, Vec<u8>)>;
+
+/// The operator's hand.
+#[derive(Clone)]
+pub struct Hand(Rc<Day>);
+
+/// Lets machines and units stand for as long as `play` lasts. The first configuration is not given.
+pub fn by_hand<T, F>(scenario: &Scenario, play: impl FnOnce(Hand) -> F) -> T
+where
+    F: std::future::Future<Output = T>,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime without sockets");
+    let scenario = scenario.clone();
+    let _out = beechcroft_railing::without(scenario.without);
+    runtime.block_on(LocalSet::new().run_until(async move { play(Hand(stand(scenario))).await }))
+}
+
+impl Hand {
+    pub fn now(&self) -> u64 {
+        self.0.now()
+    }
+
+    pub async fn wait(&self, ms: u64) {
+        sleep(Duration::from_millis(ms)).await;
+    }
+
+    fn to(&self, core: usize) -> SocketAddrV4 {
+        let cores = self.0.stage.cores.borrow();
+        SocketAddrV4::new(cores[core % cores.len()], CONTROL)
+    }
+
+    /// One call to a core machine; the caller goes after `within_ms`.
+    pub async fn call(&self, core: usize, method: &str, path: &str, body: &[u8], within_ms: u64) -> Heard {
+        let ground = Ground::world(Rc::new(self.0.stage.fabric.seat(operator())));
+        call(&ground, self.to(core), method, path, body, Duration::from_millis(within_ms)).await
+    }
+
+    /// The same, while the hand does something else.
+    pub fn send(&self, core: usize, path: &str, body: &[u8], within_ms: u64) -> JoinHandle<Heard> {
+        let (hand, path, body) = (self.clone(), path.to_owned(), body.to_vec());
+        spawn_local(async move { hand.call(core, "POST", &path, &body, within_ms).await })
+    }
+
+    /// As an operator does: a second for each core machine, one after the other, until one gives a clear answer.
+    pub async fn order(&self, first: usize, path: &str, body: &[u8]) -> Option<u16> {
+        let cores = self.0.stage.cores.borrow().len();
+        let mut pause = 100;
+        for nth in 0..30 {
+            let within = 1000 + body.len() as u64 / 100;
+            let heard = self.call(first + nth % cores, "POST", path, body, within).await;
+            if let Some((status @ (200..=299 | 400 | 409 | 412 | 413 | 422), _)) = heard {
+                return Some(status);
+            }
+            self.wait(pause).await;
+            pause = (pause * 2).min(1000);
+        }
+        None
+    }
+
+    /// What goes wrong, from now on.
+    pub fn happens(&self, what: What) {
+        let event = Event { at: 0.0, what };
+        spawn_local(self.0.clone().event(0, event, Instant::now()));
+    }
+
+    /// A configuration as any day has it, under a version and on a base of choice; bodies of other `marks` differ.
+    pub fn config(&self, version: u32, base: u32, mark: u64) -> Vec<u8> {
+        let (sent, _) = self.0.config(0, false, false);
+        let mut body: serde_json::Value = serde_json::from_slice(&sent.body).expect("the world's own");
+        body["version"] = format!("{version:08x}").into();
+        body["baseVersion"] = format!("{base:08x}").into();
+        body["virtualHosts"][0]["pathRules"][0]["targetMs"] = (400 + mark).into();
+        body.to_string().into_bytes()
+    }
+
+    /// What a core machine tells another: its copy of a register.
+    pub async fn copy(&self, core: usize, register: u8) -> Option<Vec<u8>> {
+        let ground = Ground::world(Rc::new(self.0.stage.fabric.seat(operator())));
+        let to = SocketAddrV4::new(*self.to(core).ip(), INSIDE[0]);
+        let within = Duration::from_secs(1);
+        call(&ground, to, "POST", "/copy", &[register], within)
+            .await
+            .filter(|heard| heard.0 == 200)
+            .map(|h| h.1)
+    }
+
+    /// The version that a core machine reads back.
+    pub async fn shown(&self, core: usize) -> Option<u32> {
+        let (status, body) = self.call(core, "GET", "/config/show", b"", 3000).await?;
+        let body: serde_json::Value = serde_json::from_slice(&body).ok().filter(|_| status == 200)?;
+        u32::from_str_radix(body["version"].as_str()?, 16).ok()
+    }
+}
--- a/crates/beechcroft-range/src/whole/fabric.rs
+++ b/crates/beechcroft-range/src/whole/fabric.rs
@@ -321,6 +321,17 @@
         Poll::Pending
     }
 
+    fn poll_ended(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut inner = self.fabric.with();
+        match inner.lanes.get_mut(&self.input) {
+            Some(lane) if !lane.ended => {
+                lane.reader = Some(cx.waker().clone());
+                Poll::Pending
+            }
+            _ => Poll::Ready(()),
+        }
+    }
+
     fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
         let mut inner = self.fabric.with();
         let Some(lane) = inner.lanes.get(&self.output) else { return Err(io::ErrorKind::BrokenPipe.into()) };
--- a/crates/beechcroft-range/src/whole/mod.rs
+++ b/crates/beechcroft-range/src/whole/mod.rs
@@ -12,5 +12,5 @@
 pub mod wires;
 
 pub use audit::{Breach, Verdict};
-pub use day::{play, Report};
+pub use day::{by_hand, play, Hand, Report};
 pub use scenario::Scenario;
