A machine of the world runs one process of a program at a time

Cause: an edge machine that was killed and then told to stop was started twice, once for each.

Ruled out: the programs. No copy older than the held one was taken by any relay.

Change: a start where a process runs does nothing, as on a machine whose port is taken. The auditor ends a life by a kill, a loss of power or a stop, of the machine or of all; before, a cut or a freeze also began a new life, which excused a machine that goes back, and a loss of power by all did not.

--- a/crates/beechcroft-range/src/whole/audit.rs
+++ b/crates/beechcroft-range/src/whole/audit.rs
@@ -316,7 +316,10 @@
         // By edge: the newest version whose effect was seen, and when.
         let mut seen: BTreeMap<&str, (u32, u64)> = BTreeMap::new();
         let mut lives: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
-        for trouble in &wires.troubles {
+        // A life of its processes ends by a kill, a loss of power or a stop, its own or all machines'; a cut or a freeze ends none.
+        let ends =
+            |said: &str| matches!(said, "killed" | "no power" | "SIGTERM" | "started" | "the closing fault");
+        for trouble in wires.troubles.iter().filter(|trouble| ends(&trouble.said)) {
             lives.entry(&trouble.on).or_default().push(trouble.from);
         }
         let may: Vec<&Sent> = wires.configs.iter().filter(|c| c.valid && c.refused.is_none()).collect();
@@ -364,7 +367,7 @@
                     )
                 });
             }
-            let life_from = lives.get(asked.edge.as_str()).into_iter().flatten();
+            let life_from = [asked.edge.as_str(), "*"].into_iter().filter_map(|on| lives.get(on)).flatten();
             let life_from = life_from.filter(|&&from| from <= at).max().copied().unwrap_or(0);
             let held = seen.entry(&asked.edge).or_insert((0, 0));
             if held.1 < life_from {
--- a/crates/beechcroft-range/src/whole/day.rs
+++ b/crates/beechcroft-range/src/whole/day.rs
@@ -252,7 +252,9 @@
 
     /// Starts a machine's process. `bootstrap`: the first start of the whole system.
     fn start(&self, machine: &Rc<Machine>, bootstrap: bool) {
-        if machine.gone.get() || self.down_for_good.get() {
+        // The port is taken while a process runs: a second start would end at once, and leave the first one as it is.
+        let runs = machine.process.borrow().as_ref().is_some_and(|process| !process.is_over());
+        if machine.gone.get() || self.down_for_good.get() || runs {
             return;
         }
         let settings = self.settings(machine, bootstrap);
