--- a/crates/beechcroft-hutbook/src/state.rs
+++ b/crates/beechcroft-hutbook/src/state.rs
@@ -1,6 +1,6 @@
 //! What the registers hold, and the orders that change it.
 
-use crate::Value;
+use crate::{bytes, Value};
 use beechcroft_kinds::{Fault, Kind};
 use beechcroft_map::Config;
 use beechcroft_railing::{stands, Guard};
@@ -152,11 +152,12 @@
     if value.revision == 0 && value.bytes.is_empty() {
         return Ok(T::default());
     }
-    match postcard::take_from_bytes(&value.bytes) {
-        Ok((held, [])) => Ok(held),
-        _ if !stands(Guard::UnreadableValues) => Ok(T::default()),
-        _ => {
-            let said = format!("{what} at revision {}: {} bytes", value.revision, value.bytes.len());
+    match bytes::decode(&value.bytes) {
+        Ok(held) => Ok(held),
+        Err(_) if !stands(Guard::UnreadableValues) => Ok(T::default()),
+        Err(why) => {
+            let length = value.bytes.len();
+            let said = format!("{what} at revision {}, {length} bytes: {why}", value.revision);
             Err(Fault::new(Kind::Unreadable, said))
         }
     }
@@ -168,7 +169,7 @@
     }
 
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("plain data")
+        bytes::encode(self)
     }
 
     /// Applies an order; whether the store has changed, or why it is refused.
@@ -223,7 +224,7 @@
     }
 
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("plain data")
+        bytes::encode(self)
     }
 
     pub fn apply(&mut self, op: &Op, rng: &mut impl RngExt) -> Result<bool, Fault> {
--- a/crates/beechcroft-range/tests/core/mod.rs
+++ b/crates/beechcroft-range/tests/core/mod.rs
@@ -112,6 +112,18 @@
 impl Core {
     /// A machine more, not started.
     pub fn add(&self) {
+        let hut = self.machine();
+        self.huts.borrow_mut().push(hut);
+    }
+
+    /// Another, empty machine in the place of the nth.
+    #[allow(dead_code)]
+    pub fn replace_machine(&self, nth: usize) {
+        let hut = self.machine();
+        self.huts.borrow_mut()[nth] = hut;
+    }
+
+    fn machine(&self) -> Rc<Hut> {
         let nth = self.next.get();
         self.next.set(nth + 1);
         let (name, ip) = (format!("core-{nth}"), Ipv4Addr::new(10, 2, 0, nth + 1));
@@ -124,7 +136,7 @@
             written: Cell::new(0),
         };
         let (folder, plate, process) = (folder(), Rc::new(plate), RefCell::default());
-        self.huts.borrow_mut().push(Rc::new(Hut { name, ip, folder, plate, process }));
+        Rc::new(Hut { name, ip, folder, plate, process })
     }
 
     fn settings(&self, hut: &Hut, bootstrap: bool) -> Settings {
--- a/crates/beechcroft-range/tests/damaged_disks.rs
+++ b/crates/beechcroft-range/tests/damaged_disks.rs
@@ -233,3 +233,22 @@
     let _out = without(Some(Guard::AnswerAfterSync));
     assert!(play(3, 1, refused_and_acknowledged), "without the guard it is acknowledged and gone");
 }
+
+#[test]
+fn a_day_on_which_each_core_machine_loses_a_record_breaks_no_rule() {
+    let mut text = String::from("name = \"records\"\nseconds = 50.0\nedges = 4\nunits = 4\nrate = 20.0\n");
+    for (nth, record) in ["register-0", "identity", "register-1", "chosen-0", "units"].iter().enumerate() {
+        let (at, on) = (1.0 + 9.0 * nth as f64, nth % 3);
+        text += &format!(
+            "[[event]]\nat = {at:.1}\nwhat.damage = {{ on = \"core-{on}\", record = \"{record}\" }}\n"
+        );
+        text += &format!("[[event]]\nat = {:.1}\nwhat.config = {{ routes = 1 }}\n", at + 0.5);
+    }
+    let report = beechcroft_range::whole::play(&beechcroft_range::whole::Scenario::read(&text).unwrap());
+    let taken = report.wires.configs.iter().filter(|sent| sent.acked.is_some()).count();
+    let killed =
+        report.wires.troubles.iter().filter(|trouble| trouble.said == "killed" && trouble.on != "core");
+    assert_eq!((taken, killed.count()), (6, 5));
+    assert_eq!(report.verdict.breaches, []);
+    assert_eq!(report.unacked, Vec::<String>::new());
+}
