--- /dev/null
+++ b/crates/beechcroft-pass/tests/caller.rs
@@ -0,0 +1,116 @@
+//! Whether a caller still waits, over loopback pairs.
+
+use beechcroft_pass::desk::{self, Answer, Bounds, Call};
+use beechcroft_pass::Ground;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
+use tokio::task::{spawn_local, LocalSet};
+
+const CALL: &[u8] = b"POST /evacuation/z/begin HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+
+fn run<F: std::future::Future>(test: F) -> F::Output {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(LocalSet::new().run_until(async {
+        tokio::time::timeout(Duration::from_secs(20), test).await.expect("the test hangs")
+    }))
+}
+
+/// A desk that hands on each call, and answers it once that is dropped.
+async fn desk() -> (SocketAddrV4, UnboundedReceiver<(Call, Rc<tokio::sync::Notify>)>) {
+    let free = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let std::net::SocketAddr::V4(at) = free.local_addr().unwrap() else { panic!() };
+    drop(free);
+    let (told, calls) = unbounded_channel();
+    spawn_local(desk::serve(Ground::machine(), at, Bounds::default(), move |call| {
+        let told = told.clone();
+        async move {
+            let done = Rc::new(tokio::sync::Notify::new());
+            let _ = told.send((call, done.clone()));
+            done.notified().await;
+            Answer::json("{}")
+        }
+    }));
+    tokio::task::yield_now().await;
+    (at, calls)
+}
+
+async fn called(at: SocketAddrV4, bytes: &[u8]) -> TcpStream {
+    let mut stream = loop {
+        match TcpStream::connect(at).await {
+            Ok(stream) => break stream,
+            Err(_) => tokio::task::yield_now().await,
+        }
+    };
+    stream.write_all(bytes).await.unwrap();
+    stream
+}
+
+#[test]
+fn a_caller_that_closes_while_its_call_is_worked_on_is_known_to_be_gone() {
+    run(async {
+        let (at, mut calls) = desk().await;
+        let stream = called(at, CALL).await;
+        let (call, _) = calls.recv().await.unwrap();
+        assert!(!call.caller.is_gone().await);
+        drop(stream);
+        call.caller.gone().await;
+        assert!(call.caller.is_gone().await);
+    });
+}
+
+#[test]
+fn a_caller_that_has_sent_more_and_closes_is_known_to_be_gone_and_one_that_stays_is_not() {
+    run(async {
+        let (at, mut calls) = desk().await;
+        let stream = called(at, &[CALL, CALL].concat()).await;
+        let (call, _) = calls.recv().await.unwrap();
+        assert!(!call.caller.is_gone().await);
+        drop(stream);
+        call.caller.gone().await;
+    });
+}
+
+#[test]
+fn a_caller_that_closed_before_its_call_was_read_is_known_to_be_gone() {
+    run(async {
+        // It lies in the accept queue of a desk that does nothing yet.
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = listener.local_addr().unwrap();
+        let mut stream = std::net::TcpStream::connect(at).unwrap();
+        std::io::Write::write_all(&mut stream, CALL).unwrap();
+        drop(stream);
+        listener.set_nonblocking(true).unwrap();
+        let (stream, _) = TcpListener::from_std(listener).unwrap().accept().await.unwrap();
+        let mut stream = beechcroft_pass::Stream::from(stream);
+        let mut read = Vec::with_capacity(4096);
+        while !read.ends_with(b"\r\n\r\n") {
+            assert!(stream.read_buf(&mut read).await.unwrap() > 0);
+        }
+        stream.ended().await;
+    });
+}
+
+#[test]
+fn a_caller_that_stays_is_answered_and_may_call_again() {
+    run(async {
+        let (at, mut calls) = desk().await;
+        let mut stream = called(at, CALL).await;
+        for _ in 0..2 {
+            let (call, done) = calls.recv().await.unwrap();
+            assert!(!call.caller.is_gone().await);
+            done.notify_one();
+            let mut head = Vec::new();
+            while !head.ends_with(b"{}") {
+                let mut byte = [0];
+                stream.read_exact(&mut byte).await.unwrap();
+                head.extend(byte);
+            }
+            assert!(head.starts_with(b"HTTP/1.1 200"));
+            stream.write_all(CALL).await.unwrap();
+        }
+    });
+}
