--- a/crates/beechcroft-range/src/whole/day.rs
+++ b/crates/beechcroft-range/src/whole/day.rs
@@ -11,7 +11,7 @@
 use super::disk::{Plate, Sync};
 use super::fabric::{Counts, Cut, Fabric, Spot};
 use super::mutants;
-use super::process::Process;
+use super::process::{self, Process};
 use super::scenario::{Event, Mutant, Scenario, What};
 use super::wires::{self, Life, Order, Sent, Trouble};
 use beechcroft_hut::disk::Disk;
@@ -67,6 +67,8 @@
     plate: Option<Plate>,
     process: RefCell<Option<Process>>,
     term: RefCell<Option<Arc<Notify>>>,
+    /// Its process was told to leave.
+    told: Rc<Cell<bool>>,
     gone: Cell<bool>,
 }
 
@@ -124,6 +126,7 @@
 
 /// Machines and units, started.
 fn stand(scenario: Scenario) -> Rc<Day> {
+    process::watch();
     let fabric = Fabric::new(scenario.seed, scenario.zone_ms, scenario.region_ms);
     {
         let mut inner = fabric.with();
@@ -216,6 +219,7 @@
             plate,
             process: RefCell::default(),
             term: RefCell::default(),
+            told: Rc::default(),
             gone: Cell::new(false),
         };
         Rc::new(machine)
@@ -260,7 +264,9 @@
 
     /// Starts a machine's process. `bootstrap`: the first start of the whole system.
     fn start(&self, machine: &Rc<Machine>, bootstrap: bool) {
-        if machine.gone.get() || self.down_for_good.get() {
+        // The port is taken while a process runs: a second start would end at once, and leave the first one as it is.
+        let runs = machine.process.borrow().as_ref().is_some_and(|process| !process.is_over());
+        if machine.gone.get() || self.down_for_good.get() || runs {
             return;
         }
         let settings = self.settings(machine, bootstrap);
@@ -273,13 +279,16 @@
         let outside = Outside { ground: ground.clone(), term: Box::pin(left), seeds };
         *machine.term.borrow_mut() = Some(term);
         let (stage, mutant, name) = (self.stage.clone(), self.scenario.mutant, machine.name.clone());
+        let faulty = stage.clone();
         let ip = machine.ip;
         let plate = machine.plate.clone();
+        machine.told.set(false);
+        let told_to_leave = machine.told.clone();
         let main = async move {
             let _kept = told; // the settings file does not change
             let done = match plate {
                 Some(plate) => {
-                    let table = plate.state.borrow().table.clone();
+                    let table = plate.open();
                     let disk = Disk::world(Rc::new(plate));
                     if mutant == Some(Mutant::BothWin) {
                         spawn_local(mutants::hut(ground, SocketAddrV4::new(ip, CONTROL)));
@@ -290,12 +299,23 @@
                     if let Some(mutant) = mutant {
                         spawn_local(mutants::edge(stage, ground, SocketAddrV4::new(ip, INGRESS), mutant));
                     }
-                    beechcroft_trail::run::run(settings, usual, outside).await
+                    let run = beechcroft_trail::run::run(settings, usual, outside);
+                    match mutant {
+                        Some(Mutant::Quits) => tokio::select! {
+                            done = run => done,
+                            () = sleep(Duration::from_secs(12)) => Ok(()),
+                        },
+                        _ => run.await,
+                    }
                 }
             };
-            if let Err(said) = done {
-                log::error!("range: {name} ends: {said}");
-            }
+            let said = match done {
+                Ok(()) if told_to_leave.get() => return,
+                Ok(()) => "it ended by itself".to_owned(),
+                Err(said) => format!("it ended: {said}"),
+            };
+            log::error!("range: {name}: {said}");
+            faulty.wires.borrow_mut().faults.push(wires::Fault { at: faulty.now(), on: name, said });
         };
         *machine.process.borrow_mut() = Some(Process::start(&self.stage.fabric, ip, main));
     }
@@ -653,9 +673,9 @@
     // ---- the end
 
     fn report(&self) -> Report {
-        let counts = self.stage.fabric.with().counts;
         let seconds = self.now() as f64 / 1000.0;
         let inner = self.stage.fabric.with();
+        let counts = inner.counts;
         let sent: Vec<f64> = self
             .machines
             .borrow()
@@ -663,9 +683,14 @@
             .filter(|machine| !machine.core)
             .map(|machine| inner.sent_by.get(&machine.ip).copied().unwrap_or(0) as f64 / seconds)
             .collect();
-        drop(inner);
         let edge_bytes =
             (sent.iter().sum::<f64>() / sent.len().max(1) as f64, sent.iter().copied().fold(0.0, f64::max));
+        let panics = process::watched().into_iter().map(|(ip, at, said)| {
+            let on = ip.and_then(|ip| inner.spots.get(&ip)).map_or("the world", |spot| &spot.name);
+            wires::Fault { at, on: on.to_owned(), said }
+        });
+        self.stage.wires.borrow_mut().faults.extend(panics);
+        drop(inner);
         let wires = self.stage.wires.borrow().clone();
         let verdict = judge(&wires, &Bounds::default());
         Report {
--- a/crates/beechcroft-range/src/whole/scenario.rs
+++ b/crates/beechcroft-range/src/whole/scenario.rs
@@ -2,6 +2,7 @@
 //! checks; a fault is named by key and line.
 
 use super::disk::Sync;
+use super::fabric::CutHow;
 use garde::Validate;
 use serde::{Deserialize, Serialize};
 
@@ -198,6 +199,13 @@
         #[serde(default = "down")]
         down_s: f64,
     },
+    /// Processes are killed, and a record on their disks cannot be read any more as they start again.
+    Damage {
+        on: String,
+        record: String,
+        #[serde(default = "down")]
+        down_s: f64,
+    },
     /// A core machine is gone for good; an empty one comes at another address.
     Replace {
         on: String,
@@ -208,6 +216,8 @@
         for_s: f64,
         #[serde(default)]
         one_way: bool,
+        #[serde(default)]
+        how: CutHow,
     },
     SlowDisk {
         on: String,
@@ -275,6 +285,10 @@
     StaysDown,
     /// Requests go to units whose address another service has now, without naming the unit.
     AnyUnit,
+    /// A task of an edge panics; the others go on.
+    Panics,
+    /// An edge ends by itself, as if all were well.
+    Quits,
 }
 
 fn one() -> u64 {
