The world's units can answer for another, for nobody, twice, late or in part

Cause: units of the world broke off or spoilt answers, but never said something in another answer's place, so nothing showed whether an answer is its caller's. Change: an event `answers` with sixteen ways to be wrong; the auditor finds an answer under another id, or the text of a stray, at a client (MIXED).

--- a/crates/beechcroft-range/src/whole/actors.rs
+++ b/crates/beechcroft-range/src/whole/actors.rs
@@ -3,6 +3,7 @@
 
 use super::fabric::Fabric;
 use super::wires::{Answered, Asked, Came, Wires};
+use super::wrongs::Wrong;
 use beechcroft_pass::guard::{self, Read};
 use beechcroft_pass::line::{Body, Line};
 use beechcroft_pass::Ground;
@@ -46,7 +47,7 @@
         self.next.get()
     }
 
-    fn draw(&self) -> f64 {
+    pub fn draw(&self) -> f64 {
         self.rng.borrow_mut().random()
     }
 
@@ -74,6 +75,8 @@
     pub spoils: f64,
     /// Health says the opposite.
     pub lies: bool,
+    /// What is wrong with a part of its answers.
+    pub wrong: Option<(Wrong, f64)>,
 }
 
 pub struct Unit {
@@ -216,6 +219,11 @@
 
 /// One request at a unit; whether another may follow.
 async fn serve(stage: &Rc<Stage>, unit: &Rc<Unit>, edge: &str, line: &mut Line) -> bool {
+    let wrong = unit.ill.borrow().wrong.filter(|(_, part)| stage.draw() < *part).map(|wrong| wrong.0);
+    if let Some(wrong) = wrong.filter(|wrong| wrong.is_at_request()) {
+        wrong.request(stage, line).await;
+        return false;
+    }
     let (ask, head) = loop {
         match guard::ask(line.unread(), 64 << 10) {
             Read::Whole(ask, length) => {
@@ -313,7 +321,7 @@
         () if failed => (500, "Internal Server Error"),
         () => (200, "OK"),
     };
-    breaks(false, Some(status));
+    breaks(wrong.is_some(), Some(status));
     let (body, seal) = Unit::answer_to(&unit.id, &id, if failed { 0 } else { unit.bytes });
     let seal = if failed { String::new() } else { format!("Beechcroft-Server-Seal: {seal}\r\n") };
     let text = format!(
@@ -323,7 +331,10 @@
     );
     let mut bytes = text.into_bytes();
     bytes.extend(body);
-    line.write(&bytes).await.is_ok() && !unit.draining.get()
+    match wrong {
+        Some(wrong) => wrong.answer(stage, unit, line, &id, &bytes).await,
+        None => line.write(&bytes).await.is_ok() && !unit.draining.get(),
+    }
 }
 
 /// One call on a connection of its own; the status and the body of a whole answer.
--- a/crates/beechcroft-range/src/whole/audit.rs
+++ b/crates/beechcroft-range/src/whole/audit.rs
@@ -3,6 +3,7 @@
 
 use super::actors::Unit;
 use super::wires::{Asked, Came, Sent, What, Wires};
+use super::wrongs::STRAY;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Figures of the rules, in ms and parts.
@@ -186,6 +187,13 @@
                 self.breach("TWICE", || self_tell(self.wires, &runs, id, asked));
             }
             let Some(answer) = &asked.answer else { continue };
+            let strange = answer.id.as_ref().is_some_and(|of| of != id);
+            if strange || answer.body.starts_with(STRAY.as_bytes()) {
+                self.breach("MIXED", || {
+                    let of = answer.id.clone().unwrap_or("nobody".into());
+                    format!("an answer to {of}: {}", self_tell(self.wires, &runs, id, asked))
+                });
+            }
             match answer.status {
                 Some(status @ (429 | 503 | 408 | 421)) if !asked.repeatable && !runs.is_empty() => {
                     self.breach("REFUSED", || {
--- a/crates/beechcroft-range/src/whole/day/events.rs
+++ b/crates/beechcroft-range/src/whole/day/events.rs
@@ -62,11 +62,12 @@
                 }
             }
             What::Ill { service, count, for_s, fails, slow, loses, spoils, lies } => {
-                let ill = Ill { fails, slow, loses, spoils, lies };
-                let units: Vec<_> = self.running(&service).into_iter().take(count).collect();
-                units.iter().for_each(|s| *s.unit.ill.borrow_mut() = ill.clone());
-                sleep(Duration::from_secs_f64(for_s)).await;
-                units.iter().for_each(|s| *s.unit.ill.borrow_mut() = Ill::default());
+                let ill = Ill { fails, slow, loses, spoils, lies, wrong: None };
+                self.ail(&service, count, for_s, ill).await;
+            }
+            What::Answers { service, count, for_s, part, wrong } => {
+                let ill = Ill { wrong: Some((wrong, part)), ..Ill::default() };
+                self.ail(&service, count, for_s, ill).await;
             }
             What::Dark { service, count, for_s } => {
                 let down: Vec<_> = self.running(&service).into_iter().take(count).collect();
@@ -186,6 +187,14 @@
         }
     }
 
+    /// Units of a service are ill for a while.
+    async fn ail(&self, service: &str, count: usize, for_s: f64, ill: Ill) {
+        let units: Vec<_> = self.running(service).into_iter().take(count).collect();
+        units.iter().for_each(|s| *s.unit.ill.borrow_mut() = ill.clone());
+        sleep(Duration::from_secs_f64(for_s)).await;
+        units.iter().for_each(|s| *s.unit.ill.borrow_mut() = Ill::default());
+    }
+
     /// Asks every edge machine for a new route until it knows it.
     pub(super) async fn spreads(&self, prefix: &str) {
         let began = self.now();
--- a/crates/beechcroft-range/src/whole/mod.rs
+++ b/crates/beechcroft-range/src/whole/mod.rs
@@ -10,6 +10,7 @@
 pub mod process;
 pub mod scenario;
 pub mod wires;
+pub mod wrongs;
 
 pub use audit::{Breach, Verdict};
 pub use day::{play, Report};
--- a/crates/beechcroft-range/src/whole/scenario.rs
+++ b/crates/beechcroft-range/src/whole/scenario.rs
@@ -2,6 +2,7 @@
 //! checks; a fault is named by key and line.
 
 use super::disk::Sync;
+use super::wrongs::Wrong;
 use garde::Validate;
 use serde::{Deserialize, Serialize};
 
@@ -154,6 +155,14 @@
         #[serde(default)]
         lies: bool,
     },
+    /// A part of the answers of units is wrong for a while.
+    Answers {
+        service: String,
+        count: usize,
+        for_s: f64,
+        part: f64,
+        wrong: Wrong,
+    },
     /// Units lose power without a word, and come back at their addresses under other names.
     Dark {
         service: String,
@@ -331,7 +340,9 @@
                 service
             }
             What::Crash { service, .. } | What::Ill { service, .. } | What::Cold { service, .. } => service,
-            What::Flap { service, .. } | What::Dark { service, .. } => service,
+            What::Flap { service, .. } | What::Dark { service, .. } | What::Answers { service, .. } => {
+                service
+            }
             _ => return Ok(()),
         };
         match known(service) {
--- /dev/null
+++ b/crates/beechcroft-range/src/whole/wrongs.rs
@@ -0,0 +1,125 @@
+//! Units that answer wrongly: for another request, for nobody, twice, late, in part. What a stray says is marked, so
+//! that the auditor knows it where it reaches a client.
+
+use super::actors::{Stage, Unit};
+use beechcroft_pass::line::Line;
+use serde::{Deserialize, Serialize};
+use std::future::pending;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// The body of every answer that belongs to no request.
+pub const STRAY: &str = "stray answer";
+/// The longest time after which a second answer comes.
+const LATE_MS: f64 = 60.0;
+/// A request, or an answer's head and some of its body, is not longer.
+const CUT_WITHIN: f64 = 700.0;
+
+/// What is wrong with a unit's answers.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq, strum::EnumIter, strum::Display)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Wrong {
+    /// Ahead of its answer, one that says `Beechcroft-Not-Executed` under no id.
+    NamelessRefusal,
+    /// The same with 421.
+    NamelessElsewhere,
+    /// The same with 500.
+    NamelessFailure,
+    /// The same with 200 and a seal.
+    NamelessSuccess,
+    /// The same under the id of another request.
+    StrangeRefusal,
+    StrangeElsewhere,
+    StrangeFailure,
+    StrangeSuccess,
+    /// Its answer twice in one piece.
+    Twice,
+    /// A second answer comes late, in the place of the next one.
+    LateTwice,
+    /// So comes a refusal under no id.
+    LateNamelessRefusal,
+    /// Bytes behind the answer that are none.
+    Trailing,
+    /// It closes, or falls silent, after some bytes of a request that it has not run.
+    CutRequest,
+    SilentRequest,
+    /// The same after some bytes of its answer to one that it has run.
+    CutAnswer,
+    SilentAnswer,
+}
+
+impl Wrong {
+    /// Whether it strikes before the request has been read.
+    pub fn is_at_request(self) -> bool {
+        matches!(self, Wrong::CutRequest | Wrong::SilentRequest)
+    }
+
+    /// Whether the right answer comes whole in spite of it.
+    fn is_answered(self) -> bool {
+        !matches!(self, Wrong::CutRequest | Wrong::SilentRequest | Wrong::CutAnswer | Wrong::SilentAnswer)
+    }
+
+    /// Reads some bytes of a request, and no more.
+    pub async fn request(self, stage: &Stage, line: &mut Line) {
+        let most = (stage.draw() * CUT_WITHIN) as usize;
+        while line.unread().len() < most {
+            if !matches!(timeout(Duration::from_millis(5), line.fill()).await, Ok(Ok(1..))) {
+                break;
+            }
+        }
+        if self == Wrong::SilentRequest {
+            pending().await
+        }
+    }
+
+    /// Sends the right answer in its wrong way; whether another request may follow.
+    pub async fn answer(self, stage: &Stage, unit: &Unit, line: &mut Line, id: &str, right: &[u8]) -> bool {
+        let strange = format!("Beechcroft-Attempt-Id: {:08x}ff\r\n", stage.number());
+        let stray = |named: &str, status: &str| {
+            let seal = if status.starts_with('2') { "Beechcroft-Server-Seal: a.b.c\r\n" } else { "" };
+            let refused = if status.starts_with("503") { "Beechcroft-Not-Executed: 1\r\n" } else { "" };
+            let elsewhere = if status.starts_with("421") { "Beechcroft-Unit-Id: i-other\r\n" } else { "" };
+            let length = STRAY.len();
+            format!("HTTP/1.1 {status}\r\n{named}{seal}{refused}{elsewhere}Content-Length: {length}\r\n\r\n{STRAY}")
+        };
+        let cut = |most: f64| &right[..((stage.draw() * most) as usize).min(right.len() - 1)];
+        let (refusal, elsewhere) = ("503 Service Unavailable", "421 Misdirected Request");
+        let (failure, success) = ("500 Internal Server Error", "200 OK");
+        let ahead = match self {
+            Wrong::NamelessRefusal => stray("", refusal),
+            Wrong::NamelessElsewhere => stray("", elsewhere),
+            Wrong::NamelessFailure => stray("", failure),
+            Wrong::NamelessSuccess => stray("", success),
+            Wrong::StrangeRefusal => stray(&strange, refusal),
+            Wrong::StrangeElsewhere => stray(&strange, elsewhere),
+            Wrong::StrangeFailure => stray(&strange, failure),
+            Wrong::StrangeSuccess => stray(&strange, success),
+            _ => String::new(),
+        };
+        let mut bytes = ahead.into_bytes();
+        match self {
+            Wrong::CutAnswer | Wrong::SilentAnswer => bytes.extend(cut(CUT_WITHIN)),
+            _ => bytes.extend(right),
+        }
+        match self {
+            Wrong::Twice => bytes.extend(right),
+            Wrong::Trailing => bytes.extend(b"\x00\x00 what is this\r\n\r\n"),
+            _ => {}
+        }
+        if line.write(&bytes).await.is_err() {
+            return false;
+        }
+        if self == Wrong::SilentAnswer {
+            pending().await
+        }
+        let own = format!("Beechcroft-Attempt-Id: {id}\r\n");
+        let late = match self {
+            Wrong::LateTwice => stray(&own, refusal),
+            Wrong::LateNamelessRefusal => stray("", refusal),
+            _ => return self.is_answered() && !unit.draining.get(),
+        };
+        sleep(Duration::from_millis((stage.draw() * LATE_MS) as u64)).await;
+        line.write(late.as_bytes()).await.is_ok() && !unit.draining.get()
+    }
+}
