--- a/crates/beechcroft-lab/src/whole.rs
+++ b/crates/beechcroft-lab/src/whole.rs
@@ -6,6 +6,9 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use rayon::prelude::*;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Mutex;
+use tokio::signal::unix::{signal, SignalKind};
 
 /// Reads a scenario; a fault names the file, the key and the line.
 pub fn read(file: &Path) -> Result<Scenario, String> {
@@ -88,16 +91,6 @@
     }
 }
 
-/// Plays many days, several at a time, and hands each on as it ends.
-fn all(days: impl ParallelIterator<Item = Scenario>, bar: &ProgressBar) -> Vec<(Scenario, Report)> {
-    days.map(|scenario| {
-        let report = play(&scenario);
-        bar.inc(1);
-        (scenario, report)
-    })
-    .collect()
-}
-
 fn bar(length: u64) -> ProgressBar {
     let style = "{elapsed_precise} {wide_bar} {pos}/{len} {eta}";
     ProgressBar::new(length).with_style(ProgressStyle::with_template(style).expect("a sound template"))
@@ -115,56 +108,126 @@
     edges: usize,
     #[arg(long, default_value_t = 3)]
     cores: usize,
+    /// Days played at a time; 0: as many as there are processors.
+    #[arg(long, default_value_t = 0)]
+    jobs: usize,
     /// Folder for what is found: a scenario each, to be run and shrunk.
     #[arg(long)]
     out: Option<PathBuf>,
 }
 
+/// What days of a search add up to, so far.
+#[derive(Default)]
+struct Tally {
+    days: u64,
+    requests: usize,
+    served: usize,
+    simulated_s: f64,
+    breaches: usize,
+    broken_days: u64,
+    duties: usize,
+    least: Vec<(f64, u64)>,
+}
+
+impl Tally {
+    /// Takes a day in; the lines that say what it broke or missed.
+    fn take(&mut self, scenario: &Scenario, report: &Report) -> Vec<String> {
+        let Report { verdict, unacked, simulated_s, .. } = report;
+        self.days += 1;
+        self.requests += verdict.requests;
+        self.served += verdict.served;
+        self.simulated_s += simulated_s;
+        self.breaches += verdict.breaches.len();
+        self.broken_days += u64::from(!verdict.breaches.is_empty());
+        self.duties += verdict.duties_missed.len() + unacked.len();
+        self.least.push((verdict.served as f64 / verdict.requests.max(1) as f64, scenario.seed));
+        self.least.sort_by(|a, b| a.0.total_cmp(&b.0));
+        self.least.truncate(5);
+        let breaches = verdict.breaches.iter();
+        let breaches = breaches.map(|b| format!("{} {} x{}: {}", scenario.name, b.rule, b.times, b.story));
+        let missed = verdict.duties_missed.iter().chain(unacked);
+        breaches.chain(missed.map(|said| format!("{} missed: {said}", scenario.name))).collect()
+    }
+}
+
+/// Set by the first SIGINT or SIGTERM: no further day begins. The second one ends the program.
+fn interrupted() -> &'static AtomicBool {
+    static STOP: AtomicBool = AtomicBool::new(false);
+    std::thread::spawn(|| {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        runtime.expect("a runtime for signals").block_on(async {
+            let mut term = signal(SignalKind::terminate()).expect("SIGTERM can be waited for");
+            let mut int = signal(SignalKind::interrupt()).expect("SIGINT can be waited for");
+            loop {
+                tokio::select! {
+                    _ = term.recv() => {}
+                    _ = int.recv() => {}
+                }
+                if STOP.swap(true, Ordering::Relaxed) {
+                    std::process::exit(130);
+                }
+            }
+        });
+    });
+    &STOP
+}
+
 impl Search {
     pub fn run(&self) -> Result<(), String> {
         let bar = bar(self.days);
         let began = std::time::Instant::now();
-        let seeds = (self.from..self.from + self.days).into_par_iter();
-        let mut found = 0;
-        let (mut requests, mut served, mut simulated) = (0, 0, 0.0);
-        let mut duties = 0;
-        let mut worst: Vec<(f64, u64)> = Vec::new();
-        for (scenario, report) in all(seeds.map(|seed| draw(seed, self.edges, self.cores)), &bar) {
-            requests += report.verdict.requests;
-            served += report.verdict.served;
-            simulated += report.simulated_s;
-            duties += report.verdict.duties_missed.len() + report.unacked.len();
-            worst.push((report.verdict.served as f64 / report.verdict.requests.max(1) as f64, scenario.seed));
-            for breach in &report.verdict.breaches {
-                found += 1;
-                println!("{} {} x{}: {}", scenario.name, breach.rule, breach.times, breach.story);
-            }
-            for said in report.verdict.duties_missed.iter().chain(&report.unacked) {
-                println!("{} missed: {said}", scenario.name);
-            }
-            let found =
-                [report.verdict.breaches.len(), report.verdict.duties_missed.len(), report.unacked.len()];
-            if let (Some(folder), 1..) = (&self.out, found.iter().sum()) {
-                let file = folder.join(format!("{}.toml", scenario.name));
-                std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
-                std::fs::write(&file, scenario.text()).map_err(|e| format!("{}: {e}", file.display()))?;
-            }
+        let stop = interrupted();
+        let pool = rayon::ThreadPoolBuilder::new().num_threads(self.jobs).build();
+        let pool = pool.map_err(|e| e.to_string())?;
+        if let Some(folder) = &self.out {
+            std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
         }
+        let tally = Mutex::new(Tally::default());
+        let seeds = (self.from..self.from + self.days).into_par_iter();
+        let done = pool.install(|| {
+            seeds.try_for_each(|seed| {
+                if stop.load(Ordering::Relaxed) {
+                    return Ok(());
+                }
+                let scenario = draw(seed, self.edges, self.cores);
+                let played = std::panic::catch_unwind(|| play(&scenario));
+                let lines = match played {
+                    Ok(report) => tally.lock().expect("no day panics here").take(&scenario, &report),
+                    Err(_) => {
+                        tally.lock().expect("no day panics here").breaches += 1;
+                        vec![format!("{}: the world itself panicked", scenario.name)]
+                    }
+                };
+                bar.inc(1);
+                if lines.is_empty() {
+                    return Ok(());
+                }
+                bar.suspend(|| lines.iter().for_each(|line| println!("{line}")));
+                let Some(folder) = &self.out else { return Ok(()) };
+                let file = folder.join(format!("{}-{}.toml", scenario.name, self.cores));
+                std::fs::write(&file, scenario.text()).map_err(|e| format!("{}: {e}", file.display()))
+            })
+        });
         bar.finish_and_clear();
-        worst.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let tally = tally.into_inner().expect("no day panics here");
         let least: Vec<String> =
-            worst.iter().take(5).map(|(part, seed)| format!("{:.1}% ({seed})", part * 100.0)).collect();
+            tally.least.iter().map(|(part, seed)| format!("{:.1}% ({seed})", part * 100.0)).collect();
+        let told = if stop.load(Ordering::Relaxed) { ", interrupted" } else { "" };
         println!(
-            "{} days of {} edges and {} core machines, {requests} requests, {:.2}% served; {:.0} simulated seconds, {:.0} a second",
-            self.days,
+            "{} days of {} edges and {} core machines{told}, {} requests, {:.2}% served, {} rules broken on {} days; {:.0} simulated seconds, {:.0} a second",
+            tally.days,
             self.edges,
             self.cores,
-            100.0 * served as f64 / requests.max(1) as f64,
-            simulated,
-            simulated / began.elapsed().as_secs_f64(),
+            tally.requests,
+            100.0 * tally.served as f64 / tally.requests.max(1) as f64,
+            tally.breaches,
+            tally.broken_days,
+            tally.simulated_s,
+            tally.simulated_s / began.elapsed().as_secs_f64(),
         );
-        println!("least served (seed): {}; {duties} duties or orders missed", least.join(", "));
-        match found {
+        println!("least served (seed): {}; {} duties or orders missed", least.join(", "), tally.duties);
+        done?;
+        match tally.breaches {
             0 => Ok(()),
             count => Err(format!("{count} rules are broken")),
         }
