A key's earlier moves and unseen ones bar its place; old words of the core are not new

Cause: a relay kept one move for each service. A second move of other units lifted the bar of the keys that the first had moved; a relay that missed a placement, or had just started, saw no move at all. A sign that the core agrees was stamped as the round ended, so a hut that stood still in the middle of it dated what it had read too late; and a relay that stood still took a letter that lay unread for new, by its age as of the sending. Each of these lets two relays place one key at two units.

Ruled out: barring all keys after each move (all requests that must not run twice would wait for 5.5 s); a history of placements inside the agreed value (another layout on the disks).

Change: `lease::Moves` keeps every placement that may still be in force elsewhere and takes all keys for moved after one that was not seen. A hut dates the sign by the order that asked for it. A relay whose own tick was late takes no sign from letters until it has ticked on for 250 ms. Guards: EarlierMoves, UnseenMoves, FreshTouches.

Tests of belvedere, trail, hut and cairns pass.

--- a/crates/beechcroft-belvedere/src/lease.rs
+++ b/crates/beechcroft-belvedere/src/lease.rs
@@ -3,6 +3,9 @@
 //! has been moved is used only `FENCE_MS` after its move was learned, which is longer. So by the time anybody uses the
 //! new place, whoever might still hold the old one has stopped. Clocks are each relay's own steady ones.
 
+use beechcroft_railing::{stands, Guard};
+use std::collections::{BTreeSet, VecDeque};
+
 /// A relay goes on with the placement that it holds for so long after the core last showed that it agrees.
 pub const HOLD_MS: u64 = 4000;
 /// Longer than [`HOLD_MS`] and the way of news from the core's decision on.
@@ -26,3 +29,47 @@
         _ => Ok(()),
     }
 }
+
+/// Placements gone by of late that are kept; with more than these, every key counts as moved.
+const KEPT: usize = 16;
+
+/// What one relay knows of the placements of a service: which units the newest leaves out, and which those before it did
+/// for as long as another relay may still go by them. One of whose successor it heard late is as much in force elsewhere
+/// as the newest, so all of them count, not the last alone.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Moves {
+    version: u64,
+    aside: BTreeSet<String>,
+    /// Placements before, each with the time at which the one after it was learned.
+    before: VecDeque<(u64, BTreeSet<String>)>,
+    /// When a placement was learned after one that this relay has never seen, and which may have moved any key.
+    unseen_at: Option<u64>,
+}
+
+impl Moves {
+    /// The newest placement: its number, which rises by one with each, and the units that it leaves out.
+    pub fn learn(&mut self, now: u64, version: u64, aside: &BTreeSet<String>) {
+        if version <= self.version {
+            return;
+        }
+        self.before.retain(|(at, _)| now < at + FENCE_MS);
+        if version > self.version + 1 || self.before.len() >= KEPT {
+            self.unseen_at = Some(now);
+        }
+        self.before.push_back((now, std::mem::replace(&mut self.aside, aside.clone())));
+        if self.before.len() > KEPT {
+            self.before.pop_front();
+        }
+        self.version = version;
+    }
+
+    /// When the latest move was learned that may have changed a key's place. `place`: where the key goes if these units
+    /// are left out.
+    pub fn moved_at<P: PartialEq>(&self, place: impl Fn(&BTreeSet<String>) -> P) -> Option<u64> {
+        let current = place(&self.aside);
+        let counted = if stands(Guard::EarlierMoves) { KEPT } else { 1 };
+        let before = self.before.iter().rev().take(counted);
+        let moved = before.filter(|(_, aside)| place(aside) != current).map(|(at, _)| *at);
+        moved.chain(self.unseen_at.filter(|_| stands(Guard::UnseenMoves))).max()
+    }
+}
--- a/crates/beechcroft-cairns/src/lib.rs
+++ b/crates/beechcroft-cairns/src/lib.rs
@@ -10,6 +10,7 @@
 pub use letter::{Beat, Item, Letter, Member, Ranges, Standing, Sums, Who};
 
 use beechcroft_belvedere::Word;
+use beechcroft_railing::{stands, Guard};
 use beechcroft_waymarks::{News, Note, State, Waymarks};
 use letter::MEMBER_RANGES;
 use rand::seq::IteratorRandom;
@@ -134,6 +135,8 @@
     watched: Option<Vec<(String, SocketAddrV4)>>,
     clock: u64,
     ticked_at: u64,
+    /// Before this, what the core shows is taken from no letter: it may have lain unread.
+    touch_from: u64,
     /// Before this, no other relay is said to be down.
     accuse_from: u64,
     /// When members and when units last changed.
@@ -164,6 +167,7 @@
             watched: None,
             clock: 0,
             ticked_at: 0,
+            touch_from: 0,
             accuse_from: 0,
             changed_at: [0; 2],
             next_ping: 0,
@@ -277,10 +281,16 @@
         self.flush(now, 2 * FEW, true, out);
     }
 
+    /// Whether this relay stood still, or was held up, since its last tick.
+    fn is_late(&self, now: u64) -> bool {
+        self.ticked_at > 0 && now > self.ticked_at + LAG_MS
+    }
+
     pub fn tick(&mut self, now: u64, out: &mut Vec<Action>) {
-        if self.ticked_at > 0 && now > self.ticked_at + LAG_MS {
+        if self.is_late(now) {
             // This relay itself was late: answers may lie unread.
             self.accuse_from = now + DOWN_MS;
+            self.touch_from = now + LAG_MS;
         }
         (self.ticked_at, self.clock) = (now, now);
         if now >= self.next_flush {
@@ -501,7 +511,9 @@
                 Item::Seen(word) => self.take_seen(word, out),
             }
         }
-        if let Some((age, revision)) = sums.touch {
+        // Its age is told as of the sending. A letter that lay in a queue while this relay stood still would make it new.
+        let lay = stands(Guard::FreshTouches) && (self.is_late(now) || now < self.touch_from);
+        if let Some((age, revision)) = sums.touch.filter(|_| !lay) {
             self.touched(now.saturating_sub(u64::from(age)), revision);
         }
         for (register, &revision) in sums.revisions.iter().enumerate() {
--- a/crates/beechcroft-hut/src/keeper.rs
+++ b/crates/beechcroft-hut/src/keeper.rs
@@ -109,7 +109,7 @@
     wished: BTreeMap<String, BTreeSet<String>>,
     place_at: u64,
     /// Rounds that are to show that the core agrees.
-    touches: BTreeSet<OrderId>,
+    touches: BTreeMap<OrderId, u64>,
     /// The voters and which machine holds each membership, as told to this machine while it has none.
     told_voters: Option<(Vec<String>, beechcroft_hutbook::Epochs)>,
     /// A membership whose machine is down, and since when.
@@ -157,7 +157,7 @@
             benches: BTreeMap::new(),
             wished: BTreeMap::new(),
             place_at: 0,
-            touches: BTreeSet::new(),
+            touches: BTreeMap::new(),
             told_voters: None,
             vacant: None,
             answers: BTreeMap::new(),
@@ -368,8 +368,9 @@
                 Step::Ask { to, ask } => self.send_to_voters(to, &ask),
                 Step::Answer { id, answer } => {
                     let shows = self.touches.remove(&id);
-                    if let (Ok(value), true) = (&answer, shows) {
-                        self.cairns.touched(now, value.revision);
+                    if let (Ok(value), Some(given_at)) = (&answer, shows) {
+                        // What a round reads is as old as its beginning: this machine may have stood still in it.
+                        self.cairns.touched(given_at, value.revision);
                     }
                     if let Some(asked) = self.answers.remove(&id) {
                         let _ = asked.send(answer);
--- a/crates/beechcroft-hut/src/keeper/rollouts.rs
+++ b/crates/beechcroft-hut/src/keeper/rollouts.rs
@@ -45,7 +45,7 @@
         // One core machine shows it; another does once that one's word stays out.
         if first || self.cairns.touched_at().is_none_or(|at| now > at + 2 * PLACE_EVERY_MS) {
             self.order(ORDERS, Op::Read, None);
-            self.touches.insert(self.next_order);
+            self.touches.insert(self.next_order, now);
         }
         let clock = self.errands.ground().wall().as_secs() as u32;
         self.benches.values_mut().for_each(|bench| bench.pass(clock));
--- a/crates/beechcroft-railing/src/lib.rs
+++ b/crates/beechcroft-railing/src/lib.rs
@@ -10,6 +10,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Guard {
     // Contact with a majority.
+    /// A key's place counts as moved by each placement that may still be in force elsewhere, not by the last alone.
+    EarlierMoves,
+    /// After a placement that it has never seen, a relay takes every key for moved.
+    UnseenMoves,
+    /// A relay that stood still takes no sign of the core's agreement from letters that may have lain unread.
+    FreshTouches,
     // Orders and their repeats.
     // Membership of the quorum.
     /// A voter accepts nothing of a round that stands on a promise of a fenced epoch.
--- a/crates/beechcroft-trail/src/carry.rs
+++ b/crates/beechcroft-trail/src/carry.rs
@@ -215,14 +215,9 @@
     /// When this relay learned that the place of the request's key is another, if that is of late.
     fn moved_at(&self) -> Option<u64> {
         let (key, service) = (self.task.key?, self.task.service());
-        let moved = self.shared.moved.borrow();
-        let (at, before) = moved.get(service)?;
-        let orders = self.shared.orders.borrow();
-        let placement = orders.placements.get(service);
+        let moves = self.shared.moves.borrow();
         let yard = self.shared.yard.borrow();
-        let then = yard.sole(service, key, |id| before.contains(id));
-        let next = yard.sole(service, key, |id| placement.is_some_and(|held| held.aside.contains(id)));
-        (then != next).then_some(*at)
+        moves.get(service)?.moved_at(|aside| yard.sole(service, key, |id| aside.contains(id)))
     }
 
     fn want(&self) -> Want<'_> {
--- a/crates/beechcroft-trail/src/guide.rs
+++ b/crates/beechcroft-trail/src/guide.rs
@@ -183,7 +183,7 @@
             let Ok(orders) = postcard::from_bytes::<Orders>(&value.bytes) else { return };
             log::info!("guide: Orders at {}: {orders:?}.", value.revision);
             let before = self.shared.orders.replace(orders);
-            self.note_moves(now, &before);
+            self.note_moves(now);
             self.doubt_returned(now, &before);
         }
         self.held[register] = value;
@@ -193,14 +193,11 @@
     }
 
     /// Placements that have changed: for a while a key whose place is another now goes nowhere.
-    fn note_moves(&mut self, now: u64, before: &Orders) {
+    fn note_moves(&mut self, now: u64) {
         let orders = self.shared.orders.borrow();
-        let mut moved = self.shared.moved.borrow_mut();
+        let mut moves = self.shared.moves.borrow_mut();
         for (service, placement) in &orders.placements {
-            let held = before.placements.get(service).cloned().unwrap_or_default();
-            if held.version != placement.version {
-                moved.insert(service.clone(), (now, held.aside));
-            }
+            moves.entry(service.clone()).or_default().learn(now, placement.version, &placement.aside);
         }
     }
 
--- a/crates/beechcroft-trail/src/shared.rs
+++ b/crates/beechcroft-trail/src/shared.rs
@@ -2,6 +2,7 @@
 //! and nothing is held borrowed across a wait.
 
 use crate::pool::Pool;
+use beechcroft_belvedere::lease::Moves;
 use beechcroft_belvedere::Count;
 use beechcroft_hutbook::Orders;
 use beechcroft_junction::Table;
@@ -12,7 +13,7 @@
 use beechcroft_ropes::Judge;
 use beechcroft_saddle::Crowd;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use tokio::time::Instant;
 
@@ -57,8 +58,8 @@
     pub seen: RefCell<BTreeMap<String, BTreeMap<Rc<str>, Count>>>,
     /// When the core last showed that it agrees.
     pub touched_at: Cell<Option<u64>>,
-    /// Placements that have changed of late: when this relay learned of it, and what was left out before.
-    pub moved: RefCell<BTreeMap<String, (u64, BTreeSet<String>)>>,
+    /// Placements and those before them, by service.
+    pub moves: RefCell<BTreeMap<String, Moves>>,
     /// What a request takes at a service's units, in ms, lately.
     pub took_ms: RefCell<BTreeMap<String, f64>>,
     /// Edge relays that are alive, this one among them.
@@ -90,7 +91,7 @@
             crowds: RefCell::default(),
             seen: RefCell::default(),
             touched_at: Cell::new(None),
-            moved: RefCell::default(),
+            moves: RefCell::default(),
             took_ms: RefCell::default(),
             edges: Cell::new(1),
             under_way: Cell::new(0),
--- a/crates/beechcroft-trail/tests/request.rs
+++ b/crates/beechcroft-trail/tests/request.rs
@@ -476,14 +476,18 @@
         // The core's decision: the key's place is left out. It is learned just now.
         let id = format!("i-{first}");
         let placement = beechcroft_hutbook::Placement { version: 1, aside: [id.clone()].into() };
-        stand.shared.orders.borrow_mut().placements.insert("s".into(), placement);
+        let mut moves = beechcroft_belvedere::lease::Moves::default();
+        moves.learn(now, placement.version, &placement.aside);
+        stand.shared.orders.borrow_mut().placements.insert("s".into(), placement.clone());
         stand.shared.yard.borrow_mut().place("s", &id).unwrap().aside = true;
-        stand.shared.moved.borrow_mut().insert("s".into(), (now, Default::default()));
+        stand.shared.moves.borrow_mut().insert("s".into(), moves);
         client.write_all(post("b").as_bytes()).await.unwrap();
         let (status, head, _) = answer(&mut client).await.unwrap();
         assert_eq!((status, stand.ran()), (503, 1), "others may still send it to the old place");
         assert!(head.contains("Retry-After"));
-        stand.shared.moved.borrow_mut().insert("s".into(), (0, Default::default()));
+        let mut moves = beechcroft_belvedere::lease::Moves::default();
+        moves.learn(0, placement.version, &placement.aside);
+        stand.shared.moves.borrow_mut().insert("s".into(), moves);
         client.write_all(post("c").as_bytes()).await.unwrap();
         assert_eq!(answer(&mut client).await.unwrap().0, 200);
         assert_ne!(stand.seen.borrow().last().unwrap().0, first);
