--- a/crates/beechcroft-range/tests/orders.rs
+++ b/crates/beechcroft-range/tests/orders.rs
@@ -54,7 +54,7 @@
 }
 
 fn cut(from: &str, to: &str, for_s: f64) -> What {
-    What::Cut { from: from.into(), to: to.into(), for_s, one_way: false }
+    What::Cut { from: from.into(), to: to.into(), for_s, one_way: false, how: Default::default() }
 }
 
 // ---- one number, several operators
