--- a/crates/beechcroft-range/src/whole/scenario.rs
+++ b/crates/beechcroft-range/src/whole/scenario.rs
@@ -3,6 +3,7 @@
 
 use super::disk::Sync;
 use super::fabric::CutHow;
+use super::wrongs::Wrong;
 use garde::Validate;
 use serde::{Deserialize, Serialize};
 
@@ -155,6 +156,14 @@
         #[serde(default)]
         lies: bool,
     },
+    /// A part of the answers of units is wrong for a while.
+    Answers {
+        service: String,
+        count: usize,
+        for_s: f64,
+        part: f64,
+        wrong: Wrong,
+    },
     /// Units lose power without a word, and come back at their addresses under other names.
     Dark {
         service: String,
@@ -345,7 +354,9 @@
                 service
             }
             What::Crash { service, .. } | What::Ill { service, .. } | What::Cold { service, .. } => service,
-            What::Flap { service, .. } | What::Dark { service, .. } => service,
+            What::Flap { service, .. } | What::Dark { service, .. } | What::Answers { service, .. } => {
+                service
+            }
             _ => return Ok(()),
         };
         match known(service) {
