--- a/crates/beechcroft-range/tests/many_changes.rs
+++ b/crates/beechcroft-range/tests/many_changes.rs
@@ -200,6 +200,9 @@
         println!("{machines} machines, {together} at a time, seed {seed}");
         println!("bytes of files, table and value after 100 changes {early:?}, after {count} {late:?}");
         println!("caught up with disk, without, as another machine, all at once: {worst:?}");
+        let written: u64 = huts().iter().map(|hut| hut.plate.written.get()).sum();
+        let each = written / u64::from(count) / huts().len() as u64;
+        println!("{each} bytes written on each disk for a change and the reads beside it");
         println!("slowest acknowledgement {:?}, {} reads", changes.slowest.get(), changes.reads.get());
         assert_eq!(*changes.older.borrow(), Vec::<String>::new());
         assert!(changes.reads.get() > 10 * count, "{} reads", changes.reads.get());
