--- a/crates/beechcroft-cache/src/lib.rs
+++ b/crates/beechcroft-cache/src/lib.rs
@@ -66,6 +66,8 @@
     pub mark: Option<Vec<u8>>,
     /// A log of the format before this one is there.
     pub of_001: bool,
+    /// Files that are there and cannot be read at all.
+    pub unreadable: Vec<String>,
 }
 
 /// What they hold.
@@ -78,7 +80,7 @@
 impl Cache {
     /// Opens a folder. An empty one gives an empty table; damage is an error that names it, and nothing is changed.
     pub fn open(folder: &Path) -> io::Result<Cache> {
-        let found = Files::load(folder)?.found();
+        let found = Files::load(folder).found();
         if !found.damage.is_none() {
             return Err(io::Error::new(ErrorKind::InvalidData, found.damage.to_string()));
         }
@@ -88,7 +90,7 @@
     /// Opens a folder whatever is in it. `repair` is told of damage and makes the table such that it may be gone by; what
     /// it makes is on disk before this returns. The damaged files are kept beside.
     pub fn open_repaired(folder: &Path, repair: impl FnOnce(&Damage, &mut Table)) -> io::Result<Cache> {
-        let mut found = Files::load(folder)?.found();
+        let mut found = Files::load(folder).found();
         if !found.damage.is_none() {
             for name in [SNAPSHOT, LOG] {
                 // Only for a person who looks into it.
@@ -113,8 +115,8 @@
     }
 
     /// Reads a folder and changes nothing in it.
-    pub fn peek(folder: &Path) -> io::Result<(Table, Damage)> {
-        Ok(Files::load(folder)?.read())
+    pub fn peek(folder: &Path) -> (Table, Damage) {
+        Files::load(folder).read()
     }
 
     pub fn table(&self) -> &Table {
@@ -124,6 +126,9 @@
     /// Keeps records; once it returns they outlast a loss of power. One sync for all of them. After an error none of
     /// them is in the table, and on disk are all of them or none.
     pub fn write(&mut self, records: &[(String, Vec<u8>)]) -> io::Result<()> {
+        if records.len() > usize::from(u16::MAX) || records.iter().any(|(name, _)| name.len() > 255) {
+            return Err(io::Error::new(ErrorKind::InvalidInput, "too many records, or too long a name"));
+        }
         if self.log.as_ref().is_none_or(|log| log.end > FOLD_BYTES) {
             self.fold()?;
         }
@@ -212,20 +217,23 @@
     name.starts_with("wal-")
 }
 
-fn file(folder: &Path, name: &str) -> io::Result<Option<Vec<u8>>> {
-    match fs::read(folder.join(name)) {
-        Ok(bytes) => Ok(Some(bytes)),
-        Err(e) if e.kind() == ErrorKind::NotFound => Ok(None),
-        Err(e) => Err(io::Error::new(e.kind(), format!("{name}: {e}"))),
-    }
-}
-
 impl Files {
-    pub fn load(folder: &Path) -> io::Result<Files> {
+    pub fn load(folder: &Path) -> Files {
         let names = fs::read_dir(folder).into_iter().flatten().filter_map(Result::ok);
         let of_001 = names.into_iter().any(|entry| is_of_001(&entry.file_name().to_string_lossy()));
-        let (snapshot, log, mark) = (file(folder, SNAPSHOT)?, file(folder, LOG)?, file(folder, MARK)?);
-        Ok(Files { snapshot, log, mark, of_001 })
+        let mut unreadable = Vec::new();
+        let mut file = |name: &str| match fs::read(folder.join(name)) {
+            Ok(bytes) => Some(bytes),
+            Err(e) if e.kind() == ErrorKind::NotFound => None,
+            Err(e) => {
+                unreadable.push(format!("{name}: {e}"));
+                None
+            }
+        };
+        // In this order a folder that is written meanwhile is read as whole: a mark never says more than a log that is read
+        // after it, nor does a log begin after a snapshot that is.
+        let (mark, log, snapshot) = (file(MARK), file(LOG), file(SNAPSHOT));
+        Files { snapshot, log, mark, of_001, unreadable }
     }
 
     /// The table, and what of it is lost.
@@ -246,6 +254,7 @@
 
     fn found(&self) -> Found {
         let mut found = Found { table: Table::new(), last: 0, damage: Damage::default() };
+        self.unreadable.iter().for_each(|place| found.damage.entries(place.clone()));
         let mark = self.marked();
         let begins = self.log.as_deref().and_then(begins_after);
         match (&self.snapshot, &self.log) {
--- a/crates/beechcroft-cache/tests/damage.rs
+++ b/crates/beechcroft-cache/tests/damage.rs
@@ -61,13 +61,13 @@
 /// Every change of one file: the first that loses something without a word.
 fn each_change() -> Result<(usize, usize), String> {
     let (folder, expected) = folder();
-    each_change_of(&Files::load(folder.path()).unwrap(), &expected, usize::MAX)
+    each_change_of(&Files::load(folder.path()), &expected, usize::MAX)
 }
 
 /// The same after a loss of power that the mark did not outlast, in all that stands before the last entry.
 fn each_change_before_the_last_entry() -> Result<(usize, usize), String> {
     let (folder, expected) = folder();
-    let files = Files { mark: None, ..Files::load(folder.path()).unwrap() };
+    let files = Files { mark: None, ..Files::load(folder.path()) };
     let log = files.log.as_ref().unwrap();
     let last = log.windows(10).rposition(|window| window == b"register-1").unwrap() - 20;
     each_change_of(&files, &expected, last)
@@ -142,7 +142,7 @@
     for round in 0..4 {
         let mut cache = Cache::open(folder.path()).unwrap();
         for nth in 0..3 {
-            copies.push(Files::load(folder.path()).unwrap());
+            copies.push(Files::load(folder.path()));
             write(&mut cache, &[("register-0", &format!("{round} {nth}"))]);
             if nth == 1 {
                 write(&mut cache, &[("identity", &format!("{round}"))]);
@@ -150,7 +150,7 @@
         }
         expected = cache.table().clone();
     }
-    let newest = Files::load(folder.path()).unwrap();
+    let newest = Files::load(folder.path());
     let mut named = 0;
     for (nth, copy) in copies.iter().enumerate() {
         for (at, name) in FILES.iter().enumerate() {
@@ -196,7 +196,7 @@
 #[test]
 fn many_bytes_changed_at_once_are_named_or_change_nothing() {
     let (folder, expected) = folder();
-    let sound = Files::load(folder.path()).unwrap();
+    let sound = Files::load(folder.path());
     bolero::check!().with_type::<(u8, Vec<(u16, u8)>)>().with_iterations(20_000).for_each(
         |(nth, changes)| {
             let mut files = sound.clone();
@@ -218,7 +218,7 @@
     let at = bytes.windows(5).position(|window| window == b"after").unwrap();
     bytes[at] ^= 1;
     fs::write(&path, &bytes).unwrap();
-    let (table, damage) = Cache::peek(sound.path()).unwrap();
+    let (table, damage) = Cache::peek(sound.path());
     let said = damage.to_string();
     assert!(said.contains(&format!("log at {at}: ")) && said.contains("record units of entry"), "{said}");
     // What is beside it in the entry, and before and behind it, stands.
@@ -237,7 +237,7 @@
     let at = bytes.windows(8).position(|window| window == b"promised").unwrap();
     bytes[at - 30..at + 8].fill(0xee);
     fs::write(&path, &bytes).unwrap();
-    let (table, damage) = Cache::peek(sound.path()).unwrap();
+    let (table, damage) = Cache::peek(sound.path());
     assert!(!damage.is_none(), "an entry is gone");
     assert_eq!(table["register-0"], b"accepted");
     assert!(!damage.of("register-0") && !damage.of("register-1"), "both were written whole since: {damage}");
@@ -251,12 +251,50 @@
     fs::write(folder.path().join("wal-1"), b"okw\0\0").unwrap();
     let said = Cache::open(folder.path()).err().expect("it is refused").to_string();
     assert!(said.contains("another version of the program: format BCHUT001"), "{said}");
-    assert!(Cache::peek(folder.path()).unwrap().1.of("identity"));
+    assert!(Cache::peek(folder.path()).1.of("identity"));
     fs::remove_file(folder.path().join("state")).unwrap();
     let said = Cache::open(folder.path()).err().expect("it is refused").to_string();
     assert!(said.contains("format 001"), "{said}");
 }
 
+#[test]
+fn a_file_that_cannot_be_read_at_all_is_damage_and_no_empty_folder() {
+    for name in ["state", "log"] {
+        let folder = TempDir::new().unwrap();
+        fs::create_dir(folder.path().join(name)).unwrap();
+        let (table, damage) = Cache::peek(folder.path());
+        assert!(table.is_empty() && damage.of("identity"), "{name}");
+        assert!(damage.to_string().contains(&format!("{name}: ")), "{damage}");
+        assert!(Cache::open(folder.path()).is_err(), "{name}");
+    }
+}
+
+#[test]
+fn a_folder_that_is_read_while_it_is_written_is_whole() {
+    // Whatever was written between the reading of one file and the next, in the order in which they are read.
+    let folder = TempDir::new().unwrap();
+    let mut cache = Cache::open(folder.path()).unwrap();
+    let mut steps = vec![Files::load(folder.path())];
+    for nth in 0..12 {
+        write(&mut cache, &[("register-0", &nth.to_string())]);
+        steps.push(Files::load(folder.path()));
+        if nth % 4 == 3 {
+            drop(cache);
+            cache = Cache::open(folder.path()).unwrap();
+            steps.push(Files::load(folder.path()));
+        }
+    }
+    for (first, mark) in steps.iter().enumerate() {
+        for (second, log) in steps.iter().enumerate().skip(first) {
+            for snapshot in &steps[second..] {
+                let (mark, log, snapshot) = (mark.mark.clone(), log.log.clone(), snapshot.snapshot.clone());
+                let (_, damage) = Files { snapshot, log, mark, ..Files::default() }.read();
+                assert!(damage.is_none(), "{damage}");
+            }
+        }
+    }
+}
+
 #[test]
 fn a_repair_is_on_disk_before_the_folder_opens_and_the_damaged_files_stay_beside() {
     let (sound, _) = folder();
--- a/crates/beechcroft-cache/tests/power.rs
+++ b/crates/beechcroft-cache/tests/power.rs
@@ -95,7 +95,7 @@
     for left in (0..64).chain([length - 1]) {
         let lost = copy(folder.path());
         fs::File::options().write(true).open(log(lost.path())).unwrap().set_len(left).unwrap();
-        let (table, damage) = Cache::peek(lost.path()).unwrap();
+        let (table, damage) = Cache::peek(lost.path());
         assert_eq!(text(&table, "old"), Some("in the snapshot".into()), "{left} bytes of log");
         // Without its head nobody knows whether it held anything.
         assert_eq!(damage.is_none(), left >= 20, "{left} bytes of log: {damage}");
@@ -105,7 +105,7 @@
     fs::remove_file(log(lost.path())).unwrap();
     let said = Cache::open(lost.path()).err().expect("no log is an error").to_string();
     assert!(said.contains("log: the file is missing"), "{said}");
-    assert_eq!(text(&Cache::peek(lost.path()).unwrap().0, "old"), Some("in the snapshot".into()));
+    assert_eq!(text(&Cache::peek(lost.path()).0, "old"), Some("in the snapshot".into()));
 }
 
 /// A compaction: beside, synced, renamed, folder synced, old log removed, new log begun. Each state that a loss
@@ -216,6 +216,6 @@
         all.into_iter().map(|path| (path.clone(), fs::read(path).unwrap())).collect::<Vec<_>>()
     };
     let before = files();
-    assert_eq!(text(&Cache::peek(folder.path()).unwrap().0, "a"), Some("b".into()));
+    assert_eq!(text(&Cache::peek(folder.path()).0, "a"), Some("b".into()));
     assert_eq!(files(), before);
 }
--- a/crates/beechcroft-hut/src/main.rs
+++ b/crates/beechcroft-hut/src/main.rs
@@ -79,8 +79,9 @@
     if what.parse::<SocketAddrV4>().is_ok() {
         return ask_hut(what, "/show", Vec::new());
     }
-    let (table, damage) =
-        beechcroft_cache::Cache::peek(std::path::Path::new(what)).map_err(|e| format!("{what}: {e}"))?;
+    let folder = std::path::Path::new(what);
+    std::fs::read_dir(folder).map_err(|e| format!("{what}: {e}"))?;
+    let (table, damage) = beechcroft_cache::Cache::peek(folder);
     damage.places().iter().for_each(|place| println!("damage: {place}"));
     let voter = Voter::new("", 0, 0, &table);
     voter.unreadable.iter().for_each(|said| println!("unreadable: {said}"));
--- a/crates/beechcroft-hut/tests/disk.rs
+++ b/crates/beechcroft-hut/tests/disk.rs
@@ -71,7 +71,7 @@
     assert!(!keep(&disk, records("refused")));
     fs::rename(&hidden, folder.path()).unwrap();
     assert!(keep(&disk, records("after")));
-    assert_eq!(Cache::peek(folder.path()).unwrap().0["register-0"], b"register-0 after");
+    assert_eq!(Cache::peek(folder.path()).0["register-0"], b"register-0 after");
 }
 
 #[test]
--- a/crates/beechcroft-range/tests/damaged_disks.rs
+++ b/crates/beechcroft-range/tests/damaged_disks.rs
@@ -14,7 +14,7 @@
 
 /// Flips the first byte of a record's value wherever it stands in a hut's files; at how many places.
 fn damage(hut: &Hut, record: &str) -> usize {
-    let (table, sound) = Cache::peek(hut.folder.path()).unwrap();
+    let (table, sound) = Cache::peek(hut.folder.path());
     assert!(sound.is_none(), "{sound}");
     let mut flipped = 0;
     for name in ["state", "log"] {
@@ -176,7 +176,7 @@
 
 /// A register is on some disk without the identity under which it was promised.
 fn register_without_identity(core: &Core) -> bool {
-    let reads = |hut: &Rc<Hut>| Cache::peek(hut.folder.path()).unwrap().0;
+    let reads = |hut: &Rc<Hut>| Cache::peek(hut.folder.path()).0;
     names(core).iter().map(reads).any(|table| {
         !table.contains_key("identity")
             && (table.contains_key("register-0") || table.contains_key("register-1"))
--- a/crates/beechcroft-range/tests/many_changes.rs
+++ b/crates/beechcroft-range/tests/many_changes.rs
@@ -106,7 +106,7 @@
 
 /// The newest version whose value a hut's disk holds as chosen, and whether it holds a membership.
 fn held(hut: &Hut) -> (u32, bool) {
-    let (table, damage) = Cache::peek(hut.folder.path()).unwrap();
+    let (table, damage) = Cache::peek(hut.folder.path());
     assert!(damage.is_none(), "{}: {damage}", hut.name);
     let revision = table.get("chosen-0").and_then(|held| {
         beechcroft_hutbook::bytes::decode::<beechcroft_hutbook::Value>(held).ok().map(|value| value.revision)
@@ -123,7 +123,7 @@
 fn sizes(hut: &Hut) -> (u64, usize, usize) {
     let files =
         fs::read_dir(hut.folder.path()).unwrap().map(|entry| entry.unwrap().metadata().unwrap().len());
-    let (table, _) = Cache::peek(hut.folder.path()).unwrap();
+    let (table, _) = Cache::peek(hut.folder.path());
     let all = table.iter().map(|(name, value)| name.len() + value.len()).sum();
     (files.sum(), all, table["chosen-0"].len())
 }
