The log is okaywal's again; only its bytes are read by ourselves

Cause: to tell damage from a torn end, the log had become the cache's own; the house asks for okaywal on disk, and a log is plumbing. okaywal's recovery still cannot be used: it ends at the first chunk that it cannot read and tells no place. A panic of okaywal under an entry is a disk that refuses.

--- a/crates/beechcroft-cache/src/lib.rs
+++ b/crates/beechcroft-cache/src/lib.rs
@@ -1,17 +1,21 @@
 //! The only place of the system that writes disk: a small table of records, kept by a log and a snapshot.
 //!
-//! Files in the folder (`docs/operators/system.md` states every byte): `state`, the snapshot; `log`, the entries since;
-//! `mark`, the number of the last entry that was synced. Entries are numbered without gaps, and one is written only once
-//! the one before it is synced. So what cannot be read is told apart: an end beyond the mark, with nothing readable
-//! behind it, was never acknowledged, and is cut off (a torn end); all else was, and is damage.
+//! Files in the folder (`docs/operators/system.md` states every byte): `state`, the snapshot; `log-N/wal-1`, okaywal's
+//! log of the entries since the snapshot numbered N; `mark`, the number of the last entry that was synced. Entries are
+//! numbered without gaps, and one is written only once the one before it is synced. So what cannot be read is told apart:
+//! an end beyond the mark, with nothing readable behind it, was never acknowledged, and is cut off (a torn end); all else
+//! was, and is damage.
+//!
+//! okaywal writes, lays out and syncs the log; it is never asked to read one. Its recovery ends at the first chunk that
+//! it cannot read and tells no place, so the bytes are read here: entries have heads and checksums of their own.
 //!
 //! The mark is not synced itself: it outlasts the process, and a loss of power half a minute later. What stays: power is
 //! lost, and of the very last entry a byte is damaged as well before the mark has lasted. Nothing that costs less than a
 //! second sync of each entry tells that from a torn end.
 //!
-//! Opening and compaction do the same: a new snapshot beside the old one, synced, renamed, the folder synced, and the
-//! same for an empty log. A log that begins before its snapshot's number is one whose replacement did not last: all of it
-//! is in the snapshot. One that begins after it has lost its snapshot.
+//! Opening and compaction do the same: an empty log for the next number, synced; the snapshot of that number beside the
+//! old one, synced, renamed, the folder synced; and only then is the old log removed. So a snapshot never stands without
+//! its log, and a crash between any two steps leaves one whole table.
 
 mod damage;
 mod frame;
@@ -20,23 +24,25 @@
 
 use beechcroft_railing::{stands, Guard};
 use frame::{sum_of, Frame};
+use okaywal::{Configuration, Entry, EntryId, LogManager, SegmentReader, WriteAheadLog};
 use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::io::{self, ErrorKind, Write};
 use std::os::unix::fs::FileExt;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::{Path, PathBuf};
 
 const SNAPSHOT_MAGIC: &[u8; 8] = b"BCHUT002";
-const LOG_MAGIC: &[u8; 8] = b"BCLOG002";
 const SNAPSHOT: &str = "state";
-const LOG: &str = "log";
+/// The folder of a log, before the number of its snapshot.
+const LOG: &str = "log-";
 const MARK: &str = "mark";
-/// The log's magic, the number it begins after, and their checksum.
-const LOG_HEAD: usize = 20;
 /// Bytes of log after which it is folded into the snapshot.
 const FOLD_BYTES: u64 = 4 << 20;
 /// The log is laid out in zeros so far ahead: a sync then has no length to change.
-const AHEAD_BYTES: u64 = 128 << 10;
+const AHEAD_BYTES: u32 = 128 << 10;
+/// Most bytes of okaywal's own before, between and behind entries.
+const OKAYWAL_BYTES: usize = 64;
 /// Entries are numbered from here.
 const FIRST: u64 = 1;
 
@@ -52,10 +58,23 @@
 }
 
 struct Log {
-    file: File,
+    wal: WriteAheadLog,
     mark: File,
-    end: u64,
-    laid_out: u64,
+    written: u64,
+}
+
+/// okaywal only opens logs that are new: it has nothing to recover, and folding is ours.
+#[derive(Debug)]
+struct Nothing;
+
+impl LogManager for Nothing {
+    fn recover(&mut self, _: &mut Entry<'_>) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn checkpoint_to(&mut self, _: EntryId, _: &mut SegmentReader, _: &WriteAheadLog) -> io::Result<()> {
+        Ok(())
+    }
 }
 
 /// A folder's files, as they are read.
@@ -64,6 +83,8 @@
     pub snapshot: Option<Vec<u8>>,
     pub log: Option<Vec<u8>>,
     pub mark: Option<Vec<u8>>,
+    /// The number of the snapshot that the log was begun for.
+    pub log_of: u64,
     /// A log of the format before this one is there.
     pub of_001: bool,
 }
@@ -90,9 +111,10 @@
     pub fn open_repaired(folder: &Path, repair: impl FnOnce(&Damage, &mut Table)) -> io::Result<Cache> {
         let mut found = Files::load(folder)?.found();
         if !found.damage.is_none() {
-            for name in [SNAPSHOT, LOG] {
-                // Only for a person who looks into it.
-                let _ = fs::copy(folder.join(name), folder.join(format!("{name}.damaged")));
+            // Only for a person who looks into it.
+            let _ = fs::copy(folder.join(SNAPSHOT), folder.join("state.damaged"));
+            if let Some((_, newest)) = logs(folder)?.pop() {
+                let _ = fs::copy(newest.join("wal-1"), folder.join("log.damaged"));
             }
             repair(&found.damage, &mut found.table);
         }
@@ -124,7 +146,7 @@
     /// Keeps records; once it returns they outlast a loss of power. One sync for all of them. After an error none of
     /// them is in the table, and on disk are all of them or none.
     pub fn write(&mut self, records: &[(String, Vec<u8>)]) -> io::Result<()> {
-        if self.log.as_ref().is_none_or(|log| log.end > FOLD_BYTES) {
+        if self.log.as_ref().is_none_or(|log| log.written > FOLD_BYTES) {
             self.fold()?;
         }
         let log = self.log.as_mut().ok_or_else(|| io::Error::other("the log is closed"))?;
@@ -142,29 +164,27 @@
         Ok(())
     }
 
-    /// Writes the table as a snapshot and starts an empty log.
+    /// Starts an empty log and writes the table as its snapshot.
     fn fold(&mut self) -> io::Result<()> {
         self.log = None;
-        // Above all that the log may hold: it begins before its snapshot from here on.
+        // Above all that the old log may hold.
         self.last += 1;
+        let folder = self.folder.join(format!("{LOG}{}", self.last));
+        if folder.exists() {
+            fs::remove_dir_all(&folder)?; // of a fold that did not come to its end
+        }
+        let mut log = Log::begin(&folder, &self.folder.join(MARK), self.last)?;
+        File::open(&self.folder)?.sync_all()?;
         let records = self.table.iter().map(|(name, value)| (&name[..], &value[..]));
         let snapshot = [&SNAPSHOT_MAGIC[..], &frame::write(self.last, records)].concat();
-        let mut empty = [&LOG_MAGIC[..], &self.last.to_le_bytes()].concat();
-        empty.extend(sum_of(&empty).to_le_bytes());
-        empty.resize(AHEAD_BYTES as usize, 0);
-        // A snapshot never stands without a log: without one, nobody would know what has come since.
-        if self.folder.join(LOG).exists() {
-            self.replace(SNAPSHOT, &snapshot)?;
-            self.replace(LOG, &empty)?;
-        } else {
-            self.replace(LOG, &empty)?;
-            self.replace(SNAPSHOT, &snapshot)?;
-        }
-        let file = File::options().write(true).open(self.folder.join(LOG))?;
-        let mark = File::options().create(true).truncate(false).write(true).open(self.folder.join(MARK))?;
-        let mut log = Log { file, mark, end: LOG_HEAD as u64, laid_out: AHEAD_BYTES };
+        self.replace(SNAPSHOT, &snapshot)?;
         log.mark(self.last);
         self.log = Some(log);
+        for (number, old) in logs(&self.folder)? {
+            if number != self.last {
+                fs::remove_dir_all(old)?;
+            }
+        }
         Ok(())
     }
 
@@ -184,16 +204,29 @@
 }
 
 impl Log {
+    /// A new log, whose first entry has its snapshot's number and no records.
+    fn begin(folder: &Path, mark: &Path, number: u64) -> io::Result<Log> {
+        let wal = Configuration::default_for(folder)
+            .preallocate_bytes(AHEAD_BYTES)
+            .checkpoint_after_bytes(u64::MAX)
+            .buffer_bytes(8 << 10)
+            .open(Nothing)?;
+        let mark = File::options().create(true).truncate(false).write(true).open(mark)?;
+        let mut log = Log { wal, mark, written: 0 };
+        log.append(&frame::write(number, std::iter::empty()))?;
+        File::open(folder)?.sync_all()?;
+        Ok(log)
+    }
+
     fn append(&mut self, entry: &[u8]) -> io::Result<()> {
-        let end = self.end + entry.len() as u64;
-        if end > self.laid_out {
-            let to = end.next_multiple_of(AHEAD_BYTES);
-            self.file.write_all_at(&vec![0; (to - self.laid_out) as usize], self.laid_out)?;
-            self.laid_out = to;
-        }
-        self.file.write_all_at(entry, self.end)?;
-        self.file.sync_data()?;
-        self.end = end;
+        // okaywal panics where a write fails under an entry; to us that is a disk that refuses.
+        let done = catch_unwind(AssertUnwindSafe(|| {
+            let mut writer = self.wal.begin_entry()?;
+            writer.write_chunk(entry)?;
+            writer.commit().map(drop)
+        }));
+        done.unwrap_or_else(|_| Err(io::Error::other("the log could not take the entry")))?;
+        self.written += entry.len() as u64;
         Ok(())
     }
 
@@ -207,6 +240,24 @@
     }
 }
 
+impl Drop for Log {
+    fn drop(&mut self) {
+        drop(self.wal.clone().shutdown());
+    }
+}
+
+/// The logs of a folder, the newest last.
+fn logs(folder: &Path) -> io::Result<Vec<(u64, PathBuf)>> {
+    let number = |path: PathBuf| {
+        let number = path.file_name()?.to_str()?.strip_prefix(LOG)?.parse().ok()?;
+        Some((number, path))
+    };
+    let mut logs: Vec<_> =
+        fs::read_dir(folder)?.filter_map(Result::ok).filter_map(|entry| number(entry.path())).collect();
+    logs.sort();
+    Ok(logs)
+}
+
 /// Files of the format before this one.
 fn is_of_001(name: &str) -> bool {
     name.starts_with("wal-")
@@ -224,8 +275,17 @@
     pub fn load(folder: &Path) -> io::Result<Files> {
         let names = fs::read_dir(folder).into_iter().flatten().filter_map(Result::ok);
         let of_001 = names.into_iter().any(|entry| is_of_001(&entry.file_name().to_string_lossy()));
-        let (snapshot, log, mark) = (file(folder, SNAPSHOT)?, file(folder, LOG)?, file(folder, MARK)?);
-        Ok(Files { snapshot, log, mark, of_001 })
+        let snapshot = file(folder, SNAPSHOT)?;
+        let held = snapshot.as_deref().and_then(number_of);
+        // The snapshot's own log; without either, the newest says what there was.
+        let mut logs = if folder.exists() { logs(folder)? } else { Vec::new() };
+        let own = logs.iter().position(|(number, _)| Some(*number) == held);
+        let log = own.map(|at| logs.swap_remove(at)).or_else(|| logs.pop());
+        let (log_of, log) = match log {
+            Some((number, path)) => (number, file(&path, "wal-1")?),
+            None => (0, None),
+        };
+        Ok(Files { snapshot, log, log_of, mark: file(folder, MARK)?, of_001 })
     }
 
     /// The table, and what of it is lost.
@@ -258,8 +318,8 @@
                     found.damage.entries("state: the snapshot is missing beside a log of format 001".into());
                 }
             }
-            // The first start ended between its log and its snapshot.
-            (None, Some(log)) if begins == Some(FIRST) && mark <= FIRST && is_blank(&log[LOG_HEAD..]) => {}
+            // The first start ended before its snapshot was there.
+            (None, Some(log)) if self.log_of == FIRST && mark <= FIRST && is_begun(log) => return found,
             (None, Some(_)) => found.damage.entries("state: the snapshot is missing".into()),
             (Some(bytes), _) => found.snapshot(bytes),
         }
@@ -268,21 +328,17 @@
             (None, _) if self.snapshot.is_none() => {}
             (None, _) => found.damage.entries("log: the file is missing".into()),
             (Some(_), None) => {
-                found.damage.entries("log at 0: the head is damaged or of another version".into())
+                found.damage.entries("log at 0: its first entry is damaged or of another version".into())
             }
-            // All of it is in the snapshot.
-            (Some(_), Some(begins)) if self.snapshot.is_some() && begins < held => {}
             (Some(log), Some(begins)) => {
-                if begins > held
-                    && self.snapshot.is_some()
-                    && found.damage.is_none()
-                    && stands(Guard::EntriesWithoutGaps)
-                {
+                let known = self.snapshot.is_some() && found.damage.is_none();
+                if begins != held && known && stands(Guard::EntriesWithoutGaps) {
+                    let older = if begins > held { "state" } else { "log" };
                     found.damage.entries(format!(
-                        "state: the snapshot is of entry {held}, and the log begins after {begins}: it is an older one"
+                        "{older}: the snapshot is of entry {held}, and the log begins after {begins}: it is an older one"
                     ));
                 }
-                found.last = begins;
+                found.last = begins.max(held);
                 found.log(log, mark);
             }
         }
@@ -295,10 +351,21 @@
     }
 }
 
+/// The snapshot's number, if its head is sound.
+fn number_of(snapshot: &[u8]) -> Option<u64> {
+    Some(Frame::read(snapshot.strip_prefix(SNAPSHOT_MAGIC)?)?.number)
+}
+
+/// The number that a log begins after: of its first entry, which has no records.
 fn begins_after(log: &[u8]) -> Option<u64> {
-    let (head, sum) = log.get(..LOG_HEAD)?.split_last_chunk::<4>()?;
-    let number = head.strip_prefix(LOG_MAGIC)?.try_into().ok()?;
-    (sum_of(head) == u32::from_le_bytes(*sum)).then(|| u64::from_le_bytes(number))
+    let (at, first) = Frame::find(log, 0, 0)?;
+    (at < OKAYWAL_BYTES && first.parts.is_empty()).then_some(first.number)
+}
+
+/// Whether nothing but its beginning was ever written to a log, and that perhaps not whole.
+fn is_begun(log: &[u8]) -> bool {
+    let end = Frame::find(log, 0, 0).map_or(0, |(at, first)| at + first.length);
+    is_blank(log.get(end + OKAYWAL_BYTES..).unwrap_or_default())
 }
 
 fn is_blank(bytes: &[u8]) -> bool {
@@ -327,41 +394,30 @@
         }
     }
 
-    /// Takes the log's entries.
+    /// Takes the log's entries. Between them stand bytes of okaywal's own.
     fn log(&mut self, log: &[u8], mark: u64) {
-        let mut at = LOG_HEAD;
-        while at < log.len() && !(log[at] == 0 && is_blank(&log[at..])) {
-            let next = self.last + 1;
-            let frame = Frame::read(&log[at..]).filter(|frame| frame.number == next);
-            let (length, sound) =
-                frame.as_ref().map_or((1, false), |f| (f.length, f.parts.iter().all(|part| part.sound)));
-            if !sound {
-                let later = Frame::find(log, at.saturating_add(length).min(log.len()), next);
-                let later = later.filter(|_| stands(Guard::EntriesWithoutGaps));
-                if later.is_none() && next > mark {
-                    log::info!("cache: The log ends torn at byte {at}: entry {next} was never acknowledged.");
-                    return;
-                }
-                match (frame, later) {
-                    (Some(frame), _) => {
-                        self.take("log", "the entry is damaged", at, &log[at..], frame);
-                        at = at.saturating_add(length);
-                    }
-                    (None, Some((place, later))) => {
-                        let to = later.number - 1;
-                        self.damage.entries(format!("log at {at}: entries {next} to {to} are damaged"));
-                        (at, self.last) = (place, to);
-                    }
-                    (None, None) => {
-                        self.damage.entries(format!("log at {at}: entries {next} to {mark} are damaged"));
-                        self.last = mark;
-                        return;
-                    }
+        let mut at = 0;
+        while let Some((place, frame)) = Frame::find(log, at, self.last) {
+            let (next, end) = (self.last + 1, place.saturating_add(frame.length).min(log.len()));
+            if frame.number > next && stands(Guard::EntriesWithoutGaps) {
+                let to = frame.number - 1;
+                self.damage.entries(format!("log at {at}: entries {next} to {to} are damaged"));
+            }
+            if !frame.parts.iter().all(|part| part.sound) && frame.number > mark {
+                let later = Frame::find(log, end, frame.number);
+                if later.filter(|_| stands(Guard::EntriesWithoutGaps)).is_none() {
+                    break;
                 }
-            } else if let Some(frame) = frame {
-                self.take("log", "", at, &log[at..], frame);
-                at += length;
             }
+            self.take("log", "the entry is damaged", place, &log[place..], frame);
+            at = end;
+        }
+        let next = self.last + 1;
+        if mark > self.last {
+            self.damage.entries(format!("log at {at}: entries {next} to {mark} are damaged"));
+            self.last = mark;
+        } else if !is_blank(log.get(at + OKAYWAL_BYTES..).unwrap_or_default()) {
+            log::info!("cache: The log ends torn behind byte {at}: entry {next} was never acknowledged.");
         }
     }
 
