Lab: how long an operator waits for an answer, calm and with a core machine lost

Cause: no figure said what an order costs its operator, so none could say what the new guards cost.

A connection that was reset counts as a caller gone in the world too.

--- a/crates/beechcroft-lab/src/main.rs
+++ b/crates/beechcroft-lab/src/main.rs
@@ -8,6 +8,7 @@
 mod idle;
 mod load;
 mod open;
+mod orders;
 mod plan;
 mod probe;
 mod sight;
@@ -75,6 +76,10 @@
   beechcroft-lab size --quick
   beechcroft-lab size --out docs/results/system")]
     Size(size::Size),
+    /// How long an operator waits for an answer: calm, and with a core machine lost.
+    #[command(after_help = "Examples:
+  beechcroft-lab orders --seeds 10")]
+    Orders(orders::Orders),
     /// One scenario under several values of a key.
     #[command(after_help = "Examples:
   beechcroft-lab sweep examples/days/units-crash.toml --set units=4,6,9")]
@@ -124,6 +129,7 @@
         What::Plan(plan) => plan.run(),
         What::Load(load) => load.run(),
         What::Size(size) => size.run(),
+        What::Orders(orders) => orders.run(),
         What::Search(search) => search.run(),
         What::Shrink(shrink) => shrink.run(),
         What::Role(Role::Holder { address }) => holder::hold(address),
--- a/crates/beechcroft-range/src/whole/day/hand.rs
+++ b/crates/beechcroft-range/src/whole/day/hand.rs
@@ -52,13 +52,17 @@
         spawn_local(async move { hand.call(core, "POST", &path, &body, within_ms).await })
     }
 
-    /// As an operator does: a second for each core machine, one after the other, until one gives a clear answer.
     pub async fn order(&self, first: usize, path: &str, body: &[u8]) -> Option<u16> {
+        self.until_clear(first, "POST", path, body).await
+    }
+
+    /// As an operator does: a second for each core machine, one after the other, until one gives a clear answer.
+    pub async fn until_clear(&self, first: usize, method: &str, path: &str, body: &[u8]) -> Option<u16> {
         let cores = self.0.stage.cores.borrow().len();
         let mut pause = 100;
         for nth in 0..30 {
             let within = 1000 + body.len() as u64 / 100;
-            let heard = self.call(first + nth % cores, "POST", path, body, within).await;
+            let heard = self.call(first + nth % cores, method, path, body, within).await;
             if let Some((status @ (200..=299 | 400 | 409 | 412 | 413 | 422), _)) = heard {
                 return Some(status);
             }
--- a/crates/beechcroft-range/src/whole/fabric.rs
+++ b/crates/beechcroft-range/src/whole/fabric.rs
@@ -372,7 +372,7 @@
     fn poll_ended(&self, cx: &mut Context<'_>) -> Poll<()> {
         let mut inner = self.fabric.with();
         match inner.lanes.get_mut(&self.input) {
-            Some(lane) if !lane.ended => {
+            Some(lane) if !lane.ended && !lane.broken => {
                 lane.reader = Some(cx.waker().clone());
                 Poll::Pending
             }
--- a/crates/beechcroft-range/tests/orders.rs
+++ b/crates/beechcroft-range/tests/orders.rs
@@ -3,6 +3,7 @@
 
 use beechcroft_hutbook::{ConfigStore, Orders, Stage, Value};
 use beechcroft_railing::Guard;
+use beechcroft_range::whole::fabric::CutHow;
 use beechcroft_range::whole::scenario::What;
 use beechcroft_range::whole::{by_hand, Hand, Scenario};
 use std::future::Future;
@@ -54,7 +55,7 @@
 }
 
 fn cut(from: &str, to: &str, for_s: f64) -> What {
-    What::Cut { from: from.into(), to: to.into(), for_s, one_way: false }
+    What::Cut { from: from.into(), to: to.into(), for_s, one_way: false, how: CutHow::Silent }
 }
 
 // ---- one number, several operators
