A hut serves only in contact with a majority; a relay begins by what one confirms

Cause: a hut that was cut off from the core acknowledged beats, and drains after 600 ms whoever had been told, and sent clients to edges that it had not heard for long. A relay that reached it first went by its copy and said that it was ready. A hut without contact stayed the first by name for the others, since edges still heard it, and a rollout stood still as long.

Ruled out: letters that merely come, as evidence: one way of a cut leaves them, and a thawed process reads old ones. Answers count, from the time at which their ping was sent. Reads need no such word, their round shows a majority. A copy that is sent to a starting relay with its confirmation: only the revisions are read, shared by all that ask at once; copies come as before.

Change: Contact in cairns (ping each 500 ms, 200 ms where no answer came, evidence of 2.5 s). Without it a hut refuses beats, drains, ends and orders with 503 at once, moves no rollout or placement and takes no other machine's membership. A drain or an end, known to the hut or not, repeated or not, is acknowledged once a majority of the voters' machines holds it, else 504: it may have gone round, so 503 would promise too much. The first by name is taken of those in contact. A relay is ready once it holds what a linearizable read confirms, or after 4 s with copies that nobody can confirm.

--- a/crates/beechcroft-cairns/src/letter.rs
+++ b/crates/beechcroft-cairns/src/letter.rs
@@ -98,6 +98,10 @@
     Sign(Sign),
     Crowd(Crowded),
     Seen(Word),
+    /// A hut asks whether its letters come; the number goes back with the answer.
+    Ping(u32),
+    /// With it, whether the one that answers is in contact with a majority itself.
+    Pong(u32, bool),
 }
 
 /// What a relay tells of a service's keys.
@@ -117,6 +121,7 @@
             Item::Member(m) => 40 + m.name.len() + m.region.len() + m.zone.len(),
             Item::Unit(n) => 30 + n.id.len() + n.service.len() + n.version.len() + n.zone.len(),
             Item::Beat(b) => 10 + b.id.len(),
+            Item::Ping(_) | Item::Pong(..) => 7,
             Item::Seen(w) => 24 + w.relay.len() + w.region.len() + w.service.len() + 11 * w.units.len(),
             Item::Crowd(c) => 24 + c.relay.len() + c.service.len() + 14 * c.word.keys.len(),
             Item::Sign(s) => 40 + s.relay.len() + s.service.len() + 6 * s.units.len(),
--- a/crates/beechcroft-cairns/src/lib.rs
+++ b/crates/beechcroft-cairns/src/lib.rs
@@ -5,8 +5,10 @@
 //! pings that go to the watched. Rendezvous hashing names for each relay the few that watch it. A watcher
 //! whose pings stay without answers says so; the one said to be down says otherwise with a higher mark.
 
+pub mod contact;
 pub mod letter;
 
+pub use contact::{Contact, Quorum};
 pub use letter::{Beat, Item, Letter, Member, Ranges, Standing, Sums, Who};
 
 use beechcroft_belvedere::Word;
@@ -86,13 +88,15 @@
     member: Member,
     watched_since: Option<u64>,
     answered_at: u64,
+    /// When it last wrote itself; not at all so far.
+    wrote_at: u64,
     /// How long this watcher waits for an answer: twice as long each time that it was wrong.
     patience_ms: u64,
 }
 
 impl Known {
     fn new(now: u64, member: Member) -> Known {
-        Known { member, watched_since: None, answered_at: now, patience_ms: DOWN_MS }
+        Known { member, watched_since: None, answered_at: now, wrote_at: 0, patience_ms: DOWN_MS }
     }
 }
 
@@ -141,10 +145,13 @@
     /// Of each register, the first change that is known of and missed, and since when.
     missed: [(u64, u64); 2],
     heard_at: u64,
+    contact: Contact,
 }
 
 impl Cairns {
     pub fn new(me: Member, port: u16, seeds: Vec<SocketAddrV4>, salt: u64) -> Cairns {
+        let mut rng = Pcg64Mcg::seed_from_u64(salt);
+        let contact = Contact::new(rng.random());
         let mut cairns = Cairns {
             me: me.clone(),
             port,
@@ -157,7 +164,7 @@
             seen: BTreeMap::new(),
             touch: None,
             fresh: VecDeque::new(),
-            rng: Pcg64Mcg::seed_from_u64(salt),
+            rng,
             next_flush: 0,
             missed: [(0, 0); 2],
             ranges: [0; MEMBER_RANGES],
@@ -168,6 +175,7 @@
             changed_at: [0; 2],
             next_ping: 0,
             heard_at: 0,
+            contact,
         };
         cairns.count_in(None, &me);
         cairns
@@ -210,6 +218,33 @@
         self.heard_at
     }
 
+    /// When a relay was last heard itself.
+    pub fn heard_of(&self, name: &str) -> u64 {
+        self.members.get(name).map_or(0, |known| known.wrote_at)
+    }
+
+    /// Pings the machines of a quorum that are due, and notes for those who ask whether this one is in contact.
+    pub fn ping_quorum(&mut self, now: u64, quorum: &Quorum, out: &mut Vec<Action>) {
+        let (number, due) = self.contact.due(now, quorum);
+        self.contact.note(now, quorum);
+        for name in due {
+            if let Some(to) = self.member(&name).map(|member| self.address(member)) {
+                self.send(to, &[Item::Ping(number)], false, None, out);
+            }
+        }
+    }
+
+    /// Whether so many machines of a quorum as are needed have answered this one of late.
+    pub fn in_contact(&self, now: u64, quorum: &Quorum) -> bool {
+        self.contact.holds(now, quorum)
+    }
+
+    /// Whether this hut is the first by name of those that are in contact, as far as it is told: what one of them is to do
+    /// and any may, it does.
+    pub fn is_first(&self, now: u64, quorum: &Quorum) -> bool {
+        self.in_contact(now, quorum) && self.contact.in_contact(now, quorum).all(|name| *name > self.me.name)
+    }
+
     pub fn address(&self, member: &Member) -> SocketAddrV4 {
         SocketAddrV4::new(member.ip, self.port + u16::from(!member.core))
     }
@@ -235,7 +270,16 @@
         news
     }
 
-    /// A unit has said that it ends.
+    /// A unit has said that it ends, known here or not.
+    pub fn unit_ends(&mut self, now: u64, id: &str) -> bool {
+        let news = self.units.ends(now, id);
+        if news {
+            self.pass_on(What::Unit(id.to_owned()));
+        }
+        news
+    }
+
+    /// A unit has ended.
     pub fn unit_gone(&mut self, id: &str) -> bool {
         let news = self.units.gone(id);
         if news {
@@ -479,8 +523,9 @@
         }
         (self.heard_at, self.clock) = (now, now);
         let name = sender.name.clone();
+        self.contact.heard(now, &name);
         if let Some(known) = self.members.get_mut(&sender.name) {
-            known.answered_at = now;
+            (known.answered_at, known.wrote_at) = (now, now);
             let Who { incarnation, mark, standing, .. } = sender;
             let member = Member { incarnation, mark, standing, ..known.member.clone() };
             self.take_member(now, member, out);
@@ -499,6 +544,11 @@
                 Item::Sign(sign) => self.take_sign(now, sign, out),
                 Item::Crowd(crowd) => self.take_crowd(crowd, out),
                 Item::Seen(word) => self.take_seen(word, out),
+                Item::Ping(number) => {
+                    let pong = Item::Pong(number, self.contact.held());
+                    self.send(from, &[pong], false, None, out);
+                }
+                Item::Pong(number, contact) => self.contact.answered(&name, number, contact),
             }
         }
         if let Some((age, revision)) = sums.touch {
--- a/crates/beechcroft-hut/src/desks.rs
+++ b/crates/beechcroft-hut/src/desks.rs
@@ -89,11 +89,11 @@
                 warm_left_ms: beat.status.warmup_left_ms.clamp(0.0, 1e9) as u32,
                 age_ms: 0,
             };
-            through(queue, |done| Command::Beat(note, done)).await?;
+            through(queue, |done| Command::Beat(note, done)).await??;
             Ok(Answer::json("{}"))
         }
         Known::Deregister(id) => {
-            through(queue, |done| Command::Deregister(id, done)).await?;
+            through(queue, |done| Command::Deregister(id, done)).await??;
             Ok(Answer::json("{}"))
         }
         Known::Replace => {
@@ -170,6 +170,10 @@
             let register = usize::from(call.body.first().copied().unwrap_or(0) & 1);
             through(&queue, |answer| Command::Copy(register, answer)).await.map(|v| postcard::to_stdvec(&v))
         }
+        "/revisions" => match through(&queue, Command::Revisions).await {
+            Ok(Ok(revisions)) => Ok(postcard::to_stdvec(&revisions)),
+            Ok(Err(fault)) | Err(fault) => Err(fault),
+        },
         "/unit" => match postcard::from_bytes(&call.body) {
             Ok(note) => through(&queue, |done| Command::Told(note, done)).await.map(|()| Ok(Vec::new())),
             Err(e) => Err(invalid(e)),
--- a/crates/beechcroft-hut/src/keeper.rs
+++ b/crates/beechcroft-hut/src/keeper.rs
@@ -1,16 +1,19 @@
 //! The owner of a core machine's tables: members, units, the voter, this machine's rounds, what is chosen.
 //! Everything reaches it through one queue of commands; it never waits.
 
+mod contact;
 mod quorum;
 mod rollouts;
 mod show;
 
 use crate::disk::Disk;
+use crate::keeper::contact::Reads;
 use beechcroft_belvedere::{short, Bench, Verdict};
 use beechcroft_cache::Table;
-use beechcroft_cairns::{Action as News, Cairns, Letter, Member, Standing};
+use beechcroft_cairns::{Action as News, Cairns, Letter, Member, Quorum, Standing};
 use beechcroft_hutbook::proposer::{Action as Step, Answer, Event, OrderId};
 use beechcroft_hutbook::{Ask, Ballot, Op, Orders, Proposer, Reply, Stage, Value, Voter, CONFIG, ORDERS};
+use beechcroft_kinds::Fault;
 use beechcroft_map::config::{Service, Unfit};
 use beechcroft_map::usual::Usual;
 use beechcroft_map::{Config, Settings};
@@ -50,9 +53,11 @@
 /// What the keeper is asked or told.
 pub enum Command {
     Letter(SocketAddrV4, Box<Letter>),
-    /// A beat; answered once others know, if it tells of a drain.
-    Beat(Note, oneshot::Sender<()>),
-    Deregister(String, oneshot::Sender<()>),
+    /// A beat; answered once a majority of the core holds it, if it tells of a drain.
+    Beat(Note, oneshot::Sender<Done>),
+    Deregister(String, oneshot::Sender<Done>),
+    /// A majority of the core holds that a unit has come to this state.
+    HeldByMajority(String, State),
     /// Another core machine passes on a drain or an end.
     Told(Note, oneshot::Sender<()>),
     Ask(Ask, oneshot::Sender<Reply>),
@@ -75,6 +80,9 @@
     },
     Copy(usize, oneshot::Sender<Value>),
     Copied(usize, Value),
+    /// The revisions of the registers, read from a majority.
+    Revisions(oneshot::Sender<Result<[u64; 2], Fault>>),
+    RevisionsRead,
     Resolve {
         region: String,
         zone: String,
@@ -89,6 +97,9 @@
 
 pub type Queue = mpsc::UnboundedSender<Command>;
 
+/// Whether something was done that may be acknowledged.
+pub type Done = Result<(), Fault>;
+
 pub struct Keeper {
     settings: Settings,
     usual: Usual,
@@ -114,6 +125,12 @@
     told_voters: Option<(Vec<String>, beechcroft_hutbook::Epochs)>,
     /// A membership whose machine is down, and since when.
     vacant: Option<(String, u64)>,
+    /// The machines that make a majority with this one or without it, and when they were last looked up.
+    quorum: Quorum,
+    quorum_at: u64,
+    /// Drains and ends that a majority of the core is known to hold.
+    held_widely: BTreeMap<String, State>,
+    reads: Reads,
     answers: BTreeMap<OrderId, oneshot::Sender<Answer>>,
     next_order: OrderId,
     pulling: [u64; 2],
@@ -160,6 +177,10 @@
             touches: BTreeSet::new(),
             told_voters: None,
             vacant: None,
+            quorum: Quorum::default(),
+            quorum_at: 0,
+            held_widely: BTreeMap::new(),
+            reads: Reads::default(),
             answers: BTreeMap::new(),
             next_order: 0,
             pulling: [0; 2],
@@ -226,28 +247,10 @@
         let mut news = Vec::new();
         match command {
             Command::Letter(from, letter) => self.cairns.letter(now, from, *letter, &mut news),
-            Command::Beat(note, done) => {
-                let state = note.state;
-                let changed = self.cairns.beat(now, note.clone()) == UnitNews::Change;
-                self.units_new |= changed;
-                if changed && state == State::Draining {
-                    self.cairns.hurry(now, &mut news);
-                    self.tell_cores(note, done);
-                } else {
-                    let _ = done.send(());
-                }
-            }
-            Command::Deregister(id, done) => {
-                if self.cairns.unit_gone(&id) {
-                    self.units_new = true;
-                    self.cairns.hurry(now, &mut news);
-                    match self.cairns.units.note(now, &id) {
-                        Some(note) => self.tell_cores(note, done),
-                        None => drop(done.send(())),
-                    }
-                } else {
-                    let _ = done.send(());
-                }
+            Command::Beat(note, done) => self.beat(now, note, done, &mut news),
+            Command::Deregister(id, done) => self.deregister(now, &id, done, &mut news),
+            Command::HeldByMajority(id, state) => {
+                self.held_widely.insert(id, state);
             }
             Command::Told(note, done) => {
                 if self.cairns.beat(now, note) == UnitNews::Change {
@@ -265,7 +268,10 @@
             }
             Command::Fenced { from, epoch, reply } => self.fenced(&from, epoch, reply),
             Command::VotesAgain => self.votes(),
-            Command::Order(register, op, answer) => self.order(register, op, Some(answer)),
+            Command::Order(register, op, answer) => match self.may_order(now, &op) {
+                Ok(()) => self.order(register, op, Some(answer)),
+                Err(fault) => drop(answer.send(Err(fault))),
+            },
             Command::Back { service, begun } => self.back(&service, begun),
             Command::Copy(register, answer) => {
                 let _ = answer.send(self.held[register.min(1)].clone());
@@ -274,8 +280,10 @@
                 self.pulling[register] = 0;
                 self.learn(register, value);
             }
+            Command::Revisions(answer) => self.revisions(now, answer),
+            Command::RevisionsRead => self.revisions_read(),
             Command::Resolve { region, zone, answer } => {
-                let _ = answer.send(self.resolve(&region, &zone));
+                let _ = answer.send(self.resolve(now, &region, &zone));
             }
             Command::Why(unit, answer) => drop(answer.send(self.why(&unit))),
             Command::Show(answer) => drop(answer.send(self.show())),
@@ -286,6 +294,8 @@
             }
             Command::Tick => {
                 self.cairns.tick(now, &mut news);
+                self.look_for_quorum(now);
+                self.cairns.ping_quorum(now, &self.quorum, &mut news);
                 self.tick(now);
             }
         }
@@ -317,27 +327,6 @@
         }
     }
 
-    /// Every other core machine is told of a drain before it is acknowledged; one that answers is enough.
-    fn tell_cores(&self, note: Note, done: oneshot::Sender<()>) {
-        let cores: Vec<SocketAddrV4> =
-            self.cairns.alive().filter(|m| m.core).map(|m| self.cairns.address(m)).collect();
-        let Ok(bytes) = postcard::to_stdvec(&note) else { return };
-        let (told, mut heard) = mpsc::unbounded_channel();
-        for to in cores {
-            let (errands, bytes, told) = (self.errands.clone(), bytes.clone(), told.clone());
-            spawn_local(async move {
-                if errands.run(to, "/unit", bytes, Duration::from_millis(600)).await.is_ok() {
-                    let _ = told.send(());
-                }
-            });
-        }
-        drop(told);
-        spawn_local(async move {
-            let _ = tokio::time::timeout(Duration::from_millis(600), heard.recv()).await;
-            let _ = done.send(());
-        });
-    }
-
     /// This machine's own part as a voter: the reply goes out once what it says is on disk.
     fn ask(&mut self, ask: Ask, answer: oneshot::Sender<Reply>) {
         let (reply, records) = self.voter.ask(ask);
@@ -463,21 +452,12 @@
         }
         if now >= self.conduct_at {
             self.conduct_at = now + CONDUCT_EVERY_MS;
-            self.place(now);
-            self.put_bases_down(now);
-            self.conduct(now);
-        }
-    }
-
-    /// Where a client goes: the ready edges of its region, else all.
-    fn resolve(&self, region: &str, _zone: &str) -> Vec<SocketAddrV4> {
-        let ready = || self.cairns.alive().filter(|m| m.standing == Standing::Ready && m.ingress.is_some());
-        let mut found: Vec<SocketAddrV4> =
-            ready().filter(|m| m.region == region).filter_map(|m| m.ingress).collect();
-        if found.is_empty() {
-            found = ready().filter_map(|m| m.ingress).collect();
+            // What this machine knows of units and signs is no evidence while it hears no majority.
+            if self.in_contact(now) {
+                self.place(now);
+                self.put_bases_down(now);
+                self.conduct(now);
+            }
         }
-        found.truncate(64);
-        found
     }
 }
--- a/crates/beechcroft-hut/src/keeper/quorum.rs
+++ b/crates/beechcroft-hut/src/keeper/quorum.rs
@@ -91,6 +91,8 @@
         let waits =
             |m: &&Member| m.core && m.quorum && !voters.iter().any(|voter_id| holder(voter_id) == m.name);
         let first = self.cairns.alive().filter(waits).all(|m| m.name.as_str() > me);
+        // One that hears no majority of the voters' machines knows of none that it is down.
+        let first = first && self.in_contact(now);
         let vacant = voters.iter().find(|voter_id| !up(&holder(voter_id))).cloned();
         let Some(vacant) = vacant.filter(|_| first) else {
             self.vacant = None;
--- a/crates/beechcroft-hut/src/keeper/rollouts.rs
+++ b/crates/beechcroft-hut/src/keeper/rollouts.rs
@@ -14,8 +14,7 @@
         }
         self.unbased.retain(|service, _| found.contains_key(service.as_str()));
         // One hut does it; another does once that one has not.
-        let me = self.cairns.me.name.as_str();
-        let first = self.cairns.alive().filter(|m| m.core).all(|m| m.name.as_str() > me);
+        let first = self.is_first(now);
         let wait = if first { 0 } else { 3 * BASE_AFTER_MS };
         let mut due = Vec::new();
         for (service, versions) in found {
@@ -40,8 +39,7 @@
             return;
         }
         self.place_at = now + PLACE_EVERY_MS;
-        let me = self.cairns.me.name.as_str();
-        let first = self.cairns.alive().filter(|m| m.core).all(|m| m.name.as_str() > me);
+        let first = self.is_first(now);
         // One core machine shows it; another does once that one's word stays out.
         if first || self.cairns.touched_at().is_none_or(|at| now > at + 2 * PLACE_EVERY_MS) {
             self.order(ORDERS, Op::Read, None);
@@ -78,10 +76,9 @@
         }
     }
 
-    /// One of the core machines takes rollouts on; another does once that one is gone.
+    /// One of the core machines takes rollouts on; another does once that one is gone or without contact.
     pub(super) fn conduct(&mut self, now: u64) {
-        let me = self.cairns.me.name.as_str();
-        let first = self.cairns.alive().filter(|m| m.core).all(|m| m.name.as_str() > me);
+        let first = self.is_first(now);
         let mut due = Vec::new();
         for (service, rollout) in &self.orders.rollouts {
             let Stage::Active(stage) = rollout.stage else { continue };
@@ -136,6 +133,11 @@
 
     /// A proxy relay votes a version back.
     pub(super) fn back(&mut self, service: &str, begun: u64) {
+        // The relay has sent its vote to every hut: one that reaches a majority carries it out, and no later one does when
+        // this machine is back.
+        if !self.in_contact(self.now()) {
+            return;
+        }
         let held = self.orders.rollouts.get(service).filter(|held| held.begun == begun);
         let Some(from) = held.map(|held| held.stage).filter(|stage| matches!(stage, Stage::Active(_))) else {
             return;
--- a/crates/beechcroft-pass/src/errand.rs
+++ b/crates/beechcroft-pass/src/errand.rs
@@ -53,6 +53,12 @@
         postcard::from_bytes(&bytes).map_err(|e| Fault::new(Kind::Malformed, e.to_string()))
     }
 
+    /// The registers' revisions as a hut reads them from a majority of the core.
+    pub async fn revisions(&self, from: SocketAddrV4, within: Duration) -> Result<[u64; 2], Fault> {
+        let bytes = self.run(from, "/revisions", Vec::new(), within).await?;
+        postcard::from_bytes(&bytes).map_err(|e| Fault::new(Kind::Malformed, e.to_string()))
+    }
+
     async fn call(&self, to: SocketAddrV4, path: &str, body: Vec<u8>) -> http_types::Result<(u16, Vec<u8>)> {
         let wire = match self.kept(to) {
             Some(wire) => wire,
--- a/crates/beechcroft-railing/src/lib.rs
+++ b/crates/beechcroft-railing/src/lib.rs
@@ -10,6 +10,18 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Guard {
     // Contact with a majority.
+    /// A hut without contact acknowledges no beat, drain or end, and takes no order.
+    ContactToServe,
+    /// Contact counts only answers to pings, from the time at which the ping was sent.
+    TwoWayContact,
+    /// A drain or an end is acknowledged once a majority of the core holds it.
+    DrainHeldByMajority,
+    /// The same when the drain is not new to the hut that is told of it.
+    RepeatedDrainHeld,
+    /// A relay that starts is ready once it holds what a majority confirms.
+    ConfirmedStart,
+    /// A hut that hears nobody sends no client anywhere.
+    HeardBeforeResolve,
     // Orders and their repeats.
     // Membership of the quorum.
     /// A voter accepts nothing of a round that stands on a promise of a fenced epoch.
--- a/crates/beechcroft-range/src/whole/actors.rs
+++ b/crates/beechcroft-range/src/whole/actors.rs
@@ -2,7 +2,7 @@
 //! reader of heads and bodies as the programs, and write down what they see.
 
 use super::fabric::Fabric;
-use super::wires::{Answered, Asked, Came, Wires};
+use super::wires::{Answered, Asked, Came, Said, Wires};
 use beechcroft_pass::guard::{self, Read};
 use beechcroft_pass::line::{Body, Line};
 use beechcroft_pass::Ground;
@@ -56,6 +56,24 @@
         draw * mean
     }
 
+    /// Asks a hut, and writes down what it said. `also`: what the path does not tell.
+    pub async fn ask_hut(
+        &self, ground: &Ground, to: SocketAddrV4, ask: (&str, &str, &str), body: &[u8], within: Duration,
+    ) -> Option<(u16, Vec<u8>)> {
+        let (method, path, also) = ask;
+        let at = self.now();
+        let answer = call(ground, to, method, path, body, within).await;
+        let said = Said {
+            hut: self.name_of(*to.ip()),
+            at,
+            until: self.now(),
+            what: format!("{method} {path}{also}"),
+            status: answer.as_ref().map(|answer| answer.0),
+        };
+        self.wires.borrow_mut().said.push(said);
+        answer
+    }
+
     fn name_of(&self, ip: Ipv4Addr) -> String {
         self.fabric.with().spots.get(&ip).map(|spot| spot.name.clone()).unwrap_or_default()
     }
@@ -185,7 +203,8 @@
     let from = (stage.draw() * cores.len() as f64) as usize;
     for nth in 0..cores.len() {
         let to = SocketAddrV4::new(cores[(from + nth) % cores.len()], CONTROL);
-        let done = call(ground, to, "POST", &path, body.to_string().as_bytes(), Duration::from_secs(1)).await;
+        let ask = ("POST", path.as_str(), if unit.draining.get() { " draining" } else { "" });
+        let done = stage.ask_hut(ground, to, ask, body.to_string().as_bytes(), Duration::from_secs(1)).await;
         if done.is_some_and(|(status, _)| status == 200) {
             return true;
         }
@@ -200,7 +219,7 @@
     let cores = stage.cores.borrow().clone();
     for core in cores {
         let to = SocketAddrV4::new(core, CONTROL);
-        let done = call(&ground, to, "POST", &path, b"", Duration::from_secs(1)).await;
+        let done = stage.ask_hut(&ground, to, ("POST", &path, ""), b"", Duration::from_secs(1)).await;
         if done.is_some_and(|(status, _)| status == 200) {
             return true;
         }
@@ -394,7 +413,8 @@
             cores.sort_by_key(spots);
             for core in cores.into_iter().take(3) {
                 let to = SocketAddrV4::new(core, DIRECTORY);
-                let done = call(&self.ground, to, "GET", &path, b"", Duration::from_secs(1)).await;
+                let ask = ("GET", path.as_str(), "");
+                let done = stage.ask_hut(&self.ground, to, ask, b"", Duration::from_secs(1)).await;
                 let Some((200, body)) = done else { continue };
                 let Ok(answer) = serde_json::from_slice::<serde_json::Value>(&body) else { continue };
                 let addresses = answer["addresses"].as_array().cloned().unwrap_or_default();
--- a/crates/beechcroft-range/src/whole/day.rs
+++ b/crates/beechcroft-range/src/whole/day.rs
@@ -158,6 +158,21 @@
     day.clone().traffic().await
 }
 
+/// Asks an edge machine, from beside it, until it says that it is ready.
+async fn ready(stage: Rc<Stage>, machine: Rc<Machine>) {
+    let ground = Ground::world(Rc::new(stage.fabric.seat(machine.ip)));
+    let (at, within) = (SocketAddrV4::new(machine.ip, READY), Duration::from_secs(1));
+    let began = stage.now();
+    while stage.now() < began + 20_000 {
+        if let Some((200, _)) = call(&ground, at, "GET", "/ready", b"", within).await {
+            let now = stage.now();
+            stage.wires.borrow_mut().ready.push((machine.name.clone(), began, now));
+            return;
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
 fn operator() -> Ipv4Addr {
     Ipv4Addr::new(10, 250, 0, 1)
 }
@@ -292,6 +307,9 @@
             }
         };
         *machine.process.borrow_mut() = Some(Process::start(&self.stage.fabric, ip, main));
+        if self.scenario.starts && !machine.core {
+            spawn_local(ready(self.stage.clone(), machine.clone()));
+        }
     }
 
     fn named(&self, on: &str) -> Vec<Rc<Machine>> {
@@ -515,7 +533,7 @@
             let to = SocketAddrV4::new(cores[nth % cores.len()], CONTROL);
             nth += 1;
             let wait = Duration::from_millis(1000 + body.len() as u64 / 100);
-            let done = call(&ground, to, "POST", path, body, wait).await;
+            let done = self.stage.ask_hut(&ground, to, ("POST", path, ""), body, wait).await;
             if let Some((status @ (200..=299 | 400 | 409 | 412 | 413 | 422), _)) = done {
                 note(&mut self.stage.wires.borrow_mut(), status, self.stage.now());
                 ended = Some(status);
@@ -623,7 +641,8 @@
             let cores = self.stage.cores.borrow().clone();
             let to = SocketAddrV4::new(cores[nth % cores.len()], CONTROL);
             let within = Duration::from_secs(3);
-            if let Some((200, body)) = call(&ground, to, "GET", "/config/show", b"", within).await {
+            let ask = ("GET", "/config/show", "");
+            if let Some((200, body)) = self.stage.ask_hut(&ground, to, ask, b"", within).await {
                 self.stage.wires.borrow_mut().read_back = Some(body);
                 break;
             }
@@ -634,7 +653,8 @@
             for core in cores {
                 let path = format!("/rollouts/{service}/show");
                 let to = SocketAddrV4::new(core, CONTROL);
-                let done = call(&ground, to, "GET", &path, b"", Duration::from_secs(3)).await;
+                let within = Duration::from_secs(3);
+                let done = self.stage.ask_hut(&ground, to, ("GET", &path, ""), b"", within).await;
                 let Some((200, body)) = done else { continue };
                 let state = serde_json::from_slice::<serde_json::Value>(&body).unwrap_or_default();
                 let state = state["state"].as_str().unwrap_or("?").to_owned();
--- a/crates/beechcroft-range/src/whole/day/events.rs
+++ b/crates/beechcroft-range/src/whole/day/events.rs
@@ -330,7 +330,8 @@
             sleep(Duration::from_millis(300)).await;
             let cores = self.stage.cores.borrow().clone();
             let to = SocketAddrV4::new(cores[nth % cores.len()], CONTROL);
-            let done = call(&ground, to, "GET", &path, b"", Duration::from_secs(1)).await;
+            let ask = ("GET", path.as_str(), "");
+            let done = self.stage.ask_hut(&ground, to, ask, b"", Duration::from_secs(1)).await;
             let Some((200, body)) = done else { continue };
             let state = serde_json::from_slice::<serde_json::Value>(&body).unwrap_or_default();
             match state["state"].as_str() {
--- a/crates/beechcroft-range/src/whole/scenario.rs
+++ b/crates/beechcroft-range/src/whole/scenario.rs
@@ -61,6 +61,9 @@
     /// Each edge machine is asked until it goes by a new configuration, to see how long that takes.
     #[serde(default)]
     pub spread: bool,
+    /// Each edge machine is asked from its start on until it is ready, to see how long that takes.
+    #[serde(default)]
+    pub starts: bool,
     /// By number: letters that are lost, syncs that do something else.
     #[serde(default)]
     pub lost_letters: Vec<u64>,
--- a/crates/beechcroft-range/src/whole/wires.rs
+++ b/crates/beechcroft-range/src/whole/wires.rs
@@ -120,6 +120,18 @@
     pub planned: bool,
 }
 
+/// What a hut was asked by a unit, an operator or a client, and what it answered.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Said {
+    pub hut: String,
+    pub at: u64,
+    pub until: u64,
+    /// Method and path; a beat that tells of a drain ends in ` draining`.
+    pub what: String,
+    /// None: no whole answer in time.
+    pub status: Option<u16>,
+}
+
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Wires {
     pub asked: BTreeMap<String, Asked>,
@@ -137,4 +149,7 @@
     pub closing: Option<u64>,
     /// Successes on connections where no request was waiting.
     pub unasked_answers: u64,
+    pub said: Vec<Said>,
+    /// Edge machine, start of its process, when it first said that it is ready: if the scenario asks for it.
+    pub ready: Vec<(String, u64, u64)>,
 }
--- /dev/null
+++ b/crates/beechcroft-range/tests/cut_off.rs
@@ -0,0 +1,245 @@
+//! A hut is cut off from the rest of the core for twenty seconds, silently or one way, while changes, orders, drains and
+//! a rollout go on and relays start. What it answers in that time is held against what the majority did.
+
+use beechcroft_railing::Guard;
+use beechcroft_range::whole::scenario::{Event, What};
+use beechcroft_range::whole::wires::Said;
+use beechcroft_range::whole::{play, Report, Scenario};
+
+/// The world's traffic, and so a scenario's second 0, begins at this time.
+const START_MS: u64 = 8000;
+const CUT_S: f64 = 2.0;
+const FOR_S: f64 = 20.0;
+/// Contact is lost by then, the last ping's age and a tick included.
+const LAPSE_MS: u64 = 2700;
+
+fn cut(from: &str, to: &str, one_way: bool) -> Event {
+    let what = What::Cut { from: from.into(), to: to.into(), for_s: FOR_S, one_way };
+    Event { at: CUT_S, what }
+}
+
+fn at(at: f64, what: What) -> Event {
+    Event { at, what }
+}
+
+fn scenario(cuts: Vec<Event>, more: Vec<Event>) -> Scenario {
+    let mut scenario = Scenario::read("name = \"cut-off\"\nedges = 6\nrate = 20.0\nseconds = 26.0").unwrap();
+    scenario.event = cuts.into_iter().chain(more).collect();
+    scenario
+}
+
+/// Changes, orders and drains from the cut's first moment to its end.
+fn busy() -> Vec<Event> {
+    let mut events = Vec::new();
+    for nth in 0..6 {
+        events.push(at(CUT_S + 0.2 + 3.0 * f64::from(nth), What::Config { routes: 1, drop: nth % 2 == 1 }));
+        let service = ["boards", "ledger", "archive"][nth as usize % 3].to_owned();
+        events
+            .push(at(CUT_S + 0.3 + 3.0 * f64::from(nth), What::Drain { service: service.clone(), count: 2 }));
+        events.push(at(CUT_S + 0.6 + 3.0 * f64::from(nth), What::Add { service, count: 2 }));
+        events.push(at(CUT_S + 1.7 + 3.0 * f64::from(nth), What::Invalid));
+    }
+    let evacuate = What::Evacuate { zone: "zone-0b".into(), for_s: 9.0 };
+    events.push(at(CUT_S + 1.0, evacuate));
+    let rollout = What::Rollout { service: "ledger".into(), fails: 0.0, slow: 1.0, ramp_s: 6.0 };
+    events.push(at(CUT_S + 5.0, rollout));
+    events
+}
+
+/// The cut of one hut from all others of the core; units, edges and the operator still reach it.
+fn from_the_core(hut: &str, out: bool, back: bool) -> Vec<Event> {
+    match (out, back) {
+        (true, true) => vec![cut(hut, "core", false)],
+        (true, false) => vec![cut(hut, "core", true)],
+        _ => vec![cut("core", hut, true)],
+    }
+}
+
+/// What a hut said to asks that came after this long into the cut, until it ended.
+fn said<'a>(report: &'a Report, hut: &'a str, after_ms: u64) -> impl Iterator<Item = &'a Said> {
+    let from = START_MS + (CUT_S * 1000.0) as u64;
+    let until = from + (FOR_S * 1000.0) as u64;
+    let inside = move |said: &&Said| said.at >= from + after_ms && said.until < until;
+    report.wires.said.iter().filter(inside).filter(move |said| said.hut == hut)
+}
+
+fn drains(said: &Said) -> bool {
+    said.what.ends_with(" draining") || said.what.ends_with("/deregister")
+}
+
+fn orders(said: &Said) -> bool {
+    let order = ["/config/replace", "/rollouts/begin", "/begin", "/finish"];
+    said.what.starts_with("POST") && order.iter().any(|end| said.what.ends_with(end))
+}
+
+/// What a hut that is cut off must not have said; empty if it kept to it.
+fn falsehoods(report: &Report, hut: &str, reachable: bool) -> Vec<String> {
+    let tell = |why: &str, said: &Said| format!("{why}: {said:?}");
+    let mut found = Vec::new();
+    // Confirmed, or refused as another version, from the cut's first moment on: nobody else knows of it.
+    for said in said(report, hut, 100) {
+        // What cannot be read as a configuration is refused by its text alone, with 400.
+        if orders(said) && matches!(said.status, Some(200..=299 | 401..=499)) {
+            found.push(tell("an order is decided", said));
+        }
+        if drains(said) && said.status == Some(200) {
+            found.push(tell("a drain is confirmed", said));
+        }
+        if said.what.starts_with("GET /config") && said.status == Some(200) {
+            found.push(tell("a configuration is read", said));
+        }
+    }
+    for said in said(report, hut, LAPSE_MS) {
+        if said.what.contains("/heartbeat") && said.status == Some(200) {
+            found.push(tell("a beat is confirmed", said));
+        }
+        let refused = matches!(said.status, Some(503 | 400)) && said.until <= said.at + 200;
+        if said.what.starts_with("POST") && said.status != Some(200) && !refused && reachable {
+            found.push(tell("not refused at once", said));
+        }
+    }
+    found
+}
+
+fn sound(report: &Report) {
+    assert_eq!(report.verdict.breaches, []);
+    assert_eq!(report.unacked, [] as [String; 0]);
+    assert_eq!(report.verdict.duties_missed, [] as [String; 0]);
+}
+
+#[test]
+fn a_hut_that_is_cut_off_decides_nothing_and_the_others_go_on() {
+    let cases = [("core-0", true, true), ("core-1", true, false), ("core-2", false, true)];
+    std::thread::scope(|scope| {
+        for (hut, out, back) in cases {
+            scope.spawn(move || {
+                let report = play(&scenario(from_the_core(hut, out, back), busy()));
+                sound(&report);
+                assert_eq!(falsehoods(&report, hut, true), [] as [String; 0], "{hut} {out} {back}");
+                // It was asked, and the majority decided.
+                let asked = |kind: fn(&Said) -> bool| said(&report, hut, 0).filter(|s| kind(s)).count();
+                assert!(asked(orders) >= 1 && asked(drains) >= 1, "{hut} was not asked");
+                assert_eq!(report.wires.configs.iter().filter(|config| config.acked.is_some()).count(), 7);
+                assert!(report.wires.units.values().filter(|life| life.left_acked.is_some()).count() >= 12);
+            });
+        }
+    });
+}
+
+fn broken(guard: Guard, wanted: &str) {
+    let sought = |hut: &str| {
+        // Many leave just as the cut begins, while the hut does not know of it yet.
+        let leave = at(CUT_S + 0.1, What::Drain { service: "boards".into(), count: 6 });
+        let events = busy().into_iter().chain([leave]).collect();
+        let mut scenario = scenario(from_the_core(hut, true, true), events);
+        scenario.without = Some(guard);
+        let found = falsehoods(&play(&scenario), hut, true);
+        found.iter().any(|said| said.starts_with(wanted))
+    };
+    assert!(["core-0", "core-1"].into_iter().any(sought), "{guard:?} is not missed");
+}
+
+#[test]
+fn without_contact_a_hut_that_is_cut_off_confirms_beats() {
+    broken(Guard::ContactToServe, "a beat is confirmed");
+}
+
+#[test]
+fn without_its_majority_a_drain_is_confirmed_that_nobody_else_knows() {
+    broken(Guard::DrainHeldByMajority, "a drain is confirmed");
+}
+
+#[test]
+fn a_drain_that_comes_again_is_confirmed_that_nobody_else_knows() {
+    broken(Guard::RepeatedDrainHeld, "a drain is confirmed");
+}
+
+#[test]
+fn without_two_ways_a_hut_that_others_hear_but_do_not_answer_confirms_beats() {
+    // Its letters go nowhere; what the others write comes.
+    let mut scenario = scenario(from_the_core("core-1", true, false), busy());
+    scenario.without = Some(Guard::TwoWayContact);
+    let found = falsehoods(&play(&scenario), "core-1", true);
+    assert!(found.iter().any(|said| said.starts_with("a beat is confirmed")), "{found:?}");
+}
+
+/// A hut is cut off from all relays; clients and units reach it.
+fn alone() -> Scenario {
+    let cuts = vec![cut("core-0", "core", false), cut("core-0", "edge", false)];
+    scenario(cuts, busy())
+}
+
+fn clients_sent(report: &Report, after_ms: u64) -> usize {
+    let sent = |said: &&Said| said.what.starts_with("GET /resolve") && said.status == Some(200);
+    said(report, "core-0", after_ms).filter(sent).count()
+}
+
+#[test]
+fn a_hut_that_hears_nobody_sends_no_client_anywhere() {
+    let report = play(&alone());
+    sound(&report);
+    assert_eq!(clients_sent(&report, LAPSE_MS), 0);
+    let asked = said(&report, "core-0", LAPSE_MS).filter(|said| said.what.starts_with("GET /resolve"));
+    assert!(asked.count() > 0, "it was asked");
+    let report = play(&Scenario { without: Some(Guard::HeardBeforeResolve), ..alone() });
+    assert!(clients_sent(&report, LAPSE_MS) > 0, "the guard is not missed");
+}
+
+/// Relays start while the hut that they reach first is cut off from the others and has missed changes: the service that
+/// the moved route of each request went to, and the version that holds.
+fn begun_by(without: Option<Guard>) -> (usize, usize) {
+    // Far regions are so far that the near hut's copy comes first by a second.
+    let mut cuts = vec![cut("core-2", "core", false)];
+    cuts.extend((0..5).filter(|at| *at != 2).map(|at| cut("core-2", &format!("edge-{at}"), false)));
+    let events = vec![
+        at(CUT_S + 0.1, What::Kill { on: "edge-2".into(), down_s: 3.5 }),
+        at(CUT_S + 0.2, What::Config { routes: 1, drop: false }),
+    ];
+    let mut scenario = scenario(cuts, events);
+    // It is the only one of its region.
+    scenario.edges = 5;
+    (scenario.region_ms, scenario.rate, scenario.starts) = (120, 300.0, true);
+    scenario.without = without;
+    let report = play(&scenario);
+    let config = report.wires.configs.last().expect("it was sent");
+    let acked = config.acked.expect("the majority takes it");
+    let began = START_MS + (CUT_S * 1000.0) as u64 + 3600;
+    assert!(acked < began, "acknowledged before the relay starts");
+    let ready = report.wires.ready.iter().find(|(edge, from, _)| edge == "edge-2" && *from >= began);
+    assert!(ready.is_some_and(|(_, from, at)| *at < from + 4000), "ready by a confirmed copy: {ready:?}");
+    let moved = config.routes["moved"].services[0].clone();
+    let of = |came: &&beechcroft_range::whole::wires::Came| {
+        came.ran && came.edge == "edge-2" && came.at >= began && came.path.starts_with("/moved/")
+    };
+    let right = |came: &&beechcroft_range::whole::wires::Came| {
+        report.wires.units.get(&came.unit).is_some_and(|unit| unit.service == moved)
+    };
+    let (new, old): (Vec<_>, Vec<_>) = report.wires.came.iter().filter(of).partition(right);
+    (new.len(), old.len())
+}
+
+#[test]
+fn a_relay_that_reaches_a_hut_first_that_is_cut_off_begins_by_what_the_majority_holds() {
+    let (new, old) = begun_by(None);
+    assert!(new > 10, "{new}");
+    assert_eq!(old, 0, "requests by a configuration that had been replaced before the relay started");
+    let (_, old) = begun_by(Some(Guard::ConfirmedStart));
+    assert!(old > 0, "the guard is not missed");
+}
+
+#[test]
+fn a_region_that_is_cut_off_with_its_hut_serves_on_and_a_relay_that_starts_there_begins_in_time() {
+    let events = vec![
+        at(CUT_S + 4.0, What::Kill { on: "edge-0".into(), down_s: 1.0 }),
+        at(CUT_S + 1.0, What::Config { routes: 1, drop: false }),
+    ];
+    let mut scenario = scenario(vec![cut("region-0", "*", false)], events);
+    scenario.starts = true;
+    let report = play(&scenario);
+    assert_eq!(report.verdict.breaches, []);
+    assert_eq!(falsehoods(&report, "core-0", false), [] as [String; 0]);
+    let began = START_MS + (CUT_S * 1000.0) as u64 + 5000;
+    let ready = report.wires.ready.iter().find(|(edge, from, _)| edge == "edge-0" && *from >= began);
+    let (_, from, at) = ready.expect("it begins though nobody can confirm");
+    assert!((4000..6000).contains(&(at - from)), "{} ms", at - from);
+}
--- a/crates/beechcroft-range/tests/whole.rs
+++ b/crates/beechcroft-range/tests/whole.rs
@@ -1,5 +1,6 @@
 //! The auditor finds every broken part, and finds nothing in the sound system.
 
+use beechcroft_railing::Guard;
 use beechcroft_range::whole::scenario::Mutant;
 use beechcroft_range::whole::{play, Scenario};
 use strum::IntoEnumIterator;
@@ -38,7 +39,12 @@
     std::thread::scope(|scope| {
         let plays: Vec<_> = Mutant::iter()
             .map(|mutant| {
-                (mutant, scope.spawn(move || play(&Scenario { mutant: Some(mutant), ..everything() })))
+                // Without letters no hut is in contact, and none would acknowledge a drain that edges never hear of.
+                let without = (mutant == Mutant::NoNews).then_some(Guard::ContactToServe);
+                let mut scenario = Scenario { mutant: Some(mutant), without, ..everything() };
+                // One machine stops once: requests must be under way there at that moment, whatever the seed.
+                scenario.rate *= if mutant == Mutant::HastyEnds { 4.0 } else { 1.0 };
+                (mutant, scope.spawn(move || play(&scenario)))
             })
             .collect();
         for (mutant, played) in plays {
@@ -52,6 +58,17 @@
     assert!(missed.is_empty(), "{}", missed.join("\n"));
 }
 
+#[test]
+fn where_no_letters_come_no_drain_is_acknowledged() {
+    let report = play(&Scenario { mutant: Some(Mutant::NoNews), ..everything() });
+    let rules: Vec<&str> = report.verdict.breaches.iter().map(|breach| breach.rule).collect();
+    assert!(!rules.contains(&"DRAIN"), "{rules:?}");
+    assert!(rules.contains(&"CONFIG"), "edges that hear nothing of a change go by the old one: {rules:?}");
+    let since = 7000 + 2700; // letters stop; contact lapses
+    let left = report.wires.units.values().filter_map(|life| life.left_acked).filter(|at| *at > since);
+    assert_eq!(left.count(), 0);
+}
+
 #[test]
 fn one_seed_plays_the_same_day_to_the_byte() {
     let mut scenario = everything();
--- a/crates/beechcroft-trail/src/guide.rs
+++ b/crates/beechcroft-trail/src/guide.rs
@@ -2,6 +2,7 @@
 //! never waits. What requests use of it, it puts into [`Shared`].
 
 use crate::shared::{Phase, Shared};
+use crate::start::Start;
 use beechcroft_belvedere::{short, Bench, Own, Verdict};
 use beechcroft_cairns::letter::{Crowded, Sign};
 use beechcroft_cairns::{Action, Cairns, Letter, Member, Standing, EVERY_BEAT};
@@ -22,6 +23,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 
+const CONFIRM_WITHIN: Duration = Duration::from_millis(2500);
 const COPY_WITHIN: Duration = Duration::from_millis(1500);
 /// The design's tick.
 const JUDGE_MS: u64 = 100;
@@ -42,6 +44,8 @@
 pub enum Command {
     Letter(SocketAddrV4, Box<Letter>),
     Copied(usize, Value),
+    /// A hut has read the registers' revisions from a majority.
+    Confirmed([u64; 2]),
     Copy(usize, oneshot::Sender<Value>),
     /// A unit answered under another id: the one meant has ended.
     Ended(Rc<str>),
@@ -65,6 +69,7 @@
     pulling: [u64; 2],
     doubts: BTreeMap<String, Doubt>,
     units_at: Option<u64>,
+    start: Start,
     judge_at: u64,
     sign_at: u64,
     back_at: u64,
@@ -92,6 +97,7 @@
             pulling: [0; 2],
             doubts: BTreeMap::new(),
             units_at: None,
+            start: Start::default(),
             judge_at: 0,
             sign_at: 0,
             back_at: 0,
@@ -115,6 +121,7 @@
                 self.pulling[register] = 0;
                 self.learn(now, register, value, &mut news);
             }
+            Command::Confirmed(revisions) => self.start.confirmed(revisions),
             Command::Copy(register, answer) => drop(answer.send(self.held[register.min(1)].clone())),
             Command::Ended(id) => {
                 if self.cairns.unit_gone(&id) {
@@ -322,15 +329,8 @@
                 yard.places().map(|(_, place)| (&*place.id, place.open_to_all)).collect();
             self.shared.pool.borrow_mut().sweep(now, |unit| used.get(unit).copied().unwrap_or(false));
         }
-        let told = self.held[CONFIG].revision > 0 && self.held[ORDERS].revision > 0;
-        if self.shared.phase.get() == Phase::Coming
-            && told
-            && self.units_at.is_some_and(|at| now >= at + SETTLE_MS)
-        {
-            self.shared.phase.set(Phase::Ready);
-            self.cairns.stand(Standing::Ready);
-            self.cairns.hurry(now, news);
-            log::info!("guide: This relay is ready.");
+        if self.shared.phase.get() == Phase::Coming {
+            self.come(now, news);
         }
         if now >= self.judge_at {
             self.judge_at = now + JUDGE_MS;
@@ -344,6 +344,43 @@
         }
     }
 
+    /// Until this relay holds what a majority confirms and knows units, it takes no requests.
+    fn come(&mut self, now: u64, news: &mut Vec<Action>) {
+        let held = [self.held[CONFIG].revision, self.held[ORDERS].revision];
+        if let Some(nth) = self.start.asks(now) {
+            self.ask_revisions(nth);
+        }
+        let units = self.units_at.is_some_and(|at| now >= at + SETTLE_MS);
+        if units && self.start.may_begin(now, held) {
+            self.shared.phase.set(Phase::Ready);
+            self.cairns.stand(Standing::Ready);
+            self.cairns.hurry(now, news);
+            log::info!("guide: This relay is ready.");
+        }
+    }
+
+    /// Asks one hut, a next one each time: all relays in the same order, so that those that start at once share rounds.
+    fn ask_revisions(&self, nth: usize) {
+        let mut huts: Vec<(&str, SocketAddrV4)> = (self.cairns.alive().filter(|member| member.core))
+            .map(|hut| (hut.name.as_str(), self.cairns.address(hut)))
+            .collect();
+        huts.sort_unstable();
+        let seeds = &self.shared.settings.seed_nodes;
+        let port = self.shared.settings.internal_ports[0];
+        let to = match (huts.is_empty(), seeds.is_empty()) {
+            (false, _) => huts[nth % huts.len()].1,
+            (true, false) => SocketAddrV4::new(*seeds[nth % seeds.len()].ip(), port),
+            (true, true) => return,
+        };
+        let (errands, queue) = (self.errands.clone(), self.queue.clone());
+        spawn_local(async move {
+            match errands.revisions(to, CONFIRM_WITHIN).await {
+                Ok(revisions) => drop(queue.send(Command::Confirmed(revisions))),
+                Err(fault) => log::info!("guide: No hut's word on what is chosen: {fault}."),
+            }
+        });
+    }
+
     /// Units whose beats have stopped, unless most have: then it is this relay that hears nothing.
     fn mark_silent(&mut self, now: u64) {
         // Only every few beats are passed on.
--- a/crates/beechcroft-trail/src/lib.rs
+++ b/crates/beechcroft-trail/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod run;
 pub mod serve;
 pub mod shared;
+pub mod start;
--- a/crates/beechcroft-waymarks/src/lib.rs
+++ b/crates/beechcroft-waymarks/src/lib.rs
@@ -7,7 +7,7 @@
 use rapidhash::v3::rapidhash_v3;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 
 /// Ranges over which two copies are compared.
 pub const RANGES: usize = 16;
@@ -115,6 +115,26 @@
         true
     }
 
+    /// The same of a unit that may not be known here: what others still tell of it comes too late.
+    pub fn ends(&mut self, now: u64, id: &str) -> bool {
+        if self.units.contains_key(id) {
+            return self.gone(id);
+        }
+        let note = Note {
+            id: id.to_owned(),
+            service: String::new(),
+            version: String::new(),
+            zone: String::new(),
+            address: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
+            capacity: 0,
+            state: State::Gone,
+            sequence: 0,
+            warm_left_ms: 0,
+            age_ms: 0,
+        };
+        self.merge(now, note) == News::Change
+    }
+
     /// Drops what has long been gone.
     pub fn sweep(&mut self, now: u64) {
         let ranges = &mut self.ranges;
