--- a/crates/beechcroft-cache/src/lib.rs
+++ b/crates/beechcroft-cache/src/lib.rs
@@ -83,7 +83,7 @@
     pub snapshot: Option<Vec<u8>>,
     pub log: Option<Vec<u8>>,
     pub mark: Option<Vec<u8>>,
-    /// The number of the snapshot that the log was begun for.
+    /// The number of the snapshot that the log was begun for; 0 without one.
     pub log_of: u64,
     /// A log of the format before this one is there.
     pub of_001: bool,
@@ -136,12 +136,9 @@
         Ok(cache)
     }
 
-    /// Reads a folder and changes nothing in it. If a process writes to it meanwhile, a fold may come between two of its
-    /// files: what looks damaged is looked at again.
+    /// Reads a folder and changes nothing in it.
     pub fn peek(folder: &Path) -> (Table, Damage) {
-        let looks = std::iter::repeat_with(|| Files::load(folder).read()).take(3);
-        let mut looks = looks.skip_while(|(_, damage)| !damage.is_none());
-        looks.next().unwrap_or_else(|| Files::load(folder).read())
+        Files::load(folder).read()
     }
 
     pub fn table(&self) -> &Table {
@@ -278,27 +275,33 @@
         let names = fs::read_dir(folder).into_iter().flatten().filter_map(Result::ok);
         let of_001 = names.into_iter().any(|entry| is_of_001(&entry.file_name().to_string_lossy()));
         let mut unreadable = Vec::new();
-        let mut file = |path: PathBuf, name: &str| match fs::read(path.join(name)) {
+        let mut file = |path: PathBuf| match fs::read(&path) {
             Ok(bytes) => Some(bytes),
             Err(e) if e.kind() == ErrorKind::NotFound => None,
             Err(e) => {
-                unreadable.push(format!("{name}: {e}"));
+                let name = path.strip_prefix(folder).unwrap_or(&path);
+                unreadable.push(format!("{}: {e}", name.display()));
                 None
             }
         };
-        // The mark first: it never says more than a log that is read after it.
-        let mark = file(folder.to_owned(), MARK);
-        let snapshot = file(folder.to_owned(), SNAPSHOT);
-        let held = snapshot.as_deref().and_then(number_of);
-        // The snapshot's own log; without either, the newest says what there was.
-        let mut logs = logs(folder).unwrap_or_default();
-        let own = logs.iter().position(|(number, _)| Some(*number) == held);
-        let log = own.map(|at| logs.swap_remove(at)).or_else(|| logs.pop());
-        let (log_of, log) = match log {
-            Some((number, path)) => (number, file(path, "wal-1")),
-            None => (0, None),
-        };
-        Files { snapshot, log, log_of, mark, of_001, unreadable }
+        // In this order a folder that is written meanwhile is read as whole: a mark never says more than a log that is read
+        // after it.
+        let mark = file(folder.join(MARK));
+        let mut snapshot = file(folder.join(SNAPSHOT));
+        loop {
+            let held = snapshot.as_deref().and_then(number_of);
+            // The snapshot's own log; without either, the newest says what there was.
+            let mut logs = logs(folder).unwrap_or_default();
+            let own = logs.iter().position(|(number, _)| Some(*number) == held);
+            let log = own.map(|at| logs.swap_remove(at)).or_else(|| logs.pop());
+            let (log_of, log) = log.map_or((0, None), |(number, path)| (number, file(path.join("wal-1"))));
+            // Another one, if it was folded meanwhile.
+            let again = file(folder.join(SNAPSHOT));
+            if again == snapshot {
+                return Files { snapshot, log, log_of, mark, of_001, unreadable };
+            }
+            snapshot = again;
+        }
     }
 
     /// The table, and what of it is lost.
@@ -328,6 +331,10 @@
                     found
                         .damage
                         .entries(format!("state: the snapshot is missing, entry {mark} had been synced"));
+                } else if self.log_of > FIRST {
+                    found
+                        .damage
+                        .entries(format!("state: the snapshot is missing beside log-{}", self.log_of));
                 } else if self.of_001 {
                     found.damage.entries("state: the snapshot is missing beside a log of format 001".into());
                 }
--- a/crates/beechcroft-cache/tests/damage.rs
+++ b/crates/beechcroft-cache/tests/damage.rs
@@ -343,3 +343,13 @@
     drop(cache);
     assert_eq!(*Cache::open(sound.path()).unwrap().table(), expected);
 }
+
+#[test]
+fn a_folder_that_lost_all_but_a_later_logs_folder_is_not_taken_for_an_empty_one() {
+    let (sound, _) = folder();
+    for gone in [sound.path().join("state"), sound.path().join("mark"), log(sound.path())] {
+        fs::remove_file(gone).unwrap();
+    }
+    let said = Cache::open(sound.path()).err().expect("it is refused").to_string();
+    assert!(said.contains("the snapshot is missing beside log-"), "{said}");
+}
