A fold that fails leaves no log behind

Cause: each write that a full disk refuses tries to fold; the log begun for it stayed, with its 128 KiB of zeros, until a fold came to its end. So the hut filled the disk itself, and writes failed on after space had been made.

--- a/crates/beechcroft-cache/src/lib.rs
+++ b/crates/beechcroft-cache/src/lib.rs
@@ -172,21 +172,23 @@
     /// Starts an empty log and writes the table as its snapshot.
     fn fold(&mut self) -> io::Result<()> {
         self.log = None;
-        // Above all that the old log may hold.
-        self.last += 1;
         // okaywal would make a folder anew where this one is gone, with the disk that it was on perhaps.
         File::open(&self.folder)?;
+        // Above all that the old log may hold.
+        self.last += 1;
         let folder = self.folder.join(format!("{LOG}{}", self.last));
         if folder.exists() {
             fs::remove_dir_all(&folder)?; // of a fold that did not come to its end
         }
-        let mut log = Log::begin(&folder, &self.folder.join(MARK), self.last)?;
-        File::open(&self.folder)?.sync_all()?;
-        let records = self.table.iter().map(|(name, value)| (&name[..], &value[..]));
-        let snapshot = [&SNAPSHOT_MAGIC[..], &frame::write(self.last, records)].concat();
-        self.replace(SNAPSHOT, &snapshot)?;
-        log.mark(self.last);
-        self.log = Some(log);
+        let begun = self.begin_log(&folder);
+        if begun.is_err() {
+            // A full disk is left as full as it was, unless the snapshot is there already.
+            let snapshot = fs::read(self.folder.join(SNAPSHOT)).unwrap_or_default();
+            if number_of(&snapshot) != Some(self.last) {
+                let _ = fs::remove_dir_all(&folder);
+            }
+        }
+        self.log = Some(begun?);
         for (number, old) in logs(&self.folder)? {
             if number != self.last {
                 fs::remove_dir_all(old)?;
@@ -195,6 +197,16 @@
         Ok(())
     }
 
+    fn begin_log(&self, folder: &Path) -> io::Result<Log> {
+        let mut log = Log::begin(folder, &self.folder.join(MARK), self.last)?;
+        File::open(&self.folder)?.sync_all()?;
+        let records = self.table.iter().map(|(name, value)| (&name[..], &value[..]));
+        let snapshot = [&SNAPSHOT_MAGIC[..], &frame::write(self.last, records)].concat();
+        self.replace(SNAPSHOT, &snapshot)?;
+        log.mark(self.last);
+        Ok(log)
+    }
+
     /// A file is there whole or as it was.
     fn replace(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
         let beside = self.folder.join(format!("{name}-new"));
--- a/crates/beechcroft-cache/tests/damage.rs
+++ b/crates/beechcroft-cache/tests/damage.rs
@@ -353,3 +353,28 @@
     let said = Cache::open(sound.path()).err().expect("it is refused").to_string();
     assert!(said.contains("the snapshot is missing beside log-"), "{said}");
 }
+
+#[test]
+fn folds_that_fail_leave_nothing_behind_on_a_full_disk() {
+    let (sound, mut expected) = folder();
+    let mut cache = Cache::open(sound.path()).unwrap();
+    write(&mut cache, &[("units", &"x".repeat(5 << 20))]);
+    let names = || {
+        let names = fs::read_dir(sound.path()).unwrap().map(|entry| entry.unwrap().file_name());
+        let mut names: Vec<_> = names.filter(|name| name != "state-new").collect();
+        names.sort();
+        names
+    };
+    let before = names();
+    fs::create_dir(sound.path().join("state-new")).unwrap(); // no snapshot can be written
+    for _ in 0..5 {
+        assert!(cache.write(&[("register-0".into(), b"refused".to_vec())]).is_err());
+        assert_eq!(names(), before);
+    }
+    fs::remove_dir(sound.path().join("state-new")).unwrap();
+    write(&mut cache, &[("register-0", "taken"), ("units", "small")]);
+    expected.insert("register-0".into(), b"taken".to_vec());
+    expected.insert("units".into(), b"small".to_vec());
+    drop(cache);
+    assert_eq!(*Cache::open(sound.path()).unwrap().table(), expected);
+}
