--- a/crates/beechcroft-range/src/whole/actors.rs
+++ b/crates/beechcroft-range/src/whole/actors.rs
@@ -34,6 +34,10 @@
     pub cores: RefCell<Vec<Ipv4Addr>>,
     pub rng: RefCell<Pcg64Mcg>,
     pub next: Cell<u64>,
+    /// Writes of clients that were answered with success.
+    pub taken: Cell<u64>,
+    /// The core machine whose directory was read last.
+    pub reader: Cell<Option<Ipv4Addr>>,
 }
 
 impl Stage {
@@ -46,7 +50,7 @@
         self.next.get()
     }
 
-    fn draw(&self) -> f64 {
+    pub fn draw(&self) -> f64 {
         self.rng.borrow_mut().random()
     }
 
@@ -119,6 +123,11 @@
         }
     }
 
+    /// How much longer it is cold, as it says.
+    fn warm_left(&self, now: u64) -> u64 {
+        self.cold_until.get().max(self.told_cold.get()).saturating_sub(now)
+    }
+
     fn load(&self) -> String {
         let running = self.slots - self.free.available_permits().min(self.slots);
         format!("{running},{},{}", self.waiting.get(), self.slots)
@@ -173,7 +182,7 @@
 
 async fn beat(stage: &Stage, unit: &Unit, ground: &Ground) -> bool {
     unit.sequence.set(unit.sequence.get() + 1);
-    let left = unit.cold_until.get().max(unit.told_cold.get()).saturating_sub(stage.now());
+    let left = unit.warm_left(stage.now());
     let body = serde_json::json!({
         "address": unit.at.to_string(),
         "info": {"service": unit.service, "version": unit.version, "zone": unit.zone, "capacity": unit.slots},
@@ -244,9 +253,10 @@
         let well = (ill.fails < 0.5 && !unit.draining.get()) != ill.lies;
         let status = if well { "200 OK" } else { "503 Service Unavailable" };
         let text = format!(
-            "HTTP/1.1 {status}\r\nContent-Length: 0\r\nBeechcroft-Unit-Id: {}\r\nBeechcroft-Unit-Load: {}\r\n\r\n",
+            "HTTP/1.1 {status}\r\nContent-Length: 0\r\nBeechcroft-Unit-Id: {}\r\nBeechcroft-Unit-Load: {}\r\nBeechcroft-Warmup-Remaining: {}\r\n\r\n",
             unit.id,
-            unit.load()
+            unit.load(),
+            unit.warm_left(stage.now()),
         );
         return line.write(text.as_bytes()).await.is_ok();
     }
@@ -330,6 +340,13 @@
 pub async fn call(
     ground: &Ground, to: SocketAddrV4, method: &str, path: &str, body: &[u8], within: Duration,
 ) -> Option<(u16, Vec<u8>)> {
+    call_at(ground, to, method, path, body, within).await.map(|(status, body, _)| (status, body))
+}
+
+/// The same, and where it says that the call should go instead.
+pub async fn call_at(
+    ground: &Ground, to: SocketAddrV4, method: &str, path: &str, body: &[u8], within: Duration,
+) -> Option<(u16, Vec<u8>, Option<String>)> {
     let done = async {
         let mut line = Line::new(ground.connect(to).await.ok()?);
         let head = format!(
@@ -339,7 +356,8 @@
         line.write(head.as_bytes()).await.ok()?;
         line.write(body).await.ok()?;
         let (reply, body) = read_answer(&mut line, method).await?;
-        Some((reply.status, body))
+        let lines = String::from_utf8_lossy(&reply.lines);
+        Some((reply.status, body, header(&lines, "location").map(str::to_owned)))
     };
     timeout(within, done).await.ok().flatten()
 }
@@ -403,6 +421,7 @@
                 if found.is_empty() {
                     continue;
                 }
+                stage.reader.set(Some(core));
                 ttl_s = answer["ttlS"].as_f64().unwrap_or(1.0).clamp(0.2, 5.0);
                 self.idle.borrow_mut().retain(|at, _| found.contains(at));
                 *self.found.borrow_mut() = found;
@@ -462,6 +481,9 @@
         let answer = try_once(&stage, &clients, to, &id, &asked, left).await;
         let status = answer.status;
         let back = answer.retry_after;
+        if !kind.repeatable && status == Some(200) {
+            stage.taken.set(stage.taken.get() + 1);
+        }
         if let Some(asked) = stage.wires.borrow_mut().asked.get_mut(&id) {
             asked.answer = Some(answer);
         }
@@ -576,5 +598,7 @@
         cores: RefCell::default(),
         rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed ^ 0x57a6e)),
         next: Cell::new(0),
+        taken: Cell::new(0),
+        reader: Cell::new(None),
     })
 }
--- a/crates/beechcroft-range/src/whole/day.rs
+++ b/crates/beechcroft-range/src/whole/day.rs
@@ -2,8 +2,10 @@
 //! what the scenario plans and lets go wrong. One seed, one run.
 
 mod events;
+mod operator;
+mod troubles;
 
-use super::actors::{self, call, Clients, Ill, Kind, Stage, CONTROL, DIRECTORY, INGRESS, READY};
+use super::actors::{self, Clients, Ill, Kind, Stage, CONTROL, DIRECTORY, INGRESS, READY};
 use super::audit::{judge, Bounds, Verdict};
 use super::disk::{Plate, Sync};
 use super::fabric::{Counts, Cut, Fabric, Spot};
@@ -16,6 +18,7 @@
 use beechcroft_map::Settings;
 use beechcroft_pass::lifecycle::Outside;
 use beechcroft_pass::Ground;
+use operator::{Aim, Book};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -66,7 +69,11 @@
     term: RefCell<Option<Arc<Notify>>>,
     /// Its process was told to leave.
     told: Rc<Cell<bool>>,
+    /// Until when some event keeps it down, in ms.
+    down_until: Cell<u64>,
     gone: Cell<bool>,
+    /// Tells its process of other seeds.
+    reseed: RefCell<Option<mpsc::UnboundedSender<Vec<SocketAddrV4>>>>,
 }
 
 struct Standing {
@@ -88,19 +95,17 @@
     next_ip: Cell<u32>,
     /// What operators still wait for.
     orders: Cell<usize>,
+    /// The core machine that acknowledged last.
+    leader: RefCell<Option<Ipv4Addr>>,
+    /// Part of the operators' answers that are lost on their way.
+    answers_lost: Cell<f64>,
+    /// Seeds of settings files, once they were changed.
+    seeds: RefCell<Option<Vec<SocketAddrV4>>>,
     unacked: RefCell<Vec<String>>,
     spread_ms: RefCell<Vec<u64>>,
     down_for_good: Cell<bool>,
 }
 
-/// What the operator holds.
-#[derive(Default)]
-struct Book {
-    version: u32,
-    routes: Vec<(String, wires::Route, &'static str)>,
-    added: u32,
-}
-
 /// Plays a scenario to its end.
 pub fn play(scenario: &Scenario) -> Report {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -151,6 +156,9 @@
         times: Cell::new(1.0),
         next_ip: Cell::new(1),
         orders: Cell::new(0),
+        leader: RefCell::default(),
+        answers_lost: Cell::new(0.0),
+        seeds: RefCell::default(),
         unacked: RefCell::default(),
         spread_ms: RefCell::default(),
         down_for_good: Cell::new(false),
@@ -200,8 +208,11 @@
         let (region, zone) = (format!("region-{region}"), zone_name(region, zone));
         place(&self.stage.fabric, ip, &name, &region, &zone);
         let liar = self.scenario.mutant == Some(Mutant::LyingDisks);
-        let plate =
-            core.then(|| Plate::new(&self.stage.fabric, self.scenario.sync_ms, self.syncs.clone(), liar));
+        let plate = core.then(|| {
+            let mut plate = Plate::new(&self.stage.fabric, self.scenario.sync_ms, self.syncs.clone(), liar);
+            plate.torn = self.scenario.torn;
+            plate
+        });
         let machine = Machine {
             name,
             ip,
@@ -212,7 +223,9 @@
             process: RefCell::default(),
             term: RefCell::default(),
             told: Rc::default(),
+            down_until: Cell::new(0),
             gone: Cell::new(false),
+            reseed: RefCell::default(),
         };
         Rc::new(machine)
     }
@@ -229,8 +242,9 @@
     }
 
     fn settings(&self, machine: &Machine, bootstrap: bool) -> Settings {
-        let seeds: Vec<String> =
-            self.stage.cores.borrow().iter().take(3).map(|ip| format!("\"{ip}:{CONTROL}\"")).collect();
+        let first = || self.stage.cores.borrow().iter().map(|ip| SocketAddrV4::new(*ip, CONTROL)).collect();
+        let seeds = self.seeds.borrow().clone().unwrap_or_else(first);
+        let seeds: Vec<String> = seeds.iter().take(3).map(|seed| format!("\"{seed}\"")).collect();
         let Machine { name, ip, zone, region, core, .. } = machine;
         let listen = match core {
             true => format!("control = \"{ip}:{CONTROL}\"\ndirectory = \"{ip}:{DIRECTORY}\""),
@@ -256,7 +270,8 @@
 
     /// Starts a machine's process. `bootstrap`: the first start of the whole system.
     fn start(&self, machine: &Rc<Machine>, bootstrap: bool) {
-        if machine.gone.get() || self.down_for_good.get() {
+        let runs = machine.process.borrow().as_ref().is_some_and(|process| !process.is_over());
+        if machine.gone.get() || self.down_for_good.get() || runs {
             return;
         }
         let settings = self.settings(machine, bootstrap);
@@ -274,14 +289,15 @@
         let plate = machine.plate.clone();
         machine.told.set(false);
         let told_to_leave = machine.told.clone();
+        *machine.reseed.borrow_mut() = Some(told.clone());
         let main = async move {
-            let _kept = told; // the settings file does not change
+            let _kept = told;
             let done = match plate {
                 Some(plate) => {
                     let table = plate.state.borrow().table.clone();
                     let disk = Disk::world(Rc::new(plate));
-                    if mutant == Some(Mutant::BothWin) {
-                        spawn_local(mutants::hut(ground, SocketAddrV4::new(ip, CONTROL)));
+                    if let Some(Mutant::BothWin | Mutant::TakesOnce | Mutant::Mute) = mutant {
+                        spawn_local(mutants::hut(stage, ground, SocketAddrV4::new(ip, CONTROL), mutant));
                     }
                     beechcroft_hut::run::run(settings, usual, outside, disk, table).await
                 }
@@ -310,7 +326,10 @@
         *machine.process.borrow_mut() = Some(Process::start(&self.stage.fabric, ip, main));
     }
 
+    /// Machines by name, zone or region; `leader`: the core machine that acknowledged last, `reader`: the one whose
+    /// directory was read last.
     fn named(&self, on: &str) -> Vec<Rc<Machine>> {
+        let on = &self.who(on);
         let inner = self.stage.fabric.with();
         let is = |machine: &&Rc<Machine>| inner.spots.get(&machine.ip).is_some_and(|spot| spot.is(on));
         self.machines.borrow().iter().filter(|m| !m.gone.get()).filter(is).cloned().collect()
@@ -413,140 +432,6 @@
         self.versions.borrow().get(service).cloned().unwrap_or_default()
     }
 
-    // ---- the operator
-
-    /// The configuration as it would be with so many routes more.
-    fn config(
-        &self, routes: usize, drop_one: bool, moved: bool,
-    ) -> (Sent, Vec<(String, wires::Route, &'static str)>) {
-        let mut book = self.book.borrow_mut();
-        let base = book.version;
-        let version = base + 1 + (self.stage.number() % 3) as u32;
-        let mut held = book.routes.clone();
-        if held.is_empty() {
-            let route = |prefix: &str, service: &str, homes: &[&str]| wires::Route {
-                prefix: prefix.into(),
-                services: vec![service.into()],
-                homes: homes.iter().map(|home| (*home).to_owned()).collect(),
-            };
-            held.push(("read".into(), route("/boards/", "boards", &[]), "idempotent"));
-            held.push(("post".into(), route("/ledger/", "ledger", &[]), "non_idempotent"));
-            held.push(("load".into(), route("/archive/", "archive", &[]), "download"));
-            held.push(("home".into(), route("/home/", "boards", &["region-0"]), "idempotent"));
-            held.push(("moved".into(), route("/moved/", "boards", &[]), "idempotent"));
-        }
-        if moved {
-            // One route goes to the other service with each version.
-            let route = held.iter_mut().find(|(name, ..)| name == "moved").expect("it is there");
-            let other = if route.1.services[0] == "boards" { "archive" } else { "boards" };
-            route.1.services = vec![other.into()];
-        }
-        if drop_one {
-            if let Some(at) = held.iter().position(|(name, ..)| name.starts_with('x')) {
-                held.remove(at);
-            }
-        }
-        for _ in 0..routes {
-            book.added += 1;
-            let name = format!("x{}", book.added);
-            let route = wires::Route {
-                prefix: format!("/{name}/"),
-                services: vec!["boards".into()],
-                homes: Vec::new(),
-            };
-            held.push((name, route, "idempotent"));
-        }
-        let rules: Vec<serde_json::Value> = held
-            .iter()
-            .map(|(name, route, kind)| {
-                serde_json::json!({"name": name, "pathPrefix": route.prefix, "routeType": kind, "timeoutMs": 5000,
-                    "targetMs": 400, "priority": 1, "service": route.services[0], "retries": 2,
-                    "homeRegions": route.homes})
-            })
-            .collect();
-        let services: Vec<serde_json::Value> = SERVICES
-            .iter()
-            .map(|(name, _, _, bears)| {
-                serde_json::json!({"name": name, "healthPath": "/health", "maxConns": 110, "warmupS": 3.0,
-                    "warmupRateS": bears})
-            })
-            .collect();
-        let body = serde_json::json!({"version": format!("{version:08x}"), "baseVersion": format!("{base:08x}"),
-            "services": services, "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20,
-            "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-            "virtualHosts": [{"hostname": "range.example", "pathRules": rules}]});
-        let routes = held.iter().map(|(name, route, _)| (name.clone(), route.clone())).collect();
-        let sent = Sent {
-            version,
-            base,
-            at: self.now(),
-            acked: None,
-            refused: None,
-            valid: true,
-            routes,
-            body: body.to_string().into_bytes(),
-        };
-        (sent, held)
-    }
-
-    /// Sends a configuration until it is taken or refused; `first`: the core machine that is asked first.
-    async fn replace(
-        self: Rc<Self>, sent: Sent, held: Vec<(String, wires::Route, &'static str)>, first: usize,
-    ) -> bool {
-        let at = self.stage.wires.borrow().configs.len();
-        let (version, body) = (sent.version, sent.body.clone());
-        self.stage.wires.borrow_mut().configs.push(sent);
-        let said = format!("configuration {version:08x}");
-        let status = self.order("/config/replace", &body, first, &said, |wires, status, now| {
-            let Some(config) = wires.configs.get_mut(at) else { return };
-            match status {
-                200 => config.acked = Some(now),
-                400..=499 => config.refused = Some(status),
-                _ => {}
-            }
-        });
-        let taken = status.await == Some(200);
-        if taken {
-            let mut book = self.book.borrow_mut();
-            if version > book.version {
-                (book.version, book.routes) = (version, held);
-            }
-        }
-        taken
-    }
-
-    /// Sends an order to one core machine after the other until one ends it.
-    async fn order(
-        self: &Rc<Self>, path: &str, body: &[u8], first: usize, said: &str,
-        note: impl Fn(&mut wires::Wires, u16, u64),
-    ) -> Option<u16> {
-        let ground = Ground::world(Rc::new(self.stage.fabric.seat(operator())));
-        self.orders.set(self.orders.get() + 1);
-        let mut ended = None;
-        let until = self.now() + 30_000;
-        let mut nth = first;
-        let mut pause = 100;
-        while self.now() < until {
-            let cores = self.stage.cores.borrow().clone();
-            let to = SocketAddrV4::new(cores[nth % cores.len()], CONTROL);
-            nth += 1;
-            let wait = Duration::from_millis(1000 + body.len() as u64 / 100);
-            let done = call(&ground, to, "POST", path, body, wait).await;
-            if let Some((status @ (200..=299 | 400 | 409 | 412 | 413 | 422), _)) = done {
-                note(&mut self.stage.wires.borrow_mut(), status, self.stage.now());
-                ended = Some(status);
-                break;
-            }
-            sleep(Duration::from_millis(pause)).await;
-            pause = (pause * 2).min(1000);
-        }
-        if ended.is_none() {
-            self.unacked.borrow_mut().push(said.to_owned());
-        }
-        self.orders.set(self.orders.get() - 1);
-        ended
-    }
-
     // ---- traffic
 
     async fn traffic(self: Rc<Self>) -> Report {
@@ -554,7 +439,7 @@
             spawn_local(clients.clone().resolve(self.stage.clone()));
         }
         let (first, held) = self.config(0, false, false);
-        spawn_local(self.clone().replace(first, held, 0));
+        spawn_local(self.clone().replace(first, held, Aim::From(0)));
         sleep(Duration::from_secs_f64(BEFORE_S)).await;
         let start = Instant::now();
         for (at, event) in self.scenario.event.iter().enumerate() {
@@ -627,39 +512,6 @@
         }
     }
 
-    async fn read_back(&self) {
-        let ground = Ground::world(Rc::new(self.stage.fabric.seat(operator())));
-        let mut rollouts = Vec::new();
-        for order in &self.stage.wires.borrow().orders {
-            if let wires::What::Rollout { service, .. } = &order.what {
-                rollouts.push(service.clone());
-            }
-        }
-        for nth in 0..8 {
-            let cores = self.stage.cores.borrow().clone();
-            let to = SocketAddrV4::new(cores[nth % cores.len()], CONTROL);
-            let within = Duration::from_secs(3);
-            if let Some((200, body)) = call(&ground, to, "GET", "/config/show", b"", within).await {
-                self.stage.wires.borrow_mut().read_back = Some(body);
-                break;
-            }
-            sleep(Duration::from_millis(500)).await;
-        }
-        for service in rollouts {
-            let cores = self.stage.cores.borrow().clone();
-            for core in cores {
-                let path = format!("/rollouts/{service}/show");
-                let to = SocketAddrV4::new(core, CONTROL);
-                let done = call(&ground, to, "GET", &path, b"", Duration::from_secs(3)).await;
-                let Some((200, body)) = done else { continue };
-                let state = serde_json::from_slice::<serde_json::Value>(&body).unwrap_or_default();
-                let state = state["state"].as_str().unwrap_or("?").to_owned();
-                self.stage.wires.borrow_mut().rollouts.insert(service.clone(), state);
-                break;
-            }
-        }
-    }
-
     // ---- the end
 
     fn report(&self) -> Report {
@@ -679,7 +531,13 @@
             let on = ip.and_then(|ip| inner.spots.get(&ip)).map_or("the world", |spot| &spot.name);
             wires::Fault { at, on: on.to_owned(), said }
         });
-        self.stage.wires.borrow_mut().faults.extend(panics);
+        {
+            let mut wires = self.stage.wires.borrow_mut();
+            let Scenario { loss, lost_letters, syncs, .. } = &self.scenario;
+            wires.faults.extend(panics);
+            wires.flawed = *loss > 0.0 || !lost_letters.is_empty() || !syncs.is_empty();
+            wires.end = self.now();
+        }
         drop(inner);
         let wires = self.stage.wires.borrow().clone();
         let verdict = judge(&wires, &Bounds::default());
--- /dev/null
+++ b/crates/beechcroft-range/src/whole/day/operator.rs
@@ -0,0 +1,310 @@
+//! The operator: changes and orders, sent as PROTOCOL says until they end, and read back at the end of the day.
+
+use super::*;
+use crate::whole::actors::{call, call_at};
+use crate::whole::scenario::Change;
+
+/// Calls that may be under way at once.
+pub(super) const AT_ONCE: usize = 8;
+/// How long a configuration is sent again, and any other order.
+const PATIENCE_MS: u64 = 30_000;
+
+type Held = (String, wires::Route, &'static str);
+
+/// What the operator holds.
+#[derive(Default)]
+pub(super) struct Book {
+    pub version: u32,
+    routes: Vec<Held>,
+    added: u32,
+    timeout_ms: u64,
+    idle_ms: u64,
+    weight: u64,
+    /// Routes of all configurations that were sent, in their order.
+    sent: Vec<Vec<Held>>,
+}
+
+/// Which core machine an order goes to.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Aim {
+    /// To that one of the list first, then to those after it.
+    From(usize),
+    /// To this one first.
+    First(Ipv4Addr),
+    /// To this one alone, again and again until it answers.
+    Only(Ipv4Addr),
+}
+
+impl Day {
+    /// The configuration as it would be with so many routes more.
+    pub(super) fn config(&self, routes: usize, drop_one: bool, moved: bool) -> (Sent, Vec<Held>) {
+        self.altered(routes, drop_one, moved.then_some(Change::Route))
+    }
+
+    pub(super) fn altered(&self, routes: usize, drop_one: bool, change: Option<Change>) -> (Sent, Vec<Held>) {
+        let mut book = self.book.borrow_mut();
+        let base = book.version;
+        let version = base + 1 + (self.stage.number() % 3) as u32;
+        let mut held = book.routes.clone();
+        if held.is_empty() {
+            (book.timeout_ms, book.idle_ms, book.weight) = (5000, 15_000, 50);
+            let route = |prefix: &str, service: &str, homes: &[&str]| wires::Route {
+                prefix: prefix.into(),
+                services: vec![service.into()],
+                homes: homes.iter().map(|home| (*home).to_owned()).collect(),
+            };
+            held.push(("read".into(), route("/boards/", "boards", &[]), "idempotent"));
+            held.push(("post".into(), route("/ledger/", "ledger", &[]), "non_idempotent"));
+            held.push(("load".into(), route("/archive/", "archive", &[]), "download"));
+            held.push(("home".into(), route("/home/", "boards", &["region-0"]), "idempotent"));
+            held.push(("moved".into(), route("/moved/", "boards", &[]), "idempotent"));
+        }
+        let route = held.iter_mut().find(|(name, ..)| name == "moved").expect("it is there");
+        match change {
+            None => {}
+            // One route goes to the other service with each version.
+            Some(Change::Route) => {
+                let other = if route.1.services[0] == "boards" { "archive" } else { "boards" };
+                route.1.services = vec![other.into()];
+            }
+            Some(Change::Weights) => {
+                route.1.services = vec!["boards".into(), "archive".into()];
+                book.weight = (book.weight + 30) % 99 + 1;
+            }
+            Some(Change::Timeout) => book.timeout_ms = 4000 + (book.timeout_ms + 700) % 3000,
+            Some(Change::Idle) => book.idle_ms = 15_000 + (book.idle_ms + 1000) % 5000,
+        }
+        if drop_one {
+            if let Some(at) = held.iter().position(|(name, ..)| name.starts_with('x')) {
+                held.remove(at);
+            }
+        }
+        for _ in 0..routes {
+            book.added += 1;
+            let name = format!("x{}", book.added);
+            let route = wires::Route {
+                prefix: format!("/{name}/"),
+                services: vec!["boards".into()],
+                homes: Vec::new(),
+            };
+            held.push((name, route, "idempotent"));
+        }
+        let rules: Vec<serde_json::Value> = held
+            .iter()
+            .map(|(name, route, kind)| {
+                let mut rule = serde_json::json!({"name": name, "pathPrefix": route.prefix, "routeType": kind,
+                    "timeoutMs": book.timeout_ms, "targetMs": 400, "priority": 1, "retries": 2,
+                    "homeRegions": route.homes});
+                match &route.services[..] {
+                    [one, two] => {
+                        rule["split"] = serde_json::json!([{"service": one, "weight": book.weight},
+                            {"service": two, "weight": 100 - book.weight}]);
+                    }
+                    services => rule["service"] = services[0].as_str().into(),
+                }
+                rule
+            })
+            .collect();
+        let services: Vec<serde_json::Value> = SERVICES
+            .iter()
+            .map(|(name, _, _, bears)| {
+                serde_json::json!({"name": name, "healthPath": "/health", "maxConns": 110, "warmupS": 3.0,
+                    "warmupRateS": bears})
+            })
+            .collect();
+        let body = serde_json::json!({"version": format!("{version:08x}"), "baseVersion": format!("{base:08x}"),
+            "services": services, "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20,
+            "headerTimeoutMs": 3000, "idleTimeoutMs": book.idle_ms},
+            "virtualHosts": [{"hostname": "range.example", "pathRules": rules}]});
+        let routes = held.iter().map(|(name, route, _)| (name.clone(), route.clone())).collect();
+        let sent = Sent {
+            version,
+            base,
+            at: self.now(),
+            acked: None,
+            refused: None,
+            valid: true,
+            routes,
+            body: body.to_string().into_bytes(),
+            ended: None,
+            again: Vec::new(),
+        };
+        (sent, held)
+    }
+
+    /// Sends a configuration until it is taken or refused.
+    pub(super) async fn replace(self: Rc<Self>, sent: Sent, held: Vec<Held>, aim: Aim) -> bool {
+        let at = self.stage.wires.borrow().configs.len();
+        let (version, body) = (sent.version, sent.body.clone());
+        let base = sent.base;
+        self.stage.wires.borrow_mut().configs.push(sent);
+        self.book.borrow_mut().sent.push(held.clone());
+        let said = format!("configuration {version:08x}");
+        let status = self.order("/config/replace", &body, aim, &said, PATIENCE_MS, |wires, status, now| {
+            let Some(config) = wires.configs.get_mut(at) else { return };
+            config.ended = Some(now);
+            match status {
+                200 => config.acked = Some(now),
+                400..=499 => config.refused = Some(status),
+                _ => {}
+            }
+        });
+        let status = status.await;
+        if status == Some(412) && self.book.borrow().version == base {
+            self.look_up().await; // one that got no clear answer is in force
+        }
+        let taken = status == Some(200);
+        if taken {
+            let mut book = self.book.borrow_mut();
+            if version > book.version {
+                (book.version, book.routes) = (version, held);
+            }
+        }
+        taken
+    }
+
+    /// Reads which configuration is current, to build on it.
+    async fn look_up(&self) {
+        let ground = Ground::world(Rc::new(self.stage.fabric.seat(operator())));
+        let cores = self.stage.cores.borrow().clone();
+        for core in cores {
+            let to = SocketAddrV4::new(core, CONTROL);
+            let within = Duration::from_secs(1);
+            let done = call(&ground, to, "GET", "/config/show", b"", within).await;
+            let Some((200, body)) = done else { continue };
+            let wires = self.stage.wires.borrow();
+            let Some(at) = wires.configs.iter().position(|config| config.body == body) else { continue };
+            let mut book = self.book.borrow_mut();
+            if wires.configs[at].version > book.version {
+                (book.version, book.routes) = (wires.configs[at].version, book.sent[at].clone());
+            }
+            return;
+        }
+    }
+
+    /// Sends the newest acknowledged configuration once more, as it was, to some core machine.
+    pub(super) async fn again(self: Rc<Self>) {
+        let newest = {
+            let wires = self.stage.wires.borrow();
+            let acked = wires.configs.iter().enumerate().filter(|(_, config)| config.acked.is_some());
+            acked.max_by_key(|(_, config)| config.version).map(|(at, config)| (at, config.body.clone()))
+        };
+        let Some((at, body)) = newest else { return };
+        let (from, first) = (self.now(), self.stage.number() as usize);
+        let said = "a configuration sent again";
+        self.order("/config/replace", &body, Aim::From(first), said, ACK_MS, |wires, status, now| {
+            wires.configs[at].again.push((from, now, status));
+        })
+        .await;
+    }
+
+    /// Sends an order to one core machine after the other until one ends it.
+    pub(super) async fn order(
+        self: &Rc<Self>, path: &str, body: &[u8], aim: Aim, said: &str, patience_ms: u64,
+        note: impl Fn(&mut wires::Wires, u16, u64),
+    ) -> Option<u16> {
+        let ground = Ground::world(Rc::new(self.stage.fabric.seat(operator())));
+        while self.orders.get() >= AT_ONCE {
+            sleep(Duration::from_millis(10)).await;
+        }
+        self.orders.set(self.orders.get() + 1);
+        let mut ended = None;
+        let until = self.now() + patience_ms;
+        let (mut nth, mut pause, mut others) = (0, 100, 0);
+        while self.now() < until && ended.is_none() {
+            let cores = self.stage.cores.borrow().clone();
+            let to = match aim {
+                Aim::From(first) => cores[(first + nth) % cores.len()],
+                Aim::First(ip) if nth == 0 => ip,
+                Aim::First(_) => cores[nth % cores.len()],
+                Aim::Only(ip) => ip,
+            };
+            nth += 1;
+            let wait = Duration::from_millis(1000 + body.len() as u64 / 100);
+            let began = Instant::now();
+            let mut done = self.follow(&ground, SocketAddrV4::new(to, CONTROL), path, body, wait).await;
+            if done.is_some() && self.answers_lost.get() > 0.0 && self.stage.draw() < self.answers_lost.get()
+            {
+                tokio::time::sleep_until(began + wait).await;
+                done = None;
+            }
+            let Some((status, by)) = done else {
+                sleep(Duration::from_millis(pause)).await;
+                pause = (pause * 2).min(1000);
+                continue;
+            };
+            others += usize::from((400..500).contains(&status) && !matches!(status, 408 | 429));
+            let ends = matches!(status, 200..=299 | 400 | 409 | 412 | 413 | 422) || others >= 3;
+            if ends {
+                if status / 100 == 2 {
+                    *self.leader.borrow_mut() = Some(by);
+                }
+                note(&mut self.stage.wires.borrow_mut(), status, self.stage.now());
+                ended = Some(status);
+                break;
+            }
+            sleep(Duration::from_millis(pause)).await;
+            pause = (pause * 2).min(1000);
+        }
+        if ended.is_none() {
+            self.unacked.borrow_mut().push(said.to_owned());
+        }
+        self.orders.set(self.orders.get() - 1);
+        ended
+    }
+
+    /// One call, which follows 307 twice: the status, and who gave it.
+    async fn follow(
+        &self, ground: &Ground, to: SocketAddrV4, path: &str, body: &[u8], wait: Duration,
+    ) -> Option<(u16, Ipv4Addr)> {
+        let (mut to, mut path) = (to, path.to_owned());
+        for _ in 0..3 {
+            let (status, _, location) = call_at(ground, to, "POST", &path, body, wait).await?;
+            let Some(location) = location.filter(|_| status == 307) else {
+                return Some((status, *to.ip()));
+            };
+            let rest = location.strip_prefix("http://")?;
+            let (address, rest) = rest.split_at(rest.find('/')?);
+            (to, path) = (address.parse().ok()?, rest.to_owned());
+        }
+        None
+    }
+
+    pub(super) async fn read_back(&self) {
+        let ground = Ground::world(Rc::new(self.stage.fabric.seat(operator())));
+        let mut rollouts = Vec::new();
+        for order in &self.stage.wires.borrow().orders {
+            if let wires::What::Rollout { service, .. } = &order.what {
+                rollouts.push(service.clone());
+            }
+        }
+        for nth in 0..8 {
+            let cores = self.stage.cores.borrow().clone();
+            let to = SocketAddrV4::new(cores[nth % cores.len()], CONTROL);
+            let within = Duration::from_secs(3);
+            if let Some((200, body)) = call(&ground, to, "GET", "/config/show", b"", within).await {
+                self.stage.wires.borrow_mut().read_back = Some(body);
+                break;
+            }
+            sleep(Duration::from_millis(500)).await;
+        }
+        for service in rollouts {
+            let cores = self.stage.cores.borrow().clone();
+            for core in cores {
+                let path = format!("/rollouts/{service}/show");
+                let to = SocketAddrV4::new(core, CONTROL);
+                let done = call(&ground, to, "GET", &path, b"", Duration::from_secs(3)).await;
+                let state = match done {
+                    Some((200, body)) => {
+                        let said = serde_json::from_slice::<serde_json::Value>(&body).unwrap_or_default();
+                        said["state"].as_str().unwrap_or("?").to_owned()
+                    }
+                    Some((404, _)) => "gone".to_owned(),
+                    _ => continue,
+                };
+                self.stage.wires.borrow_mut().rollouts.insert(service.clone(), state);
+                break;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/beechcroft-range/src/whole/day/troubles.rs
@@ -0,0 +1,206 @@
+//! Troubles of the control side: storms of changes, answers that are lost, machines that are met by changes as they
+//! return, seeds that turn over, strikes right after an acknowledgement, machines that are replaced one by one.
+
+use super::*;
+use crate::whole::scenario::{After, Meets};
+
+/// From a newcomer's start until the machine that it follows is told to leave.
+const FOLLOWS_S: f64 = 3.0;
+
+impl Day {
+    /// A machine's name, where it is told by what it did last.
+    pub(super) fn who(&self, on: &str) -> String {
+        let ip = match on {
+            "leader" => *self.leader.borrow(),
+            "reader" => self.stage.reader.get(),
+            _ => return on.to_owned(),
+        };
+        let machines = self.machines.borrow();
+        let stands = |machine: &&Rc<Machine>| machine.core && !machine.gone.get();
+        let named = machines.iter().filter(stands).find(|machine| Some(machine.ip) == ip);
+        named.or(machines.iter().find(stands)).map(|machine| machine.name.clone()).unwrap_or_default()
+    }
+
+    /// A new, empty machine at an address of its own.
+    pub(super) fn newcomer(&self, core: bool) -> Rc<Machine> {
+        let at = self.machines.borrow().iter().filter(|m| m.core == core).count();
+        let machine = self.machine(at, core);
+        self.machines.borrow_mut().push(machine.clone());
+        if core {
+            self.stage.cores.borrow_mut().push(machine.ip);
+        }
+        self.start(&machine, false);
+        self.trouble(&machine.name, self.now(), self.now(), "new");
+        machine
+    }
+
+    pub(super) async fn storm(
+        self: Rc<Self>, count: usize, every_ms: u64, lost: f64, races: f64, again: f64,
+    ) {
+        let for_s = (count as u64 * every_ms) as f64 / 1000.0;
+        if lost > 0.0 {
+            spawn_local(self.clone().unheard(lost, for_s));
+        }
+        for nth in 0..count {
+            while self.orders.get() >= operator::AT_ONCE {
+                sleep(Duration::from_millis(10)).await;
+            }
+            let (sent, held) = self.config(usize::from(nth % 3 == 0), nth % 6 == 5, true);
+            let first = self.stage.number() as usize;
+            if self.stage.draw() < races {
+                let (other, its) = self.config(1, false, false);
+                spawn_local(self.clone().replace(other, its, Aim::From(first + 1)));
+            }
+            let day = self.clone();
+            let repeats = self.stage.draw() < again;
+            spawn_local(async move {
+                if day.clone().replace(sent, held, Aim::From(first)).await && repeats {
+                    day.again().await;
+                }
+            });
+            sleep(Duration::from_millis(every_ms)).await;
+        }
+    }
+
+    pub(super) async fn unheard(self: Rc<Self>, part: f64, for_s: f64) {
+        let now = self.now();
+        // Calls that were not heard go on for a while.
+        self.trouble("operator", now, now + (for_s * 1000.0) as u64 + 2000, "cut off");
+        self.answers_lost.set(part);
+        sleep(Duration::from_secs_f64(for_s)).await;
+        self.answers_lost.set(0.0);
+    }
+
+    /// Changes that meet a machine in trouble and as it returns.
+    pub(super) async fn meets(self: Rc<Self>, what: What, meets: Meets) {
+        let (on, for_s) = match &what {
+            What::Kill { on, down_s } | What::Power { on, down_s } | What::Wipe { on, down_s } => {
+                (on, *down_s)
+            }
+            What::Freeze { on, for_s } | What::SlowDisk { on, for_s, .. } => (on, *for_s),
+            What::Cut { from, for_s, .. } => (from, *for_s),
+            _ => return,
+        };
+        let Some(machine) = self.named(on).into_iter().find(|machine| machine.core) else { return };
+        let ip = machine.ip;
+        sleep(Duration::from_secs_f64(for_s / 2.0)).await;
+        match meets {
+            Meets::Change | Meets::Race => {
+                spawn_local(self.clone().change_at(ip, meets == Meets::Race));
+                sleep(Duration::from_secs_f64(for_s / 2.0) + Duration::from_millis(20)).await;
+                self.change_at(ip, meets == Meets::Race).await;
+            }
+            Meets::Hard => {
+                let (sent, held) = self.config(1, false, true);
+                self.replace(sent, held, Aim::Only(ip)).await;
+            }
+            Meets::Drain => {
+                sleep(Duration::from_secs_f64(for_s / 2.0) + Duration::from_millis(300)).await;
+                let near = |standing: &Rc<Standing>| standing.unit.zone == machine.zone;
+                for standing in self.running("boards").into_iter().filter(near).take(2) {
+                    spawn_local(self.clone().drains(standing));
+                }
+            }
+        }
+    }
+
+    async fn change_at(self: Rc<Self>, ip: Ipv4Addr, race: bool) {
+        let (one, held) = self.config(1, false, true);
+        if race {
+            let (two, other) = self.config(1, false, false);
+            spawn_local(self.clone().replace(two, other, Aim::From(0)));
+        }
+        self.replace(one, held, Aim::First(ip)).await;
+    }
+
+    /// Settings files name other seeds, and some edge machines start anew by them.
+    pub(super) async fn reseeds(self: Rc<Self>, first: &str, restart: usize) {
+        let first = self.who(first);
+        let mut cores: Vec<Rc<Machine>> = self.named("*").into_iter().filter(|m| m.core).collect();
+        cores.sort_by_key(|machine| !machine.name.starts_with(&first));
+        let seeds: Vec<SocketAddrV4> =
+            cores.iter().take(3).map(|machine| SocketAddrV4::new(machine.ip, CONTROL)).collect();
+        *self.seeds.borrow_mut() = Some(seeds.clone());
+        let machines = self.named("*");
+        for told in machines.iter().filter_map(|machine| machine.reseed.borrow().clone()) {
+            let _ = told.send(seeds.clone());
+        }
+        let edges: Vec<Rc<Machine>> = machines.into_iter().filter(|m| !m.core).take(restart).collect();
+        self.all_down(edges, 0.5, false, false).await;
+    }
+
+    pub(super) async fn rolls(self: Rc<Self>, on: &str, remove: bool, every_s: f64) {
+        for machine in self.named(on) {
+            if remove {
+                self.newcomer(machine.core);
+                sleep(Duration::from_secs_f64(FOLLOWS_S)).await;
+                self.leaves(&machine).await;
+                machine.gone.set(true);
+                self.stage.cores.borrow_mut().retain(|ip| *ip != machine.ip);
+                self.trouble(&machine.name, self.now(), self.now(), "gone for good");
+            } else {
+                self.clone().stops(machine).await;
+            }
+            sleep(Duration::from_secs_f64(every_s)).await;
+        }
+    }
+
+    /// Waits for the moment of a strike.
+    async fn comes(self: &Rc<Self>, after: After) {
+        let (sent, held) = self.config(2, false, true);
+        match after {
+            After::Acked => drop(self.clone().replace(sent, held, Aim::From(0)).await),
+            After::Sent => drop(spawn_local(self.clone().replace(sent, held, Aim::From(0)))),
+            After::Evacuated => self.evacuate(&zone_name(0, 0), true, 0).await,
+            After::Taken => {
+                let (taken, until) = (self.stage.taken.get(), self.now() + 3000);
+                while self.stage.taken.get() == taken && self.now() < until {
+                    sleep(Duration::from_millis(1)).await;
+                }
+            }
+            After::Drained => {
+                let Some(standing) = self.running("boards").into_iter().next() else { return };
+                spawn_local(self.clone().drains(standing.clone()));
+                let acked = || {
+                    let wires = self.stage.wires.borrow();
+                    wires.units.get(&standing.unit.id).is_some_and(|life| life.left_acked.is_some())
+                };
+                let until = self.now() + 5000;
+                while !acked() && self.now() < until {
+                    sleep(Duration::from_millis(1)).await;
+                }
+            }
+        }
+    }
+
+    pub(super) async fn strike(
+        self: Rc<Self>, on: &str, after: After, wait_ms: u64, power: bool, wipe: Option<String>, down_s: f64,
+        closing: bool,
+    ) {
+        self.comes(after).await;
+        sleep(Duration::from_millis(wait_ms)).await;
+        let wipe = wipe.map(|wipe| self.who(&wipe));
+        let machines = self.named(on);
+        let lost: Vec<Rc<Machine>> = machines
+            .iter()
+            .filter(|machine| wipe.as_ref().is_some_and(|wipe| machine.name.starts_with(wipe.as_str())))
+            .cloned()
+            .collect();
+        if closing {
+            let now = self.now();
+            self.trouble("*", now, now + (down_s * 1000.0) as u64, "the closing fault");
+        }
+        let down = self.all_down(machines, down_s, power, false);
+        let wipes = async {
+            sleep(Duration::from_millis(1)).await;
+            lost.iter().filter_map(|machine| machine.plate.as_ref()).for_each(Plate::wipe);
+        };
+        tokio::join!(down, wipes);
+        if closing {
+            self.stage.wires.borrow_mut().closing = Some(self.now());
+        } else if after == After::Evacuated {
+            sleep(Duration::from_secs(8)).await;
+            self.evacuate(&zone_name(0, 0), false, 0).await;
+        }
+    }
+}
--- a/crates/beechcroft-range/src/whole/disk.rs
+++ b/crates/beechcroft-range/src/whole/disk.rs
@@ -46,20 +46,28 @@
     pub faults: Rc<RefCell<BTreeMap<u64, Sync>>>,
     /// All syncs lie.
     pub liar: bool,
+    /// A batch of records that is being written may last in part.
+    pub torn: bool,
 }
 
 impl Plate {
     pub fn new(fabric: &Fabric, sync_ms: u64, faults: Rc<RefCell<BTreeMap<u64, Sync>>>, liar: bool) -> Plate {
         let state = Rc::new(RefCell::new(State { sync_ms: sync_ms.max(1), ..State::default() }));
-        Plate { state, fabric: fabric.clone(), faults, liar }
+        Plate { state, fabric: fabric.clone(), faults, liar, torn: false }
     }
 
     /// Power goes: of what was being written, the earlier half is found there.
     pub fn power_lost(&self) {
         let mut state = self.state.borrow_mut();
         let pending = std::mem::take(&mut state.pending);
-        let lasts = pending.len() / 2;
-        state.table.extend(pending.into_values().take(lasts).flatten());
+        if self.torn {
+            let records: Vec<_> = pending.into_values().flatten().collect();
+            let lasts = (state.next.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33) as usize % (records.len() + 1);
+            state.table.extend(records.into_iter().take(lasts));
+        } else {
+            let lasts = pending.len() / 2;
+            state.table.extend(pending.into_values().take(lasts).flatten());
+        }
         state.busy_until = None;
     }
 
--- a/crates/beechcroft-range/src/whole/scenario.rs
+++ b/crates/beechcroft-range/src/whole/scenario.rs
@@ -47,6 +47,9 @@
     pub region_ms: u64,
     #[serde(default = "zone_ms")]
     pub sync_ms: u64,
+    /// When power goes, of the records that were being written any first part may be found there, not batches alone.
+    #[serde(default)]
+    pub torn: bool,
     /// Of datagrams.
     #[serde(default)]
     #[garde(range(min = 0.0, max = 0.9))]
@@ -95,7 +98,54 @@
     pub what: What,
 }
 
-/// What is planned, and what goes wrong. `on`: machines whose name begins so, a zone or a region.
+/// What meets a machine in trouble, and as it returns.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum Meets {
+    /// A change of the configuration is sent to that machine first, during its trouble and as it returns.
+    Change,
+    /// Two of them at once each time, the other one to another machine.
+    Race,
+    /// A change is sent to it alone, again and again until it answers.
+    Hard,
+    /// Units of its zone leave soon after it is back.
+    Drain,
+}
+
+/// What a configuration changes besides its routes.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum Change {
+    /// A route goes to another service.
+    #[default]
+    Route,
+    /// A route is split between two services, by other weights each time.
+    Weights,
+    /// The routes' time-outs.
+    Timeout,
+    /// The time after which idle connections are closed.
+    Idle,
+}
+
+/// The moment right after which a strike comes.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum After {
+    /// A change was acknowledged.
+    #[default]
+    Acked,
+    /// A change was sent, acknowledged or not.
+    Sent,
+    /// A client's write was answered with success.
+    Taken,
+    /// An evacuation was acknowledged; it is taken back 8 s after the machines return.
+    Evacuated,
+    /// A unit's word that it leaves was acknowledged.
+    Drained,
+}
+
+/// What is planned, and what goes wrong. `on`: machines whose name begins so, a zone or a region; `leader`: the core
+/// machine that acknowledged last; `reader`: the one whose directory was read last.
 #[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum What {
@@ -106,8 +156,19 @@
         #[serde(default)]
         drop: bool,
     },
+    /// One that changes something else than routes' prefixes.
+    Alter {
+        change: Change,
+    },
+    /// Trouble of a core machine, and what it is sent meanwhile and as it returns.
+    Met {
+        by: Meets,
+        what: Box<What>,
+    },
     /// Two of them at once on the same version, sent to different huts.
     Race,
+    /// Two of them at once, different ones under the same number.
+    Twins,
     Invalid,
     Rollout {
         service: String,
@@ -230,6 +291,64 @@
         times: f64,
         for_s: f64,
     },
+    /// Many changes, one each so many ms. Parts of them: whose answers are lost on their way, that race another one on
+    /// the same version, after which the newest one is sent again.
+    Storm {
+        count: usize,
+        every_ms: u64,
+        #[serde(default)]
+        lost: f64,
+        #[serde(default)]
+        races: f64,
+        #[serde(default)]
+        again: f64,
+    },
+    /// Answers to the operators are lost on their way.
+    Unheard {
+        part: f64,
+        for_s: f64,
+    },
+    /// The settings name other seeds, the core machines called `first` before the others; so many edge machines are
+    /// killed and started anew.
+    Seeds {
+        first: String,
+        #[serde(default)]
+        restart: usize,
+    },
+    /// SIGTERM to one machine after the other; `remove`: a new one starts elsewhere first, and the old one leaves for
+    /// good.
+    Roll {
+        on: String,
+        #[serde(default)]
+        remove: bool,
+        every_s: f64,
+    },
+    /// A share of the machines is killed at once.
+    Herd {
+        on: String,
+        share: f64,
+        #[serde(default)]
+        power: bool,
+        #[serde(default = "down")]
+        down_s: f64,
+    },
+    /// Machines are killed, or lose power, so many ms after something; disks of `wipe` are lost. `closing`: the end of
+    /// the day is judged as after a closing fault.
+    Strike {
+        on: String,
+        #[serde(default)]
+        after: After,
+        #[serde(default)]
+        wait_ms: u64,
+        #[serde(default)]
+        power: bool,
+        #[serde(default)]
+        wipe: Option<String>,
+        #[serde(default = "down")]
+        down_s: f64,
+        #[serde(default)]
+        closing: bool,
+    },
     /// Every machine loses power, or every process is killed, right after a configuration was acknowledged.
     Closing {
         #[serde(default)]
@@ -278,6 +397,10 @@
     StaysDown,
     /// Requests go to units whose address another service has now, without naming the unit.
     AnyUnit,
+    /// A hut takes a configuration once, and refuses it when it is sent again.
+    TakesOnce,
+    /// A hut is silent to every order.
+    Mute,
     /// A task of an edge panics; the others go on.
     Panics,
     /// An edge ends by itself, as if all were well.
--- a/crates/beechcroft-range/src/whole/wires.rs
+++ b/crates/beechcroft-range/src/whole/wires.rs
@@ -86,6 +86,10 @@
     /// Route name to path prefix and the services it may go to.
     pub routes: BTreeMap<String, Route>,
     pub body: Vec<u8>,
+    /// When a clear answer came.
+    pub ended: Option<u64>,
+    /// Sent again after its acknowledgement: when, when it was answered, and how.
+    pub again: Vec<(u64, u64, u16)>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -101,6 +105,8 @@
     pub what: What,
     pub at: u64,
     pub acked: Option<u64>,
+    /// When a clear answer came, or the operator gave it up.
+    pub ended: Option<u64>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -142,6 +148,10 @@
     /// The configuration as read back at the end, if it came; and states of rollouts.
     pub read_back: Option<Vec<u8>>,
     pub rollouts: BTreeMap<String, String>,
+    /// Datagrams were lost, or disks failed, by chance: no time counts as settled.
+    pub flawed: bool,
+    /// The day's end, in ms.
+    pub end: u64,
     /// After a closing fault: when the machines were back.
     pub closing: Option<u64>,
     /// Successes on connections where no request was waiting.
--- a/crates/beechcroft-range/tests/whole.rs
+++ b/crates/beechcroft-range/tests/whole.rs
@@ -27,6 +27,8 @@
         Mutant::GoesBack | Mutant::BothWin => "CONFIG",
         Mutant::StaysDown => "RECOVER",
         Mutant::AnyUnit => "ROUTE",
+        Mutant::TakesOnce => "CONFIG",
+        Mutant::Mute => "Acks",
         Mutant::Panics | Mutant::Quits => "Fault",
     }
 }
