--- a/crates/beechcroft-range/src/whole/day.rs
+++ b/crates/beechcroft-range/src/whole/day.rs
@@ -99,6 +99,8 @@
     leader: RefCell<Option<Ipv4Addr>>,
     /// Part of the operators' answers that are lost on their way.
     answers_lost: Cell<f64>,
+    /// Traffic has ended, and with it what is planned.
+    over: Cell<bool>,
     /// Seeds of settings files, once they were changed.
     seeds: RefCell<Option<Vec<SocketAddrV4>>>,
     unacked: RefCell<Vec<String>>,
@@ -158,6 +160,7 @@
         orders: Cell::new(0),
         leader: RefCell::default(),
         answers_lost: Cell::new(0.0),
+        over: Cell::new(false),
         seeds: RefCell::default(),
         unacked: RefCell::default(),
         spread_ms: RefCell::default(),
@@ -465,6 +468,7 @@
         spawn_local(self.clone().probes(start));
         let end = Duration::from_secs_f64(self.scenario.seconds);
         tokio::time::sleep_until(start + end).await;
+        self.over.set(true);
         // What is under way ends; orders are waited for.
         let patience = self.now() + ACK_MS + 3000;
         while self.orders.get() > 0 && self.now() < patience {
--- a/crates/beechcroft-range/src/whole/day/operator.rs
+++ b/crates/beechcroft-range/src/whole/day/operator.rs
@@ -281,9 +281,10 @@
         for nth in 0..8 {
             let cores = self.stage.cores.borrow().clone();
             let to = SocketAddrV4::new(cores[nth % cores.len()], CONTROL);
-            let within = Duration::from_secs(3);
+            let (asked, within) = (self.now(), Duration::from_secs(3));
             if let Some((200, body)) = call(&ground, to, "GET", "/config/show", b"", within).await {
-                self.stage.wires.borrow_mut().read_back = Some(body);
+                let mut wires = self.stage.wires.borrow_mut();
+                (wires.read_back, wires.read_at) = (Some(body), asked);
                 break;
             }
             sleep(Duration::from_millis(500)).await;
--- a/crates/beechcroft-range/src/whole/day/troubles.rs
+++ b/crates/beechcroft-range/src/whole/day/troubles.rs
@@ -42,6 +42,9 @@
             spawn_local(self.clone().unheard(lost, for_s));
         }
         for nth in 0..count {
+            if self.over.get() {
+                return; // changes end with the traffic
+            }
             while self.orders.get() >= operator::AT_ONCE {
                 sleep(Duration::from_millis(10)).await;
             }
--- a/crates/beechcroft-range/src/whole/wires.rs
+++ b/crates/beechcroft-range/src/whole/wires.rs
@@ -147,6 +147,8 @@
     pub leaves: Vec<(String, u64, u64)>,
     /// The configuration as read back at the end, if it came; and states of rollouts.
     pub read_back: Option<Vec<u8>>,
+    /// When it was asked for.
+    pub read_at: u64,
     pub rollouts: BTreeMap<String, String>,
     /// Datagrams were lost, or disks failed, by chance: no time counts as settled.
     pub flawed: bool,
--- /dev/null
+++ b/crates/beechcroft-range/tests/troubles.rs
@@ -0,0 +1,99 @@
+//! The world's own faults: what it did that no platform does, and an auditor stricter than the rules.
+
+use beechcroft_range::whole::audit::{judge, Bounds};
+use beechcroft_range::whole::wires::{Order, Sent, Trouble, What, Wires};
+use beechcroft_range::whole::{play, Scenario};
+
+/// An edge is down while all lose power, so that its own return follows that of all.
+const TWICE_BACK: &str = r#"
+name = "twice-back"
+seed = 1000105
+rate = 30.652410894940026
+seconds = 56.2
+sync_ms = 2
+[[event]]
+at = 14.9
+what = "race"
+[[event]]
+at = 24.0
+what.kill = { on = "edge-7", down_s = 3.6 }
+[[event]]
+at = 26.2
+what.closing = { power = true }
+"#;
+
+#[test]
+fn a_machine_that_two_events_took_down_runs_one_process() {
+    let scenario = Scenario::read(TWICE_BACK).unwrap();
+    assert_eq!(play(&scenario).verdict.breaches, []);
+}
+
+fn sent(version: u32, base: u32, at: u64, acked: Option<u64>) -> Sent {
+    Sent {
+        version,
+        base,
+        at,
+        acked,
+        refused: None,
+        valid: true,
+        routes: Default::default(),
+        body: format!("{version}").into_bytes(),
+        ended: acked,
+        again: Vec::new(),
+    }
+}
+
+fn rules(wires: &Wires) -> Vec<&'static str> {
+    judge(wires, &Bounds::default()).breaches.iter().map(|breach| breach.rule).collect()
+}
+
+#[test]
+fn what_is_acknowledged_after_the_last_reading_is_not_missed_in_it() {
+    let (one, two) = (sent(1, 0, 10, Some(20)), sent(2, 1, 30, Some(60)));
+    let mut wires = Wires { read_back: Some(one.body.clone()), read_at: 50, ..Wires::default() };
+    wires.configs = vec![one, two];
+    assert_eq!(rules(&wires), [] as [&str; 0]);
+    wires.read_at = 61;
+    assert_eq!(rules(&wires), ["LOST"]);
+    wires.read_back = None;
+    assert_eq!(rules(&wires), ["LOST"]);
+}
+
+#[test]
+fn a_repeat_may_be_refused_only_after_another_change() {
+    let mut one = sent(1, 0, 10, Some(20));
+    one.again = vec![(30, 40, 412)];
+    let mut wires = Wires { read_back: Some(one.body.clone()), read_at: 99, ..Wires::default() };
+    wires.configs = vec![one.clone()];
+    assert_eq!(rules(&wires), ["CONFIG"]);
+    let mut other = sent(2, 1, 25, None); // it may have been taken
+    wires.configs = vec![one.clone(), other.clone()];
+    assert_eq!(rules(&wires), [] as [&str; 0]);
+    (other.refused, other.ended) = (Some(412), Some(28));
+    wires.configs = vec![one, other];
+    assert_eq!(rules(&wires), ["CONFIG"]);
+}
+
+#[test]
+fn an_order_may_wait_in_an_unsettled_time_and_not_in_a_settled_one() {
+    let order = |acked| Order {
+        what: What::Evacuate { zone: "z".into(), begin: true },
+        at: 1000,
+        acked,
+        ended: acked,
+    };
+    let mut wires = Wires { orders: vec![order(Some(6900))], end: 60_000, ..Wires::default() };
+    assert_eq!(rules(&wires), [] as [&str; 0]);
+    wires.orders = vec![order(Some(7100))];
+    assert_eq!(rules(&wires), ["Acks"]);
+    wires.orders = vec![order(None)];
+    assert_eq!(rules(&wires), ["Acks"]);
+    // Each stretch between troubles of the core is too short, with the time after each.
+    let trouble =
+        |from| Trouble { on: "core".into(), from, until: from + 500, said: "killed".into(), planned: false };
+    wires.troubles = vec![trouble(5000), trouble(15_000)];
+    wires.orders = vec![order(Some(25_400))];
+    assert_eq!(rules(&wires), [] as [&str; 0]);
+    wires.orders = vec![order(Some(25_600))];
+    assert_eq!(rules(&wires), ["Acks"]);
+}
