Rollouts: units slow from their start are not judged by time; doubt at the end goes back

A bad version of a service that is hardly asked stood at its stage for ever, too few outcomes coming for a vote. Change: lateness at a unit that says it is slow from its start is no outcome of its version; when the stages left no longer fit into the ramp and over 2 nats speak against the version, the core reverts it. Measured: the tests of ropes.

--- a/crates/beechcroft-hut/src/keeper/rollouts.rs
+++ b/crates/beechcroft-hut/src/keeper/rollouts.rs
@@ -122,6 +122,7 @@
                 Next::Stay => continue,
                 Next::On(stage) => Stage::Active(stage),
                 Next::Complete => Stage::Complete,
+                Next::Back => Stage::Reverted,
             };
             log::info!("keeper: Rollout of {service} goes from {stage} to {to:?}: {view:?}.");
             due.push(Op::Move { service: service.clone(), begun: rollout.begun, from: rollout.stage, to });
--- a/crates/beechcroft-railing/src/lib.rs
+++ b/crates/beechcroft-railing/src/lib.rs
@@ -61,8 +61,12 @@
     EarlierVersionWell,
     /// Of a request only its first offer is evidence on a version.
     FirstOffersOnly,
+    /// That a unit is slow from its start is not held against its version.
+    ColdIsNoBuild,
     /// What a few units bring beyond the median one keeps no version from its end.
     IllUnitsAreNoVersion,
+    /// A rollout that is still in doubt when its time is over goes back.
+    DoubtAtTheEnd,
     /// A relay that knows too little of the earlier version takes the slow mark from what all know.
     SlowMarkOfAll,
 }
--- a/crates/beechcroft-ropes/src/conduct.rs
+++ b/crates/beechcroft-ropes/src/conduct.rs
@@ -69,6 +69,8 @@
     pub exposed: f64,
     /// The most requests a second.
     pub rate: f64,
+    /// How long they lasted.
+    pub ms: u64,
 }
 
 /// Log likelihood ratio of all outcomes above which a rollout waits for more.
@@ -90,6 +92,8 @@
 /// Without any outcome told, a stage lasts so many steps before the service counts as hardly asked.
 const UNTOLD_STEPS: f64 = 3.0;
 
+/// The least that the last stage lasts.
+const LAST_LEAST_MS: u64 = 1200;
 /// Outcomes of each unit without which nothing is said of single ones.
 const OF_EACH: u32 = 4;
 
@@ -128,6 +132,15 @@
         self.evidence()[0] > CLEAR_NATS
     }
 
+    /// Whether the stages that are left no longer fit into the ramp: a good version has missed its term then, and a bad
+    /// one that too few requests come to for a vote need not stay for ever.
+    fn is_too_late(&self) -> bool {
+        let Some(before) = self.before else { return false };
+        let steps = f64::from(LAST.saturating_sub(self.stage + 1)) * STEP_PART * self.ramp_ms as f64;
+        let last = if self.stage < LAST { LAST_LEAST_MS } else { 0 };
+        before.ms + self.stage_ms + steps as u64 + last > self.ramp_ms
+    }
+
     /// Whether the earlier version fails so often itself that a bad one could pass for its like.
     fn is_earlier_ill(&self) -> bool {
         stands(Guard::EarlierVersionWell) && self.good > ILL
@@ -160,6 +173,7 @@
             asked: before.asked + asked,
             exposed: before.exposed + asked * share(self.stage, self.canary_share),
             rate: before.rate.max(self.rate),
+            ms: before.ms + self.stage_ms,
         }
     }
 }
@@ -170,6 +184,8 @@
     Stay,
     On(u8),
     Complete,
+    /// Back to the earlier version: what the rollout was given is over, and it is still in doubt.
+    Back,
 }
 
 pub fn conduct(view: View) -> Next {
@@ -177,6 +193,9 @@
     // Nothing goes on over an alarm, nor to units that could not carry what the next stage brings.
     let share = share(view.stage + 1, view.canary_share);
     let bears = f64::from(view.new_slots) >= 0.6 * share * f64::from(view.old_slots.max(view.new_slots));
+    if view.is_doubtful() && view.is_too_late() && stands(Guard::DoubtAtTheEnd) {
+        return Next::Back;
+    }
     if view.alarm || view.is_doubtful() || view.is_earlier_ill() || !bears {
         return Next::Stay;
     }
@@ -190,7 +209,7 @@
             }
         }
         LAST => {
-            let ended = view.old_open == 0 && view.stage_ms >= 1200 || view.stage_ms >= 2200;
+            let ended = view.old_open == 0 && view.stage_ms >= LAST_LEAST_MS || view.stage_ms >= 2200;
             if ended && (view.trials >= LAST_SOME || view.stage_ms >= LAST_MS) {
                 Next::Complete
             } else {
--- a/crates/beechcroft-ropes/src/lib.rs
+++ b/crates/beechcroft-ropes/src/lib.rs
@@ -74,6 +74,10 @@
     pub free: bool,
     /// No unit was offered the request before.
     pub first: bool,
+    /// The unit said that it is slow from its start: how long it took says nothing of the build.
+    pub cold: bool,
+    /// It failed only in that an offer beside it was answered sooner.
+    pub beaten: bool,
 }
 
 /// A peer's word: its alarm and divergence, and what it has counted, by unit.
@@ -190,8 +194,9 @@
     /// from unit to unit, and an offer beside a slow one is dropped as soon as that one is answered. The sum takes
     /// outcomes to be independent.
     pub fn outcome(&mut self, outcome: Outcome) {
-        let Outcome { on_trial, route, failed, spent, free, first } = outcome;
-        if stands(Guard::FirstOffersOnly) && !first {
+        let Outcome { on_trial, route, failed, spent, free, first, cold, beaten } = outcome;
+        let cold = cold && stands(Guard::ColdIsNoBuild);
+        if stands(Guard::FirstOffersOnly) && !first || cold && beaten {
             return;
         }
         let past = self.past.entry(route).or_default();
@@ -203,10 +208,12 @@
                 .map(|from| from.mul_f64(LOADED))
         };
         let slow_from = past.slow_from().map(|from| from.mul_f64(times)).or_else(of_all);
-        let failed = failed || slow_from.is_some_and(|from| spent > from);
+        let failed = failed || !cold && slow_from.is_some_and(|from| spent > from);
         let Some(unit) = on_trial else {
             past.failures.add(failed, KEEP);
-            past.times.add(spent, KEEP as u32);
+            if !cold {
+                past.times.add(spent, KEEP as u32);
+            }
             return;
         };
         let Some(trial) = &mut self.trial else { return };
--- a/crates/beechcroft-ropes/tests/conduct.rs
+++ b/crates/beechcroft-ropes/tests/conduct.rs
@@ -32,6 +32,7 @@
             Next::Stay => {}
             Next::On(next) => (stage, began) = (next, now),
             Next::Complete => break,
+            Next::Back => panic!("nothing speaks against it"),
         }
         assert!(now < 15_000, "stage {stage}");
     }
@@ -152,7 +153,7 @@
 
 #[test]
 fn what_a_version_got_in_earlier_stages_counts_to_what_it_may_get() {
-    let before = Before { nats: [0.0; 2], asked: 120.0, exposed: 40.0, rate: 13.0 };
+    let before = Before { nats: [0.0; 2], asked: 120.0, exposed: 40.0, rate: 13.0, ms: 4_000 };
     let thin = View { trials: 5, asked: 15, rate: 13.0, before: Some(before), ..view(1, 2_000) };
     assert_eq!(conduct(thin), Next::Stay);
     assert_eq!(conduct(View { before: None, ..thin }), Next::Stay, "nobody knows what it got");
@@ -184,3 +185,15 @@
     let _out = without(Some(Guard::IllUnitsAreNoVersion));
     assert_eq!(ends(&crashed), Next::Stay);
 }
+
+#[test]
+fn a_rollout_still_in_doubt_when_its_time_is_over_goes_back() {
+    // Six outcomes of a service that is hardly asked: too few for any vote.
+    let thin = View { trials: 6, failures: 3, asked: 60, rate: 4.0, good: 0.015, ..view(0, 10_000) };
+    assert_eq!(conduct(thin), Next::Stay, "two steps and the last stage still fit");
+    let late = View { stage_ms: 11_000, ..thin };
+    assert_eq!(conduct(late), Next::Back);
+    assert_ne!(conduct(View { failures: 0, ..late }), Next::Back, "nothing speaks against it");
+    let _out = without(Some(Guard::DoubtAtTheEnd));
+    assert_eq!(conduct(late), Next::Stay, "without the guard it stays for ever");
+}
--- a/crates/beechcroft-ropes/tests/judge.rs
+++ b/crates/beechcroft-ropes/tests/judge.rs
@@ -5,7 +5,16 @@
 const UNITS: u16 = 16;
 
 fn ended(on_trial: Option<u16>, failed: bool, ms: u64) -> Outcome {
-    Outcome { on_trial, route: 0, failed, spent: Duration::from_millis(ms), free: true, first: true }
+    Outcome {
+        on_trial,
+        route: 0,
+        failed,
+        spent: Duration::from_millis(ms),
+        free: true,
+        first: true,
+        cold: false,
+        beaten: false,
+    }
 }
 
 /// A fleet of judges that tell each other every tenth tick; how many ticks until one votes back.
@@ -176,3 +185,22 @@
     let _out = without(Some(Guard::SlowMarkOfAll));
     assert_eq!(run(420), None, "without the guard nobody calls it slow");
 }
+
+#[test]
+fn units_that_are_slow_from_their_start_do_not_take_the_build_back_unless_they_fail() {
+    let run = |failed: bool, spent_ms: u64| {
+        let mut judge = Judge::default();
+        (0..200).for_each(|n| judge.outcome(ended(None, false, 60 + n % 40)));
+        judge.stage(1, 0);
+        (0..60u16).any(|n| {
+            let beaten = !failed && n % 5 == 0;
+            let ended = ended(Some(n % UNITS), failed || beaten, spent_ms);
+            judge.outcome(Outcome { cold: true, beaten, ..ended });
+            judge.tick(&[]).unwrap().back
+        })
+    };
+    assert!(!run(false, 260));
+    assert!(run(true, 70), "errors are the build's, cold or warm");
+    let _out = without(Some(Guard::ColdIsNoBuild));
+    assert!(run(false, 260), "without the guard a good build goes as it comes");
+}
--- a/crates/beechcroft-trail/src/carry.rs
+++ b/crates/beechcroft-trail/src/carry.rs
@@ -390,6 +390,8 @@
     on_trial: bool,
     first: bool,
     beside: bool,
+    /// The unit was slow from its start when it was given the request.
+    cold: bool,
     began: Instant,
     beaten: &'a Cell<bool>,
     told: Option<u32>,
@@ -403,7 +405,11 @@
 impl<'a> Open<'a> {
     fn new(shared: &'a Rc<Shared>, task: &'a Task<'a>, pick: Pick, beaten: &'a Cell<bool>) -> Open<'a> {
         let Pick { choice: Choice { id: unit, .. }, side, first, beside } = pick;
-        shared.yard.borrow_mut().opened(task.service(), &unit);
+        let now = shared.now();
+        let mut yard = shared.yard.borrow_mut();
+        yard.opened(task.service(), &unit);
+        let cold = yard.place(task.service(), &unit).is_some_and(|place| place.warm_at > now);
+        drop(yard);
         let (told, ill, failed, free) = (None, None, None, true);
         Open {
             shared,
@@ -412,6 +418,7 @@
             on_trial: side == Side::Trial,
             first,
             beside,
+            cold,
             began: Instant::now(),
             beaten,
             told,
@@ -469,6 +476,8 @@
             spent: self.began.elapsed(),
             free: self.free,
             first: self.first,
+            cold: self.cold,
+            beaten: beaten.is_some(),
         };
         self.shared.judges.borrow_mut().entry(service.to_owned()).or_default().outcome(outcome);
     }
