A vote back that meets a step just taken still reverts the rollout

Cause: a vote to revert named the stage that its hut knew.

Ruled out: a step that wins over a vote (the version is known to be bad); a vote that reverts what is complete (its old units have stopped by then).

Change: a vote meets a rollout of the same number at any active stage. The world's tests play ends as well as begins, and ask the frozen machine again after its stop: it takes orders.

--- a/crates/beechcroft-hutbook/src/state.rs
+++ b/crates/beechcroft-hutbook/src/state.rs
@@ -267,9 +267,14 @@
                 Ok(true)
             }
             Op::Move { service, begun, from, to } => {
-                let held =
-                    self.rollouts.get_mut(service).filter(|held| held.begun == *begun && held.stage == *from);
-                let Some(held) = held else { return Ok(false) };
+                let Some(held) = self.rollouts.get_mut(service) else { return Ok(false) };
+                // A vote back holds for whatever stage it meets: a step may have been taken just before it.
+                let back = *to == Stage::Reverted
+                    && matches!(held.stage, Stage::Active(_))
+                    && stands(Guard::VotesMeetAnyStage);
+                if held.begun != *begun || held.stage != *from && !back {
+                    return Ok(false);
+                }
                 held.stage = *to;
                 match to {
                     Stage::Complete => {
--- a/crates/beechcroft-hutbook/tests/orders.rs
+++ b/crates/beechcroft-hutbook/tests/orders.rs
@@ -222,6 +222,39 @@
     assert_eq!(book.state(), ("v2", Stage::Active(0)));
 }
 
+/// A step of the ramp, and a vote back that its voter gave before it knew of the step.
+fn a_vote_after_a_step() -> Stage {
+    let mut book = Book::new();
+    book.take(&begin("v2", 10, 0)).unwrap();
+    let begun = book.0.rollouts["s"].begun;
+    book.ends(Stage::Active(1));
+    let vote = Op::Move { service: "s".into(), begun, from: Stage::Active(0), to: Stage::Reverted };
+    book.take(&vote).unwrap();
+    book.state().1
+}
+
+#[test]
+fn a_vote_back_that_meets_a_step_just_taken_still_reverts_and_one_that_meets_the_end_does_not() {
+    assert_eq!(a_vote_after_a_step(), Stage::Reverted);
+    {
+        let _out = without(Some(Guard::VotesMeetAnyStage));
+        assert_eq!(a_vote_after_a_step(), Stage::Active(1), "the vote is lost");
+    }
+    let mut book = Book::new();
+    book.take(&begin("v2", 10, 0)).unwrap();
+    let begun = book.0.rollouts["s"].begun;
+    book.ends(Stage::Complete);
+    let late = Op::Move { service: "s".into(), begun, from: Stage::Active(0), to: Stage::Reverted };
+    assert_eq!(book.take(&late), Ok(false));
+    // Nor does a step that was decided before another.
+    let mut book = Book::new();
+    book.take(&begin("v2", 10, 0)).unwrap();
+    let begun = book.0.rollouts["s"].begun;
+    book.ends(Stage::Active(1));
+    let late = Op::Move { service: "s".into(), begun, from: Stage::Active(0), to: Stage::Complete };
+    assert_eq!(book.take(&late), Ok(false));
+}
+
 #[test]
 fn a_rollout_is_refused_only_while_another_is_active() {
     let mut book = Book::new();
--- a/crates/beechcroft-railing/src/lib.rs
+++ b/crates/beechcroft-railing/src/lib.rs
@@ -29,6 +29,8 @@
     BegunAnew,
     /// A rollout that is sent again soon after it was reverted is not begun anew.
     RepeatWindow,
+    /// A vote to revert a rollout holds though a step was taken just before it.
+    VotesMeetAnyStage,
     /// A value that cannot be read is not taken for an empty one.
     UnreadableValues,
     // Membership of the quorum.
--- a/crates/beechcroft-range/tests/orders.rs
+++ b/crates/beechcroft-range/tests/orders.rs
@@ -201,7 +201,12 @@
     assert_eq!(hand.order(1, later, b"").await, Some(200));
     hand.wait(4500).await;
     let evacuated = orders(&hand).await.evacuated.contains("zone-0a");
-    (evacuated == (later == BEGIN), sent.await.unwrap().map(|heard| heard.0))
+    let first = sent.await.unwrap().map(|heard| heard.0);
+    // It takes orders again, if it is reached.
+    if !hides {
+        assert_eq!(hand.call(0, "POST", later, b"", 1000).await.map(|heard| heard.0), Some(200));
+    }
+    (evacuated == (later == BEGIN), first)
 }
 
 #[test]
@@ -231,17 +236,25 @@
 /// core-0 has no majority for a while; its caller leaves after `stays_ms`, and its end is or is not heard there. Elsewhere the same
 /// order and its end are taken; then core-0 is back among the others.
 async fn without_a_majority(hand: Hand, stays_ms: u64, cut_s: f64, hides: bool) -> bool {
+    without_a_majority_for(hand, BEGIN, stays_ms, cut_s, hides).await
+}
+
+async fn without_a_majority_for(hand: Hand, late: &str, stays_ms: u64, cut_s: f64, hides: bool) -> bool {
+    let later = if late == BEGIN { FINISH } else { BEGIN };
+    if late == FINISH {
+        assert_eq!(hand.order(1, BEGIN, b"").await, Some(200));
+    }
     hand.happens(cut("core-0", "core", cut_s));
-    let sent = hand.send(0, BEGIN, b"", stays_ms);
+    let sent = hand.send(0, late, b"", stays_ms);
     hand.wait(stays_ms - 10).await;
     if hides {
         hand.happens(cut("operator", "core-0", 4.0));
     }
     let _ = sent.await;
-    assert_eq!(hand.order(1, BEGIN, b"").await, Some(200));
-    assert_eq!(hand.order(1, FINISH, b"").await, Some(200));
+    assert_eq!(hand.order(1, late, b"").await, Some(200));
+    assert_eq!(hand.order(1, later, b"").await, Some(200));
     hand.wait(5000).await;
-    !orders(&hand).await.evacuated.contains("zone-0a")
+    orders(&hand).await.evacuated.contains("zone-0a") == (later == BEGIN)
 }
 
 #[test]
@@ -249,8 +262,10 @@
     let all = [50, 100, 200, 300].map(|stays_ms| [0.25, 0.3, 0.4, 0.5, 0.6].map(|cut_s| (stays_ms, cut_s)));
     let all = all.as_flattened();
     for &(stays_ms, cut_s) in all {
-        let stands = world(3, None, |hand| without_a_majority(hand, stays_ms, cut_s, false));
-        assert!(stands, "gone after {stays_ms} ms, cut for {cut_s} s");
+        for late in [BEGIN, FINISH] {
+            let stands = world(3, None, |hand| without_a_majority_for(hand, late, stays_ms, cut_s, false));
+            assert!(stands, "{late} of one gone after {stays_ms} ms, cut for {cut_s} s");
+        }
     }
     let broken = all.iter().filter(|&&(stays_ms, cut_s)| {
         let out = Some(Guard::GoneCallers);
@@ -262,7 +277,10 @@
 #[test]
 fn an_order_that_waits_for_a_majority_is_not_begun_after_a_second_though_its_caller_seems_there() {
     for cut_s in [1.0, 1.2, 1.5, 2.0] {
-        assert!(world(3, None, |hand| without_a_majority(hand, 1000, cut_s, true)), "cut for {cut_s}");
+        for late in [BEGIN, FINISH] {
+            let stands = world(3, None, |hand| without_a_majority_for(hand, late, 1000, cut_s, true));
+            assert!(stands, "{late}, cut for {cut_s} s");
+        }
     }
     let found = |cut_s| world(3, Some(Guard::OrderLimit), |hand| without_a_majority(hand, 1000, cut_s, true));
     assert!([1.2, 1.5, 2.0].into_iter().any(|cut_s| !found(cut_s)), "begun after its time");
