A second loss while a membership changes hands loses nothing

Cause: a learner counted the copy of a holder that had been replaced and did not know; two takers with one epoch both took; a taker kept only the last answer's epochs; a holder asked to let its own membership be taken stayed a voter in its own eyes; one told late was never told; a machine that waited looked only once at who holds what, so of two vacant memberships the second was never taken; a holder that was deposed took its membership back; a machine that left ended after 0.8 s whatever it alone held.

Ruled out: wiping the registers of a deposed holder at once (its copy is one of those that a taker needs if another disk is lost just then); a list of epochs in every message (told once to each, until it says so).

Change: copies name the membership and epoch that gives them and the epoch known before; a holder hands over what it holds and is silent; epochs are told until known; a machine that leaves waits, inside its grace, until every voter that is up holds what it holds and a machine that waits has taken its place.

--- a/crates/beechcroft-hut/src/keeper.rs
+++ b/crates/beechcroft-hut/src/keeper.rs
@@ -11,6 +11,7 @@
 use beechcroft_cairns::{Action as News, Cairns, Letter, Member, Standing};
 use beechcroft_hutbook::proposer::{Action as Step, Answer, Event, OrderId};
 use beechcroft_hutbook::{Ask, Ballot, Op, Orders, Proposer, Reply, Stage, Value, Voter, CONFIG, ORDERS};
+use beechcroft_kinds::{Fault, Kind};
 use beechcroft_map::config::{Service, Unfit};
 use beechcroft_map::usual::Usual;
 use beechcroft_map::{Config, Settings};
@@ -32,6 +33,10 @@
 /// The operator asks another machine after a second of silence.
 pub const ORDER_MS: u64 = 2500;
 const FENCE_EVERY_MS: u64 = 300;
+/// A machine without a membership asks so often who holds them.
+const LOOK_EVERY_MS: u64 = 1000;
+/// A machine that leaves answers for so long what was taken, and takes new orders.
+pub const LEAVE_MS: u64 = 800;
 /// A voter that has been down for so long gives its membership to a machine that waits for one.
 const VACANT_MS: u64 = 2500;
 /// The same for one that is leaving.
@@ -63,10 +68,15 @@
         reply: Reply,
     },
     Fenced {
-        from: String,
         epoch: u64,
         reply: Reply,
     },
+    /// Another core machine was told of epochs.
+    Known {
+        from: String,
+        told: beechcroft_hutbook::Epochs,
+        reply: Reply,
+    },
     VotesAgain,
     Order(usize, Op, oneshot::Sender<Answer>),
     Back {
@@ -110,14 +120,10 @@
     place_at: u64,
     /// Rounds that are to show that the core agrees.
     touches: BTreeSet<OrderId>,
-    /// The voters and which machine holds each membership, as told to this machine while it has none.
-    told_voters: Option<(Vec<String>, beechcroft_hutbook::Epochs)>,
-    /// A membership whose machine is down, and since when.
-    vacant: Option<(String, u64)>,
+    quorum: quorum::Quorum,
     answers: BTreeMap<OrderId, oneshot::Sender<Answer>>,
     next_order: OrderId,
     pulling: [u64; 2],
-    fence_at: u64,
     conduct_at: u64,
     /// Core machines known, and since when no other has come.
     cores: (usize, u64),
@@ -140,8 +146,7 @@
         post: Post, errands: Errands, queue: Queue,
     ) -> Keeper {
         let cairns = Cairns::new(me, settings.internal_ports[0], settings.seed_nodes.clone(), salt);
-        let mut proposer = Proposer::new(salt ^ 0x5eed);
-        proposer.voters(voter.voters(), voter.highest());
+        let proposer = Proposer::new(salt ^ 0x5eed);
         let mut keeper = Keeper {
             fresh: settings.bootstrap && !table.contains_key("identity"),
             settings,
@@ -158,12 +163,10 @@
             wished: BTreeMap::new(),
             place_at: 0,
             touches: BTreeSet::new(),
-            told_voters: None,
-            vacant: None,
+            quorum: Default::default(),
             answers: BTreeMap::new(),
             next_order: 0,
             pulling: [0; 2],
-            fence_at: 0,
             conduct_at: 0,
             cores: (0, 0),
             stages: BTreeMap::new(),
@@ -177,6 +180,7 @@
             errands,
             queue,
         };
+        keeper.votes_again();
         keeper.recall(table);
         keeper
     }
@@ -261,10 +265,17 @@
                 if let Reply::Accepted { epochs, .. } | Reply::Refused { epochs, .. } = &reply {
                     self.learn_epochs(epochs);
                 }
+                if matches!(reply, Reply::Accepted { .. }) {
+                    self.accepted(register, &from, ballot);
+                }
                 self.propose(Event::Reply { from, register, ballot, reply });
             }
-            Command::Fenced { from, epoch, reply } => self.fenced(&from, epoch, reply),
-            Command::VotesAgain => self.votes(),
+            Command::Fenced { epoch, reply } => self.fenced(epoch, reply),
+            Command::Known { from, told, reply } => self.known(from, told, reply),
+            Command::VotesAgain => self.votes_again(),
+            Command::Order(_, _, answer) if self.is_over(now) => {
+                let _ = answer.send(Err(Fault::new(Kind::Leaving, "this machine leaves")));
+            }
             Command::Order(register, op, answer) => self.order(register, op, Some(answer)),
             Command::Back { service, begun } => self.back(&service, begun),
             Command::Copy(register, answer) => {
@@ -281,6 +292,7 @@
             Command::Show(answer) => drop(answer.send(self.show())),
             Command::Seeds(seeds) => self.cairns.seeds(seeds),
             Command::Leave => {
+                self.leave(now);
                 self.cairns.stand(Standing::Leaving);
                 self.cairns.hurry(now, &mut news);
             }
@@ -340,7 +352,15 @@
 
     /// This machine's own part as a voter: the reply goes out once what it says is on disk.
     fn ask(&mut self, ask: Ask, answer: oneshot::Sender<Reply>) {
+        let told = match &ask {
+            Ask::Tell { by, epochs } => Some((by.clone(), epochs.clone())),
+            _ => None,
+        };
         let (reply, records) = self.voter.ask(ask);
+        match told {
+            Some((by, epochs)) => self.told(by, &epochs),
+            None => self.deposed(),
+        }
         let disk = self.disk.clone();
         spawn_local(async move {
             if disk.keep(records).await {
@@ -386,7 +406,7 @@
             Ask::Prepare { register, ballot, .. } | Ask::Accept { register, ballot, .. } => {
                 (*register, *ballot)
             }
-            Ask::Fence { .. } => return,
+            Ask::Fence { .. } | Ask::Tell { .. } => return,
         };
         let bytes = postcard::to_stdvec(ask).expect("plain data");
         for from in voters {
@@ -444,6 +464,8 @@
             self.settle(now);
             return;
         }
+        self.tell_epochs(now);
+        self.hand_on(now);
         if now >= self.read_at {
             // What this voter has accepted, and does not know to be chosen, a round confirms or replaces. Rounds of
             // all huts at once would only meet: one at a time looks, in the order of their names.
--- a/crates/beechcroft-hut/src/keeper/quorum.rs
+++ b/crates/beechcroft-hut/src/keeper/quorum.rs
@@ -1,26 +1,128 @@
 //! Who votes: the first voters, a lost disk, a membership whose machine is gone.
 
 use super::*;
+use beechcroft_hutbook::voter::learn;
+use beechcroft_hutbook::{Epochs, VoterEpoch};
+
+/// What a core machine knows of memberships beside its voter.
+#[derive(Default)]
+pub(super) struct Quorum {
+    /// Its membership is on disk and in force.
+    pub votes: bool,
+    /// The voters and which machine holds each membership, as told to this machine while it has none; and when it asked.
+    told_voters: Option<(Vec<String>, Epochs)>,
+    told_at: u64,
+    /// A membership whose machine is down, and since when.
+    vacant: Option<(String, u64)>,
+    fence_at: u64,
+    /// What each core machine is known to know of epochs.
+    epochs_of: BTreeMap<String, Epochs>,
+    tell_at: u64,
+    /// By register and membership: under which ballot it has accepted, as rounds of this machine saw.
+    accepted_by: [BTreeMap<String, Ballot>; 2],
+    /// Since when this machine leaves, and whether it held a membership then.
+    leaving: Option<(u64, bool)>,
+    read_at: u64,
+    /// Another machine votes in its place.
+    handed_over: bool,
+}
 
 impl Keeper {
     /// The machine that holds a membership, as far as is known.
     pub(super) fn holder(&self, voter_id: &str) -> String {
         let epochs = self.voter.identity.as_ref().map(|identity| &identity.epochs);
+        let epochs = epochs.or(self.quorum.told_voters.as_ref().map(|(_, epochs)| epochs));
         epochs
             .and_then(|epochs| epochs.get(voter_id))
             .map_or_else(|| voter_id.to_owned(), |(_, holder)| holder.clone())
     }
 
     /// Others know of memberships that have been taken over, this machine's own perhaps.
-    pub(super) fn learn_epochs(&mut self, epochs: &beechcroft_hutbook::Epochs) {
-        let Some(records) = self.voter.learn(epochs) else { return };
+    pub(super) fn learn_epochs(&mut self, epochs: &Epochs) {
+        if let Some(records) = self.voter.learn(epochs) {
+            self.put_down(records);
+        }
         if self.voter.identity.is_none() {
-            log::warn!("keeper: Another machine holds this one's membership; it does not vote any more.");
+            if let Some((_, held)) = &mut self.quorum.told_voters {
+                learn(held, epochs);
+            }
         }
-        self.put_down(records);
+        self.deposed();
+    }
+
+    /// Once another machine takes this one's membership: it does not vote any more, and waits with what it knows of the others.
+    pub(super) fn deposed(&mut self) {
+        let Some(former) = self.voter.former().filter(|_| self.quorum.votes) else { return };
+        log::warn!("keeper: Another machine takes this one's membership; it does not vote any more.");
+        self.quorum.told_voters = Some((former.voters.clone(), former.epochs.clone()));
+        self.quorum.told_at = self.now();
+        self.quorum.votes = false;
         self.votes();
     }
 
+    /// A core machine says what it knows of epochs.
+    pub(super) fn told(&mut self, by: Option<VoterEpoch>, epochs: &Epochs) {
+        if let (Some((voter_id, epoch)), Some(former)) = (by, self.voter.former()) {
+            self.quorum.handed_over |= voter_id == former.voter_id && epoch > former.epoch;
+        }
+        self.learn_epochs(epochs);
+    }
+
+    /// The answer to what this machine told.
+    pub(super) fn known(&mut self, from: String, told: Epochs, reply: Reply) {
+        if let Reply::Known { voters, epochs } = reply {
+            if self.voter.identity.is_none() {
+                match &mut self.quorum.told_voters {
+                    Some((_, held)) => drop(learn(held, &epochs)),
+                    None => {
+                        self.quorum.told_voters = Some((voters, epochs.clone()));
+                        self.quorum.fence_at = 0;
+                        self.votes();
+                    }
+                }
+            }
+            self.learn_epochs(&epochs);
+        }
+        self.quorum.epochs_of.insert(from, told);
+    }
+
+    /// Tells other core machines of epochs until each has said that it knows them: a voter that was cut off while its membership
+    /// was taken must hear of it before it is counted on.
+    pub(super) fn tell_epochs(&mut self, now: u64) {
+        let Some(identity) = self.voter.identity.as_ref().filter(|_| self.quorum.votes) else { return };
+        if now < self.quorum.tell_at {
+            return;
+        }
+        self.quorum.tell_at = now + FENCE_EVERY_MS;
+        let epochs = identity.epochs.clone();
+        let by = Some((identity.voter_id.clone(), identity.epoch));
+        let lacks = |m: &&Member| m.core && m.quorum && self.quorum.epochs_of.get(&m.name) != Some(&epochs);
+        let to: Vec<String> = self.cairns.alive().filter(lacks).map(|m| m.name.clone()).collect();
+        self.tell_them(to, by, epochs);
+    }
+
+    fn tell_them(&self, names: Vec<String>, by: Option<VoterEpoch>, epochs: Epochs) {
+        let ask = postcard::to_stdvec(&Ask::Tell { by, epochs: epochs.clone() }).expect("plain data");
+        for from in names {
+            let (queue, told) = (self.queue.clone(), epochs.clone());
+            self.ask_other(from.clone(), ask.clone(), move |reply| {
+                let _ = queue.send(Command::Known { from, told, reply });
+            });
+        }
+    }
+
+    /// Asks another core machine; nothing happens where no answer comes.
+    fn ask_other(&self, name: String, ask: Vec<u8>, then: impl FnOnce(Reply) + 'static) {
+        let Some(to) = self.cairns.member(&name).map(|m| self.cairns.address(m)) else { return };
+        let errands = self.errands.clone();
+        spawn_local(async move {
+            let reply = errands.run(to, "/ask", ask, ASK_WITHIN).await;
+            if let Some(reply) = reply.ok().and_then(|bytes| postcard::from_bytes(&bytes).ok()) {
+                then(reply);
+            }
+        });
+    }
+
     /// No identity yet: the first start of the whole system, or a disk that was lost.
     pub(super) fn settle(&mut self, now: u64) {
         if !self.settings.quorum_member {
@@ -49,22 +151,23 @@
             }
             return;
         }
-        if now < self.fence_at {
+        if now < self.quorum.fence_at || self.quorum.leaving.is_some() {
             return;
         }
-        self.fence_at = now + FENCE_EVERY_MS;
+        self.quorum.fence_at = now + FENCE_EVERY_MS;
+        // Who holds what changes while this machine waits: a membership beside may have been taken, or given back.
+        if self.quorum.told_voters.is_none() || now >= self.quorum.told_at + LOOK_EVERY_MS {
+            self.quorum.told_at = now;
+            self.tell_them(names.clone(), None, Epochs::new());
+        }
         let Some(voter_id) = self.voter_id(now, &me_again) else { return };
         let Some(ask) = self.voter.fence(&voter_id) else { return };
         let Ask::Fence { epoch, .. } = ask else { return };
         let bytes = postcard::to_stdvec(&ask).expect("plain data");
         for from in names {
-            let Some(to) = self.cairns.member(&from).map(|m| self.cairns.address(m)) else { continue };
-            let (errands, queue, bytes) = (self.errands.clone(), self.queue.clone(), bytes.clone());
-            spawn_local(async move {
-                let reply = errands.run(to, "/ask", bytes, ASK_WITHIN).await;
-                if let Some(reply) = reply.ok().and_then(|bytes| postcard::from_bytes(&bytes).ok()) {
-                    let _ = queue.send(Command::Fenced { from, epoch, reply });
-                }
+            let queue = self.queue.clone();
+            self.ask_other(from, bytes.clone(), move |reply| {
+                let _ = queue.send(Command::Fenced { epoch, reply });
             });
         }
     }
@@ -72,7 +175,7 @@
     /// The membership that a machine without one asks for: its own after a lost disk. A machine that never had one takes the
     /// membership of one that has long been down, if it is the first of those that wait.
     pub(super) fn voter_id(&mut self, now: u64, me: &str) -> Option<String> {
-        let Some((voters, epochs)) = &self.told_voters else { return Some(me.to_owned()) };
+        let (voters, epochs) = self.quorum.told_voters.as_ref()?;
         if voters
             .iter()
             .any(|voter_id| epochs.get(voter_id).map_or(voter_id == me, |(_, holder)| holder == me))
@@ -88,16 +191,19 @@
             |voter_id: &String| epochs.get(voter_id).map_or(voter_id.clone(), |(_, holder)| holder.clone());
         let up = |name: &str| self.cairns.alive().any(|m| m.name == name && m.standing < Standing::Leaving);
         let leaving = |name: &str| self.cairns.member(name).is_some_and(|m| m.standing == Standing::Leaving);
-        let waits =
-            |m: &&Member| m.core && m.quorum && !voters.iter().any(|voter_id| holder(voter_id) == m.name);
+        // One that leaves takes none.
+        let waits = |m: &&Member| {
+            let holds = voters.iter().any(|voter_id| holder(voter_id) == m.name);
+            m.core && m.quorum && m.standing < Standing::Leaving && !holds
+        };
         let first = self.cairns.alive().filter(waits).all(|m| m.name.as_str() > me);
         let vacant = voters.iter().find(|voter_id| !up(&holder(voter_id))).cloned();
         let Some(vacant) = vacant.filter(|_| first) else {
-            self.vacant = None;
+            self.quorum.vacant = None;
             return None;
         };
         let left = leaving(&holder(&vacant));
-        let (voter_id, since) = self.vacant.get_or_insert((vacant.clone(), now));
+        let (voter_id, since) = self.quorum.vacant.get_or_insert((vacant.clone(), now));
         if *voter_id != vacant {
             (*voter_id, *since) = (vacant.clone(), now);
         }
@@ -106,16 +212,11 @@
         (now >= *since + patience).then_some(vacant)
     }
 
-    pub(super) fn fenced(&mut self, from: &str, epoch: u64, reply: Reply) {
-        if let Reply::Copy { voters, epochs, .. } = &reply {
-            self.told_voters = Some((voters.clone(), epochs.clone()));
+    pub(super) fn fenced(&mut self, epoch: u64, reply: Reply) {
+        if let (Reply::Copy { epochs, .. }, Some((_, held))) = (&reply, &mut self.quorum.told_voters) {
+            learn(held, epochs);
         }
-        // What counts is the membership that the machine holds.
-        let held = self.told_voters.as_ref().and_then(|(_, epochs)| {
-            epochs.iter().find(|(_, (_, holder))| holder == from).map(|(voter_id, _)| voter_id.clone())
-        });
-        let from = held.as_deref().unwrap_or(from);
-        if let Some(records) = self.voter.fenced(from, epoch, reply) {
+        if let Some(records) = self.voter.fenced(epoch, reply) {
             log::info!("keeper: The lost disk is made good; this machine votes again.");
             self.keep_identity(records);
         }
@@ -132,7 +233,65 @@
         });
     }
 
+    /// The voters that this machine's rounds ask: it need not be one of them.
     pub(super) fn votes(&mut self) {
-        self.proposer.voters(self.voter.voters(), self.voter.highest());
+        let told = self.quorum.told_voters.as_ref().map_or(&[][..], |(voters, _)| voters);
+        let voters = if self.voter.identity.is_some() { self.voter.voters() } else { told };
+        self.proposer.voters(voters, self.voter.highest());
+    }
+
+    pub(super) fn votes_again(&mut self) {
+        self.quorum.votes = self.voter.identity.is_some();
+        self.quorum.tell_at = 0;
+        self.votes();
+    }
+
+    /// A voter of this machine's rounds has accepted.
+    pub(super) fn accepted(&mut self, register: usize, voter_id: &str, ballot: Ballot) {
+        let held = self.quorum.accepted_by[register].entry(voter_id.to_owned()).or_default();
+        *held = (*held).max(ballot);
+    }
+
+    pub(super) fn leave(&mut self, now: u64) {
+        self.quorum.leaving = Some((now, self.quorum.votes));
+    }
+
+    /// Whether new orders go elsewhere: this machine only waits for its membership to be taken.
+    pub(super) fn is_over(&self, now: u64) -> bool {
+        self.quorum.leaving.is_some_and(|(since, _)| now >= since + LEAVE_MS)
+    }
+
+    /// Has every voter that is up accept what this one holds.
+    pub(super) fn hand_on(&mut self, now: u64) {
+        if self.quorum.leaving.is_some() && self.quorum.votes && now >= self.quorum.read_at && !self.may_end()
+        {
+            self.quorum.read_at = now + FENCE_EVERY_MS;
+            [CONFIG, ORDERS].into_iter().for_each(|register| self.order(register, Op::Read, None));
+        }
+    }
+
+    /// What a machine that leaves would take away has a copy elsewhere: every other voter that is up has accepted what this
+    /// one holds, and where a machine waits for a membership, it has taken this one's.
+    pub fn may_end(&self) -> bool {
+        let Some(identity) = &self.voter.identity else {
+            return self.quorum.handed_over || self.quorum.leaving.is_none_or(|(_, held)| !held);
+        };
+        if !self.quorum.votes {
+            return true;
+        }
+        let up = |name: &str| self.cairns.alive().any(|m| m.name == name && m.standing < Standing::Leaving);
+        let holder = |voter_id: &String| self.holder(voter_id);
+        let others = || identity.voters.iter().filter(|voter_id| **voter_id != identity.voter_id);
+        let waits = |m: &Member| {
+            let holds = identity.voters.iter().any(|voter_id| holder(voter_id) == m.name);
+            m.core && m.quorum && m.standing == Standing::Ready && !holds
+        };
+        !self.cairns.alive().any(waits)
+            && others().filter(|voter_id| up(&holder(voter_id))).all(|voter_id| {
+                [CONFIG, ORDERS].into_iter().all(|register| {
+                    let held = self.voter.register(register).accepted.as_ref().map(|(ballot, _)| *ballot);
+                    held <= self.quorum.accepted_by[register].get(voter_id).copied()
+                })
+            })
     }
 }
--- a/crates/beechcroft-hut/src/run.rs
+++ b/crates/beechcroft-hut/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::desks;
 use crate::disk::Disk;
-use crate::keeper::{Command, Keeper};
+use crate::keeper::{Command, Keeper, LEAVE_MS};
 use beechcroft_cache::Table;
 use beechcroft_cairns::{Member, Standing};
 use beechcroft_hutbook::Voter;
@@ -17,6 +17,9 @@
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 
+/// What is left of the grace as a machine that still waits ends.
+const LEAVE_MARGIN: Duration = Duration::from_millis(1500);
+
 /// Runs until it is told to leave. `table`: what the disk held.
 pub async fn run(
     settings: Settings, usual: Usual, outside: Outside, disk: Disk, table: Table,
@@ -89,11 +92,20 @@
             () = &mut term => break,
         }
     }
-    // What was taken is still answered; then the process ends.
+    // What was taken is still answered, and what only this machine holds goes elsewhere; then the process ends.
     keeper.on(Command::Leave);
-    let end = tokio::time::Instant::now() + Duration::from_millis(800);
-    while let Ok(Some(command)) = tokio::time::timeout_at(end, commands.recv()).await {
-        keeper.on(command);
+    let began = tokio::time::Instant::now();
+    let end = began + Duration::from_millis(LEAVE_MS);
+    let grace = Duration::from_secs_f64(settings.bounds.grace_s.clamp(0.0, 1e6));
+    let last = end.max(began + grace.saturating_sub(LEAVE_MARGIN));
+    loop {
+        let now = tokio::time::Instant::now();
+        if now >= last || now >= end && keeper.may_end() {
+            return Ok(());
+        }
+        let until = if now < end { end } else { last };
+        if let Ok(Some(command)) = tokio::time::timeout_at(until, commands.recv()).await {
+            keeper.on(command);
+        }
     }
-    Ok(())
 }
--- a/crates/beechcroft-hutbook/src/voter.rs
+++ b/crates/beechcroft-hutbook/src/voter.rs
@@ -18,6 +18,8 @@
     /// A membership's disk was lost, or its machine is gone for good, and a new epoch begins on that machine: let no round
     /// stand on the former one.
     Fence { voter_id: String, epoch: u64, holder: String },
+    /// What another core machine knows of epochs; `by`: the membership that it holds.
+    Tell { by: Option<VoterEpoch>, epochs: Epochs },
 }
 
 /// Of each membership of the quorum, the latest epoch known of its disk, and the machine that holds it.
@@ -27,8 +29,9 @@
 pub fn learn(epochs: &mut Epochs, told: &Epochs) -> bool {
     let mut new = false;
     for (voter_id, (epoch, holder)) in told {
-        if epochs.get(voter_id).is_some_and(|held| held.0 < *epoch) {
-            epochs.insert(voter_id.clone(), (*epoch, holder.clone()));
+        let known = epochs.entry(voter_id.clone()).or_default();
+        if known.0 < *epoch {
+            *known = (*epoch, holder.clone());
             new = true;
         }
     }
@@ -43,8 +46,17 @@
     Accepted { epoch: u64, epochs: Epochs },
     /// A later ballot has been promised, or the round stands on a lost disk.
     Refused { promised: Ballot, epochs: Epochs },
-    /// All that a voter holds; `epoch` is the highest one known of the membership that was asked for.
-    Copy { epoch: u64, voters: Vec<String>, epochs: Epochs, registers: [Register; 2] },
+    /// All that a voter holds. `by`: the membership and the epoch that it holds it as; `before`: the highest epoch that it
+    /// knew of the membership that is asked for, before the one that the asker has drawn, if it still knows.
+    Copy {
+        by: VoterEpoch,
+        before: Option<u64>,
+        voters: Vec<String>,
+        epochs: Epochs,
+        registers: [Register; 2],
+    },
+    /// What a voter knows of epochs.
+    Known { voters: Vec<String>, epochs: Epochs },
     /// Not a voter, or not yet again.
     Learner,
 }
@@ -68,17 +80,25 @@
 
 /// One core machine's part in the agreement.
 ///
-/// An empty disk where the system has run before is a learner. It draws an epoch above all that are known of it,
-/// and asks the others to fence its former one; it votes again once n - f voters with whole disks have done so
-/// and it holds the highest promise and the highest accepted value among them. Any majority shares a voter
+/// An empty disk where the system has run before is a learner. It draws an epoch above all that are known of its
+/// membership and asks the others to fence the former one; it votes again once n - f voters with whole disks have done
+/// so and it holds the highest promise and the highest accepted value among them. Any majority shares a voter
 /// with those n - f, so a round that still counts on the former epoch's promise is refused by one of its own
 /// majority, and a value that the former epoch helped to choose is among the copies.
+///
+/// A holder that is asked to let its own membership be taken votes no more from then on and hands over what it holds. That
+/// is one of the n - f copies, if none of the others knows of an epoch between: the taker then goes on where the
+/// holder ended, and f others are enough to show that nobody else did.
 #[derive(Clone, Debug)]
 pub struct Voter {
     name: String,
     losses: usize,
     pub identity: Option<Identity>,
     registers: [Register; 2],
+    /// What this machine held as it was deposed, until it holds a membership again: for whoever takes that one.
+    former: Option<(Identity, [Register; 2])>,
+    /// Of each membership the latest epoch and the one that was known before; forgotten with the process.
+    before: BTreeMap<String, (u64, u64)>,
     salt: u64,
     /// While it learns: its new epoch, and the copies of those that have fenced the former one.
     learning: Option<Learning>,
@@ -88,7 +108,46 @@
 struct Learning {
     voter_id: String,
     epoch: u64,
-    copies: BTreeMap<String, [Register; 2]>,
+    /// All that those who answered know.
+    epochs: Epochs,
+    /// By membership.
+    copies: BTreeMap<String, Copy>,
+}
+
+#[derive(Clone, Debug)]
+struct Copy {
+    epoch: u64,
+    before: Option<u64>,
+    registers: [Register; 2],
+}
+
+impl Learning {
+    fn new(voter_id: &str, epoch: u64) -> Learning {
+        let (epochs, copies) = (Epochs::new(), BTreeMap::new());
+        Learning { voter_id: voter_id.to_owned(), epoch, epochs, copies }
+    }
+
+    /// The copies that count, once there are enough: no membership's by an epoch that one of the others knows to be over, as
+    /// its holder may lack what was chosen since.
+    fn counted(&self, enough: usize) -> Option<Vec<&Copy>> {
+        let holds = |(voter_id, copy): &(&String, &Copy)| {
+            **voter_id != self.voter_id
+                && (!stands(Guard::FencedCopies)
+                    || self.epochs.get(*voter_id).is_none_or(|known| known.0 <= copy.epoch))
+        };
+        let mut counted: Vec<&Copy> = self.copies.iter().filter(holds).map(|(_, copy)| copy).collect();
+        // What the former holder handed over, if enough of the others have fenced the very epoch that it held it as: a
+        // taker between has asked one of them.
+        let handed = self.copies.get(&self.voter_id);
+        if let Some(handed) = handed.filter(|_| counted.len() < enough) {
+            let last = |copy: &Copy| {
+                !stands(Guard::HandedOverOnce) || copy.before.is_some_and(|before| before <= handed.epoch)
+            };
+            counted.retain(|copy| last(copy));
+            counted.extend(Some(handed).filter(|handed| last(handed)));
+        }
+        (counted.len() >= enough).then_some(counted)
+    }
 }
 
 /// What is to be on disk before a reply goes out.
@@ -109,16 +168,26 @@
         // from no majority, and may stand under a higher ballot than what was chosen.
         let held = |key| read(key).filter(|_| identity.is_some());
         let register = |key| held(key).and_then(|bytes| postcard::from_bytes(bytes).ok()).unwrap_or_default();
+        let former: Option<Identity> =
+            read("former").filter(|_| identity.is_none()).and_then(|bytes| postcard::from_bytes(bytes).ok());
+        let left = |key| read(key).and_then(|bytes| postcard::from_bytes(bytes).ok()).unwrap_or_default();
         Voter {
             name: name.to_owned(),
             losses,
             registers: [register("register-0"), register("register-1")],
             identity,
+            former: former.map(|former| (former, [left("register-0"), left("register-1")])),
+            before: BTreeMap::new(),
             salt,
             learning: None,
         }
     }
 
+    /// The membership that this machine held before it was deposed, as it knows it.
+    pub fn former(&self) -> Option<&Identity> {
+        self.former.as_ref().map(|(identity, _)| identity)
+    }
+
     pub fn voters(&self) -> &[String] {
         self.identity.as_ref().map_or(&[], |identity| &identity.voters)
     }
@@ -146,8 +215,7 @@
             return None;
         }
         if self.learning.as_ref().is_none_or(|learning| learning.voter_id != voter_id) {
-            let epoch = 2 + (self.salt >> 2);
-            self.learning = Some(Learning { voter_id: voter_id.to_owned(), epoch, copies: BTreeMap::new() });
+            self.learning = Some(Learning::new(voter_id, 2 + (self.salt >> 2)));
         }
         let learning = self.learning.as_ref()?;
         Some(Ask::Fence {
@@ -157,60 +225,125 @@
         })
     }
 
-    /// An answer to a fence, from the machine that holds another membership. Records, once this machine votes.
-    pub fn fenced(&mut self, from: &str, asked_epoch: u64, reply: Reply) -> Option<Records> {
-        let Reply::Copy { epoch, voters, mut epochs, registers } = reply else { return None };
+    /// An answer to a fence. Records, once this machine votes.
+    pub fn fenced(&mut self, asked_epoch: u64, reply: Reply) -> Option<Records> {
+        let Reply::Copy { by, before, voters, epochs, registers } = reply else { return None };
         let learning = self.learning.as_mut()?;
-        if epoch > learning.epoch {
-            // Others know a later epoch: begin again above it.
-            (learning.epoch, learning.copies) = (epoch + 1, BTreeMap::new());
+        let (known, holder) = epochs.get(&learning.voter_id)?;
+        let anothers = *holder != self.name && stands(Guard::OneTaker);
+        if *known > learning.epoch || *known == learning.epoch && anothers {
+            // Others know a later epoch, or this one as another's: begin again above it, each at a distance of its own.
+            let epoch = known + 1 + self.salt % 1021;
+            *learning = Learning::new(&learning.voter_id, epoch);
             return None;
         }
-        if asked_epoch != learning.epoch || !voters.contains(&learning.voter_id) || from == learning.voter_id
-        {
+        if asked_epoch != learning.epoch || !voters.contains(&learning.voter_id) {
             return None;
         }
-        learning.copies.insert(from.to_owned(), registers);
-        if learning.copies.len() < voters.len() - self.losses {
-            return None;
+        if !stands(Guard::MergedEpochs) {
+            learning.epochs.clear();
+        }
+        learn(&mut learning.epochs, &epochs);
+        let (voter_id, epoch) = by;
+        if learning.copies.get(&voter_id).is_none_or(|held| held.epoch <= epoch) {
+            learning.copies.insert(voter_id, Copy { epoch, before, registers });
         }
-        let Learning { voter_id, epoch, copies } = self.learning.take()?;
-        for copy in copies.into_values() {
-            for (held, theirs) in self.registers.iter_mut().zip(copy) {
+        for copy in learning.counted(voters.len() - self.losses)? {
+            for (held, theirs) in self.registers.iter_mut().zip(&copy.registers) {
                 held.promised = held.promised.max(theirs.promised);
                 if theirs.accepted.as_ref().map(|a| a.0) > held.accepted.as_ref().map(|a| a.0) {
-                    held.accepted = theirs.accepted;
+                    held.accepted.clone_from(&theirs.accepted);
                 }
             }
         }
-        epochs.insert(voter_id.clone(), (epoch, self.name.clone()));
+        let Learning { voter_id, epoch, epochs, .. } = self.learning.take()?;
         self.identity = Some(Identity { voter_id, epoch, voters, epochs });
+        self.former = None;
         Some(vec![
             record("register-0", &self.registers[0]),
             record("register-1", &self.registers[1]),
             record("identity", self.identity.as_ref().expect("just set")),
+            ("former".to_owned(), Vec::new()),
         ])
     }
 
     /// Takes what others know of epochs. A machine whose membership has a later epoch elsewhere does not vote any more: what
     /// is to be on disk, if anything was new.
     pub fn learn(&mut self, told: &Epochs) -> Option<Records> {
-        let identity = self.identity.as_mut()?;
+        let (identity, deposed) = match (&mut self.identity, &mut self.former) {
+            (Some(identity), _) => (identity, false),
+            (None, Some((former, _))) => (former, true),
+            (None, None) => return None,
+        };
+        let before = identity.epochs.clone();
         if !learn(&mut identity.epochs, told) {
             return None;
         }
-        let deposed =
-            identity.epochs.get(&identity.voter_id).is_some_and(|(epoch, _)| *epoch > identity.epoch);
-        if deposed {
-            self.identity = None;
-            self.registers = Default::default();
-            return Some(vec![("identity".to_owned(), Vec::new())]);
+        for (voter_id, (epoch, _)) in &identity.epochs {
+            let known = before.get(voter_id).map_or(0, |known| known.0);
+            if known < *epoch {
+                self.before.insert(voter_id.clone(), (*epoch, known));
+            }
+        }
+        match deposed {
+            true => None,
+            false => Some(self.put_down()),
+        }
+    }
+
+    /// Who this voter is, for its disk; if its membership is another's by now, it is none from here on.
+    fn put_down(&mut self) -> Records {
+        let over = |identity: &Identity| {
+            let known = identity.epochs.get(&identity.voter_id);
+            stands(Guard::DeposedIsSilent) && known.is_some_and(|known| known.0 > identity.epoch)
+        };
+        if let Some(identity) = self.identity.take_if(|identity| over(identity)) {
+            self.former = Some((identity, std::mem::take(&mut self.registers)));
+        }
+        match (&self.identity, &self.former) {
+            (Some(identity), _) => vec![record("identity", identity)],
+            (None, Some((former, _))) => {
+                vec![("identity".to_owned(), Vec::new()), record("former", former)]
+            }
+            (None, None) => Vec::new(),
         }
-        Some(vec![record("identity", identity)])
+    }
+
+    /// A membership is to be taken: what this machine has to give, as the holder of another or of that very one.
+    fn asked_to_fence(&mut self, voter_id: String, epoch: u64, holder: String) -> (Reply, Records) {
+        if !self.voters().contains(&voter_id) && self.former().is_none_or(|held| held.voter_id != voter_id) {
+            return (self.known().unwrap_or(Reply::Learner), Vec::new());
+        }
+        let told = Epochs::from([(voter_id.clone(), (epoch, holder))]);
+        self.learn(&told);
+        let records = self.put_down();
+        let (identity, registers) = match (&self.identity, &self.former) {
+            (Some(identity), _) => (identity, &self.registers),
+            (None, Some((former, registers))) if former.voter_id == voter_id => (former, registers),
+            _ => return (Reply::Learner, Vec::new()),
+        };
+        let known = identity.epochs.get(&voter_id).map_or(0, |known| known.0);
+        let before = self.before.get(&voter_id).filter(|(epoch, _)| *epoch == known);
+        let reply = Reply::Copy {
+            by: (identity.voter_id.clone(), identity.epoch),
+            before: before.map(|(_, before)| *before),
+            voters: identity.voters.clone(),
+            epochs: identity.epochs.clone(),
+            registers: registers.clone(),
+        };
+        (reply, records)
     }
 
     /// Takes an ask: the reply, and what must be on disk before it goes out.
     pub fn ask(&mut self, ask: Ask) -> (Reply, Records) {
+        let ask = match ask {
+            Ask::Fence { voter_id, epoch, holder } => return self.asked_to_fence(voter_id, epoch, holder),
+            Ask::Tell { epochs, .. } => {
+                let records = self.learn(&epochs).unwrap_or_default();
+                return (self.known().unwrap_or(Reply::Learner), records);
+            }
+            ask => ask,
+        };
         let Some(identity) = &mut self.identity else { return (Reply::Learner, Vec::new()) };
         match ask {
             Ask::Prepare { register, ballot, have } => {
@@ -237,25 +370,16 @@
                 };
                 Self::accept(identity, &mut self.registers[register], register, ballot, &quorum, held)
             }
-            Ask::Fence { voter_id, epoch, holder } => {
-                let known = identity.epochs.entry(voter_id).or_insert((0, holder.clone()));
-                if epoch > known.0 {
-                    *known = (epoch, holder);
-                }
-                let epoch = known.0;
-                let records = vec![record("identity", identity)];
-                let identity = self.identity.as_ref().expect("checked above");
-                let reply = Reply::Copy {
-                    epoch,
-                    voters: identity.voters.clone(),
-                    epochs: identity.epochs.clone(),
-                    registers: self.registers.clone(),
-                };
-                (reply, records)
-            }
+            Ask::Fence { .. } | Ask::Tell { .. } => unreachable!("answered above"),
         }
     }
 
+    /// What this voter knows of epochs.
+    fn known(&self) -> Option<Reply> {
+        let identity = self.identity.as_ref()?;
+        Some(Reply::Known { voters: identity.voters.clone(), epochs: identity.epochs.clone() })
+    }
+
     fn accept(
         identity: &Identity, held: &mut Register, register: usize, ballot: Ballot, quorum: &[VoterEpoch],
         value: impl FnOnce(&Register) -> Option<Value>,
--- /dev/null
+++ b/crates/beechcroft-hutbook/tests/membership.rs
@@ -0,0 +1,165 @@
+//! A second loss while a membership passes from one machine to another: at each message, sync and restart of it. After
+//! each: what was acknowledged is read from a majority, a new order is acknowledged, no two values are one change.
+
+mod core;
+
+use core::{name, Core};
+
+/// Why a membership is to be taken.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum First {
+    /// Their holders leave in order, and run on until the memberships are taken.
+    Leave(usize),
+    /// Their holders are down.
+    Down(usize),
+    /// The first holder is cut off and runs on.
+    Cut,
+}
+
+/// What happens besides.
+#[derive(Clone, Copy, Debug)]
+enum Second {
+    /// Voters, the last ones, lose their disks.
+    Wiped(usize),
+    /// A machine is started again with its disk.
+    Restarts(usize),
+    /// The first taker loses its disk.
+    TakerWiped,
+    /// The first taker is gone, and another comes in its place.
+    TakerGone,
+    /// The first former holder is back, with its disk or without.
+    Back { whole: bool },
+    /// All lose power.
+    Power,
+}
+
+const ROUNDS: usize = 10;
+
+/// The days that are to be borne, for so many voters.
+fn days(count: usize) -> Vec<(First, Second)> {
+    let losses = count / 2;
+    let mut days = Vec::new();
+    for first in (1..=losses).flat_map(|n| [First::Leave(n), First::Down(n), First::Cut]) {
+        let lost = match first {
+            First::Leave(_) => 0,
+            First::Down(n) => n,
+            First::Cut => 1,
+        };
+        days.extend((1..=losses - lost).map(|n| (first, Second::Wiped(n))));
+        days.extend((0..count + losses).map(|at| (first, Second::Restarts(at))));
+        days.extend([Second::TakerWiped, Second::TakerGone, Second::Power].map(|second| (first, second)));
+        if !matches!(first, First::Leave(_)) {
+            days.extend([true, false].map(|whole| (first, Second::Back { whole })));
+        }
+    }
+    days
+}
+
+/// One day, with the second loss at a point; the points that it has.
+fn play(count: usize, first: First, second: Second, point: usize) -> usize {
+    let said = &format!("{count} voters, {first:?}, then {second:?} at point {point}");
+    let losses = count / 2;
+    let mut core = Core::with_spares(count, losses + 1, 1);
+    core.order(count - 1, 1, 5, 0);
+    core.settle(8);
+    assert!(core.answers[&1].is_ok());
+    let from = core.points;
+    let gone = match first {
+        First::Leave(n) => n,
+        First::Down(n) => {
+            (0..n).for_each(|at| core.down(at));
+            n
+        }
+        First::Cut => {
+            core.machines[0].cut = true;
+            1
+        }
+    };
+    for at in 0..gone {
+        core.machines[count + at].takes = Some(name(at));
+    }
+    (0..core.machines.len()).for_each(|at| core.tick(at));
+    core.order(count - 1, 2, 9, 5);
+    for _ in 0..ROUNDS {
+        loop {
+            if core.points - from == point {
+                happens(&mut core, count, second);
+                core.points += 1;
+            }
+            if !core.step() {
+                break;
+            }
+        }
+        core.now += 300;
+        (0..core.machines.len()).for_each(|at| core.tick(at));
+    }
+    let points = core.points - from;
+    // What leaves is gone; what was cut off is in touch again.
+    if let First::Leave(n) = first {
+        (0..n).for_each(|at| core.down(at));
+    }
+    core.machines[0].cut = false;
+    core.settle(20);
+    let voters = core.machines.iter().filter(|machine| machine.up && machine.votes).count();
+    assert!(voters >= count, "{said}: {voters} vote in the end: {:#?}", core.state());
+    let newest = core.read(count - 1).version;
+    assert!(core.acked.iter().all(|acked| *acked <= newest), "{said}: {:?}, read {newest}", core.acked);
+    core.order(count - 2, 3, 20, newest);
+    core.settle(20);
+    assert!(core.answers.get(&3).is_some_and(Result::is_ok), "{said}: {:?}", core.answers.get(&3));
+    core.check(said);
+    points
+}
+
+fn happens(core: &mut Core, count: usize, second: Second) {
+    match second {
+        Second::Wiped(n) => (count - n..count).for_each(|at| core.restart(at, true)),
+        Second::Restarts(at) if core.machines[at].up => core.restart(at, false),
+        Second::Restarts(_) => {}
+        Second::TakerWiped => core.restart(count, true),
+        Second::TakerGone => {
+            core.down(count);
+            core.machines[count + count / 2].takes = Some(name(0));
+        }
+        Second::Back { whole } => {
+            core.machines[0].up = true;
+            core.machines[0].cut = false;
+            if !whole {
+                core.restart(0, true);
+                core.machines[0].takes = None; // others take what it held
+            }
+        }
+        Second::Power => {
+            core.on_the_way.clear();
+            let up: Vec<usize> = (0..core.machines.len()).filter(|&at| core.machines[at].up).collect();
+            up.into_iter().for_each(|at| core.restart(at, false));
+        }
+    }
+}
+
+/// Every day, at each point or at some of them: in the next day at others.
+fn all(count: usize, apart: usize) -> usize {
+    let mut played = 0;
+    for (nth, (first, second)) in days(count).into_iter().enumerate() {
+        let mut point = nth % apart;
+        while point < play(count, first, second, point) {
+            point += apart;
+            played += 1;
+        }
+    }
+    played
+}
+
+#[test]
+fn a_second_loss_at_any_point_of_a_replacement_loses_nothing_of_three() {
+    let played = all(3, 1);
+    println!("{played} days");
+    assert!(played > 1500);
+}
+
+#[test]
+fn a_second_loss_at_any_point_of_a_replacement_loses_nothing_of_five() {
+    let played = all(5, 5);
+    println!("{played} days");
+    assert!(played > 2000);
+}
--- a/crates/beechcroft-hutbook/tests/model.rs
+++ b/crates/beechcroft-hutbook/tests/model.rs
@@ -221,7 +221,7 @@
                         Ask::Prepare { ballot, .. }
                         | Ask::Accept { ballot, .. }
                         | Ask::Confirm { ballot, .. } => *ballot,
-                        Ask::Fence { .. } => return None,
+                        Ask::Fence { .. } | Ask::Tell { .. } => return None,
                     };
                     // What is said is on disk before it is said.
                     let (reply, records) = state.machines[to].voter.ask(ask);
@@ -240,9 +240,9 @@
                     state.machines[to].disk.extend(records);
                     state.send(Message::Fenced { to: from, from: to, epoch, reply });
                 }
-                Message::Fenced { to, from, epoch, reply } => {
+                Message::Fenced { to, epoch, reply, .. } => {
                     let machine = &mut state.machines[to];
-                    if let Some(records) = machine.voter.fenced(&name(from), epoch, reply) {
+                    if let Some(records) = machine.voter.fenced(epoch, reply) {
                         machine.disk.extend(records);
                         machine.proposer.voters(machine.voter.voters(), machine.voter.highest());
                     }
--- a/crates/beechcroft-railing/src/lib.rs
+++ b/crates/beechcroft-railing/src/lib.rs
@@ -16,6 +16,16 @@
     FencedPromises,
     /// A proposer does not count an acceptance of an epoch that has been fenced.
     FencedAcceptances,
+    /// A learner does not count a copy by an epoch that another of its copies knows to be over.
+    FencedCopies,
+    /// A learner takes the former holder's own copy only if no other knows of an epoch between.
+    HandedOverOnce,
+    /// A holder that hears of a later epoch of its membership is a voter no more.
+    DeposedIsSilent,
+    /// An epoch that is recorded as another machine's is not taken.
+    OneTaker,
+    /// A learner goes on with what all that answered know of epochs.
+    MergedEpochs,
     // State on disk.
     // Answers and their owners.
 }
