--- a/crates/beechcroft-hutbook/tests/epochs.rs
+++ b/crates/beechcroft-hutbook/tests/epochs.rs
@@ -1,7 +1,8 @@
 //! Each guard of memberships, alone: with it the promise holds, without it a value that a majority accepted is gone, or a
 //! membership has two holders. Voters only, in the order of messages that breaks it.
 
-use beechcroft_hutbook::{Ask, Ballot, Reply, Value, Voter, VoterEpoch, CONFIG};
+use beechcroft_hutbook::proposer::{Action, Event};
+use beechcroft_hutbook::{Ask, Ballot, Op, Proposer, Reply, Value, Voter, VoterEpoch, CONFIG};
 use beechcroft_railing::{without, Guard};
 use std::collections::BTreeMap;
 
@@ -223,3 +224,74 @@
     let (reply, _) = back.ask(Ask::Fence { voter_id: name(1), epoch: 9, holder: name(3) });
     assert_eq!(reply, Reply::Learner);
 }
+
+/// hut-0 promises to a round, loses its disk and votes again; a value is chosen under an earlier ballot without hut-1, which
+/// then promises to that round as well.
+fn round_on_a_lost_promise() -> u64 {
+    let mut huts = founded(3);
+    promise(&mut huts[0], 7);
+    let quorum = [held(&huts[0]).unwrap(), held(&huts[1]).unwrap()];
+    let mut again = empty("hut-0", 1, 40);
+    takes(&mut again, "hut-0", &mut huts[1]);
+    assert!(takes(&mut again, "hut-0", &mut huts[2]));
+    let early = [held(&again).unwrap(), held(&huts[2]).unwrap()];
+    assert!(matches!(accept(&mut again, 5, 1, &early), Reply::Accepted { .. }));
+    assert!(matches!(accept(&mut huts[2], 5, 1, &early), Reply::Accepted { .. }));
+    assert_eq!(promise(&mut huts[1], 7), 0, "the round reads nothing");
+    // So it offers a value of its own, the ninth, under the later ballot.
+    accept(&mut again, 7, 9, &quorum);
+    (1..3).for_each(|at| drop(accept(&mut huts[at], 7, 9, &quorum)));
+    promise(&mut again, 11)
+}
+
+#[test]
+fn a_round_that_stands_on_a_lost_promise_cannot_hide_what_was_chosen() {
+    assert_eq!(round_on_a_lost_promise(), 1);
+    let _out = without(Some(Guard::FencedPromises));
+    assert_eq!(round_on_a_lost_promise(), 9);
+}
+
+/// hut-0 accepts and loses its disk, and votes again before hut-1 accepts: whether the order is acknowledged, and what is read
+/// without hut-1 then.
+fn order_on_a_lost_acceptance() -> (bool, u64) {
+    let mut huts = founded(3);
+    let names: Vec<String> = (0..3).map(name).collect();
+    let mut proposer = Proposer::new(3);
+    proposer.voters(&names, 0);
+    let mut out = Vec::new();
+    let op = Op::replace(1, 0, b"one");
+    let event = Event::Order { id: 1, register: CONFIG, op, until: 60_000 };
+    proposer.on(0, event, &|_| None, &mut out);
+    let asked = |out: &mut Vec<Action>| {
+        let ask = out.iter().find_map(|action| match action {
+            Action::Ask { ask, .. } => Some(ask.clone()),
+            _ => None,
+        });
+        out.clear();
+        ask.expect("a round begins")
+    };
+    let prepare = asked(&mut out);
+    let Ask::Prepare { ballot, .. } = prepare else { panic!() };
+    let event = |from: usize, reply| Event::Reply { from: name(from), register: CONFIG, ballot, reply };
+    for at in [1, 2] {
+        let (reply, _) = huts[at].ask(prepare.clone());
+        proposer.on(1, event(at, reply), &|_| None, &mut out);
+    }
+    let accept = asked(&mut out);
+    let (early, _) = huts[0].ask(accept.clone());
+    proposer.on(2, event(0, early), &|_| None, &mut out);
+    let mut again = empty("hut-0", 1, 40);
+    takes(&mut again, "hut-0", &mut huts[1]);
+    assert!(takes(&mut again, "hut-0", &mut huts[2]));
+    let (late, _) = huts[1].ask(accept);
+    proposer.on(3, event(1, late), &|_| None, &mut out);
+    let acknowledged = out.iter().any(|action| matches!(action, Action::Answer { answer: Ok(_), .. }));
+    (acknowledged, promise(&mut again, 11).max(promise(&mut huts[2], 11)))
+}
+
+#[test]
+fn an_acceptance_that_was_lost_with_its_disk_acknowledges_nothing() {
+    assert_eq!(order_on_a_lost_acceptance(), (false, 0));
+    let _out = without(Some(Guard::FencedAcceptances));
+    assert_eq!(order_on_a_lost_acceptance(), (true, 0), "acknowledged, and a majority does not hold it");
+}
