--- a/crates/beechcroft-hut/src/keeper/quorum.rs
+++ b/crates/beechcroft-hut/src/keeper/quorum.rs
@@ -12,8 +12,8 @@
     /// The voters and which machine holds each membership, as told to this machine while it has none; and when it asked.
     told_voters: Option<(Vec<String>, Epochs)>,
     told_at: u64,
-    /// A membership whose machine is down, and since when.
-    vacant: Option<(String, u64)>,
+    /// Memberships whose machines are down or leave, and since when.
+    vacant: BTreeMap<String, u64>,
     fence_at: u64,
     /// What each core machine is known to know of epochs.
     epochs_of: BTreeMap<String, Epochs>,
@@ -146,8 +146,8 @@
                 }
                 log::info!("keeper: The first voters are {names:?}.");
                 self.fresh = false;
-                let records = self.voter.found(names);
-                self.keep_identity(records);
+                self.voter.found(names);
+                self.keep_identity();
             }
             return;
         }
@@ -172,64 +172,57 @@
         }
     }
 
-    /// The membership that a machine without one asks for: its own after a lost disk. A machine that never had one takes the
-    /// membership of one that has long been down, if it is the first of those that wait.
+    /// The membership that a machine without one asks for: the one that it held, after a lost disk. A machine that never had
+    /// one takes that of one that has long been down; of several that wait each takes another.
     pub(super) fn voter_id(&mut self, now: u64, me: &str) -> Option<String> {
         let (voters, epochs) = self.quorum.told_voters.as_ref()?;
-        if voters
-            .iter()
-            .any(|voter_id| epochs.get(voter_id).map_or(voter_id == me, |(_, holder)| holder == me))
-        {
-            return Some(me.to_owned()).filter(|me| voters.contains(me)).or_else(|| {
-                voters
-                    .iter()
-                    .find(|voter_id| epochs.get(*voter_id).is_some_and(|(_, holder)| holder == me))
-                    .cloned()
-            });
-        }
         let holder =
             |voter_id: &String| epochs.get(voter_id).map_or(voter_id.clone(), |(_, holder)| holder.clone());
+        if let Some(held) = voters.iter().find(|voter_id| holder(voter_id) == me) {
+            return Some(held.clone());
+        }
         let up = |name: &str| self.cairns.alive().any(|m| m.name == name && m.standing < Standing::Leaving);
-        let leaving = |name: &str| self.cairns.member(name).is_some_and(|m| m.standing == Standing::Leaving);
         // One that leaves takes none.
         let waits = |m: &&Member| {
             let holds = voters.iter().any(|voter_id| holder(voter_id) == m.name);
             m.core && m.quorum && m.standing < Standing::Leaving && !holds
         };
-        let first = self.cairns.alive().filter(waits).all(|m| m.name.as_str() > me);
-        let vacant = voters.iter().find(|voter_id| !up(&holder(voter_id))).cloned();
-        let Some(vacant) = vacant.filter(|_| first) else {
-            self.quorum.vacant = None;
-            return None;
-        };
-        let left = leaving(&holder(&vacant));
-        let (voter_id, since) = self.quorum.vacant.get_or_insert((vacant.clone(), now));
-        if *voter_id != vacant {
-            (*voter_id, *since) = (vacant.clone(), now);
+        let before = self.cairns.alive().filter(waits).filter(|m| m.name.as_str() < me).count();
+        let since = &mut self.quorum.vacant;
+        since.retain(|voter_id, _| !up(&holder(voter_id)));
+        for voter_id in voters.iter().filter(|voter_id| !up(&holder(voter_id))) {
+            since.entry(voter_id.clone()).or_insert(now);
         }
+        let (vacant, since) = since.iter().nth(before)?;
         // One that leaves by order will not be back soon; one that is down may.
-        let patience = if left { LEFT_MS } else { VACANT_MS };
-        (now >= *since + patience).then_some(vacant)
+        let left = self.cairns.member(&holder(vacant)).is_some_and(|m| m.standing == Standing::Leaving);
+        let down = (self.settings.bounds.sync_s * VACANT_MS_PER_SYNC_S) as u64;
+        let patience = if left { LEFT_MS } else { down };
+        (now >= *since + patience).then(|| vacant.clone())
     }
 
     pub(super) fn fenced(&mut self, epoch: u64, reply: Reply) {
         if let (Reply::Copy { epochs, .. }, Some((_, held))) = (&reply, &mut self.quorum.told_voters) {
             learn(held, epochs);
         }
-        if let Some(records) = self.voter.fenced(epoch, reply) {
+        if self.voter.fenced(epoch, reply).is_some() {
             log::info!("keeper: The lost disk is made good; this machine votes again.");
-            self.keep_identity(records);
+            self.keep_identity();
         }
     }
 
-    /// The voter answers nobody before its identity is on disk: its replies wait behind it in the disk's queue.
-    pub(super) fn keep_identity(&mut self, records: beechcroft_hutbook::voter::Records) {
-        let (disk, queue) = (self.disk.clone(), self.queue.clone());
+    /// The voter answers nobody before its identity is on disk: until then each answer is written together with it. What is
+    /// written again after a failure is what the voter holds by then.
+    pub(super) fn keep_identity(&mut self) {
+        self.unkept = true;
+        let (disk, queue, records) = (self.disk.clone(), self.queue.clone(), self.voter.records());
         spawn_local(async move {
-            while !disk.keep(records.clone()).await {
+            if disk.keep(records).await {
+                let _ = queue.send(Command::VotesAgain);
+            } else {
                 tokio::time::sleep(Duration::from_millis(100)).await;
+                let _ = queue.send(Command::NotKept);
             }
-            let _ = queue.send(Command::VotesAgain);
         });
     }
 
@@ -266,8 +259,25 @@
         if self.quorum.leaving.is_some() && self.quorum.votes && now >= self.quorum.read_at && !self.may_end()
         {
             self.quorum.read_at = now + FENCE_EVERY_MS;
-            [CONFIG, ORDERS].into_iter().for_each(|register| self.order(register, Op::Read, None));
+            [CONFIG, ORDERS].into_iter().for_each(|register| self.order(register, Op::Read));
+        }
+    }
+
+    /// The membership that this machine holds, and who holds the others, as it knows it.
+    pub(super) fn show_membership(&self) -> String {
+        let mut text = match (&self.voter.identity, self.voter.former()) {
+            (Some(held), _) if self.quorum.votes => {
+                format!("membership {} at epoch {}\n", held.voter_id, held.epoch)
+            }
+            (None, Some(former)) => format!("membership none, formerly {}\n", former.voter_id),
+            _ => "membership none\n".to_owned(),
+        };
+        let told = self.quorum.told_voters.as_ref().map_or(&[][..], |(voters, _)| voters);
+        let voters = if self.voter.identity.is_some() { self.voter.voters() } else { told };
+        for voter_id in voters {
+            text += &format!("holder of {voter_id} {}\n", self.holder(voter_id));
         }
+        text
     }
 
     /// What a machine that leaves would take away has a copy elsewhere: every other voter that is up has accepted what this
--- a/crates/beechcroft-hutbook/src/voter.rs
+++ b/crates/beechcroft-hutbook/src/voter.rs
@@ -1,6 +1,6 @@
 //! A voter of the core: what it has promised and accepted, and how it comes back from a lost disk.
 
-use crate::{Ballot, Value, VoterEpoch};
+use crate::{bytes, Ballot, Value, VoterEpoch};
 use beechcroft_railing::{stands, Guard};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -94,6 +94,8 @@
     name: String,
     losses: usize,
     pub identity: Option<Identity>,
+    /// Tables of the disk that this version of the program cannot read, each with why.
+    pub unreadable: Vec<String>,
     registers: [Register; 2],
     /// What this machine held as it was deposed, until it holds a membership again: for whoever takes that one.
     former: Option<(Identity, [Register; 2])>,
@@ -155,31 +157,48 @@
 
 /// A record of the table. Each name has one type, stated where [`Voter::new`] reads it.
 fn record<T: Serialize>(name: &str, value: &T) -> (String, Vec<u8>) {
-    (name.to_owned(), postcard::to_stdvec(value).expect("plain data"))
+    (name.to_owned(), bytes::encode(value))
+}
+
+/// What a disk holds: an identity, unless it is none or was given up; one that was given up to another machine; registers.
+fn read_all(
+    table: &BTreeMap<String, Vec<u8>>, unreadable: &mut Vec<String>,
+) -> (Option<Identity>, Option<Identity>, [Register; 2]) {
+    let mut said = |name: &str, why: bytes::Unreadable| unreadable.push(format!("{name}: {why}"));
+    let [identity, former] = ["identity", "former"].map(|name| {
+        let held = table.get(name).filter(|held| !held.is_empty());
+        held.and_then(|held| bytes::decode(held).map_err(|why| said(name, why)).ok())
+    });
+    let registers = ["register-0", "register-1"].map(|name| {
+        let read = table.get(name).map(|held| bytes::decode(held).map_err(|why| said(name, why)));
+        read.and_then(Result::ok).unwrap_or_default()
+    });
+    (identity, former, registers)
 }
 
 impl Voter {
     /// From what the disk holds. `losses`: how many voters may be lost at once; `salt`: drawn by each process,
     /// so that two epochs of a disk that were both lost early do not share a number.
     pub fn new(name: &str, losses: usize, salt: u64, table: &BTreeMap<String, Vec<u8>>) -> Voter {
-        let read = |key: &str| table.get(key).map(Vec::as_slice);
-        let identity: Option<Identity> = read("identity").and_then(|bytes| postcard::from_bytes(bytes).ok());
+        let mut unreadable = Vec::new();
+        let (found, former, registers) = read_all(table, &mut unreadable);
+        // One table that cannot be read is a lost disk: what the others say was perhaps never promised together with it.
+        let identity = found.filter(|_| unreadable.is_empty());
         // Whoever holds no membership brings nothing into the next one: what it accepted after it had lost its own was read
         // from no majority, and may stand under a higher ballot than what was chosen.
-        let held = |key| read(key).filter(|_| identity.is_some());
-        let register = |key| held(key).and_then(|bytes| postcard::from_bytes(bytes).ok()).unwrap_or_default();
-        let former: Option<Identity> =
-            read("former").filter(|_| identity.is_none()).and_then(|bytes| postcard::from_bytes(bytes).ok());
-        let left = |key| read(key).and_then(|bytes| postcard::from_bytes(bytes).ok()).unwrap_or_default();
+        let former = former.filter(|_| unreadable.is_empty()).map(|former| (former, registers.clone()));
+        let registers = identity.as_ref().map(|_| registers).unwrap_or_default();
+        let (before, learning) = (BTreeMap::new(), None);
         Voter {
             name: name.to_owned(),
             losses,
-            registers: [register("register-0"), register("register-1")],
+            registers,
             identity,
-            former: former.map(|former| (former, [left("register-0"), left("register-1")])),
-            before: BTreeMap::new(),
+            former,
+            before,
+            unreadable,
             salt,
-            learning: None,
+            learning,
         }
     }
 
@@ -201,6 +220,18 @@
         &self.registers[register]
     }
 
+    /// All that a voter stands on, as it is now.
+    pub fn records(&self) -> Records {
+        let (identity, former, registers) = match (&self.identity, &self.former) {
+            (Some(identity), _) => (record("identity", identity).1, Vec::new(), &self.registers),
+            (None, Some((former, registers))) => (Vec::new(), record("former", former).1, registers),
+            (None, None) => return Vec::new(),
+        };
+        let registers = [0, 1].map(|at| record(&format!("register-{at}"), &registers[at]));
+        let identities = [("identity".to_owned(), identity), ("former".to_owned(), former)];
+        registers.into_iter().chain(identities).collect()
+    }
+
     /// At the first start of the whole system: the voters are these.
     pub fn found(&mut self, voters: Vec<String>) -> Records {
         let epochs = voters.iter().map(|name| (name.clone(), (1, name.clone()))).collect();
@@ -259,12 +290,7 @@
         let Learning { voter_id, epoch, epochs, .. } = self.learning.take()?;
         self.identity = Some(Identity { voter_id, epoch, voters, epochs });
         self.former = None;
-        Some(vec![
-            record("register-0", &self.registers[0]),
-            record("register-1", &self.registers[1]),
-            record("identity", self.identity.as_ref().expect("just set")),
-            ("former".to_owned(), Vec::new()),
-        ])
+        Some(self.records())
     }
 
     /// Takes what others know of epochs. A machine whose membership has a later epoch elsewhere does not vote any more: what
@@ -300,12 +326,9 @@
         if let Some(identity) = self.identity.take_if(|identity| over(identity)) {
             self.former = Some((identity, std::mem::take(&mut self.registers)));
         }
-        match (&self.identity, &self.former) {
-            (Some(identity), _) => vec![record("identity", identity)],
-            (None, Some((former, _))) => {
-                vec![("identity".to_owned(), Vec::new()), record("former", former)]
-            }
-            (None, None) => Vec::new(),
+        match &self.identity {
+            Some(identity) => vec![record("identity", identity)],
+            None => self.records(),
         }
     }
 
@@ -388,7 +411,8 @@
             identity.epochs.get(voter_id).is_some_and(|known| known.0 > *epoch)
         };
         let lost = stands(Guard::FencedPromises) && quorum.iter().any(fenced);
-        let value = if ballot < held.promised || lost { None } else { value(held) };
+        let prior = stands(Guard::PriorBallots) && ballot < held.promised;
+        let value = if prior || lost { None } else { value(held) };
         let epochs = identity.epochs.clone();
         let Some(value) = value else {
             return (Reply::Refused { promised: held.promised, epochs }, Vec::new());
--- a/crates/beechcroft-hutbook/tests/core/mod.rs
+++ b/crates/beechcroft-hutbook/tests/core/mod.rs
@@ -445,7 +445,7 @@
         let value = self.answers.get(&id).cloned();
         let value = value.unwrap_or_else(|| panic!("hut-{at} reads nothing: {:#?}", self.state()));
         let value = value.expect("a read with all machines up");
-        postcard::from_bytes(&value.bytes).unwrap_or_default()
+        ConfigStore::decode(&value).expect("a whole value")
     }
 
     /// Who holds what, for a test that fails.
--- a/crates/beechcroft-hutbook/tests/epochs.rs
+++ b/crates/beechcroft-hutbook/tests/epochs.rs
@@ -156,8 +156,8 @@
 /// knows of hut-4's later epoch only by what hut-1 and hut-3 told it, and hut-2 answered last.
 fn acceptance_of_an_epoch_that_others_fenced() -> bool {
     let mut huts = founded(5);
-    for at in 1..4 {
-        promise(&mut huts[at], 7);
+    for voter in &mut huts[1..4] {
+        promise(voter, 7);
     }
     let quorum: Vec<VoterEpoch> = (1..4).map(|at| held(&huts[at]).unwrap()).collect();
     let lost = accept(&mut huts[4], 7, 1, &quorum);
--- a/crates/beechcroft-map/src/settings.rs
+++ b/crates/beechcroft-map/src/settings.rs
@@ -94,6 +94,9 @@
 #[garde(allow_unvalidated)]
 pub struct Bounds {
     pub ack_ms: u64,
+    /// A machine counts as lost for so long after it is back, and its successor after its start.
+    #[garde(range(min = 0.0))]
+    pub sync_s: f64,
     pub drain_ms: u64,
     pub grace_s: f64,
     pub apply_ms: u64,
@@ -116,6 +119,7 @@
     fn default() -> Self {
         Bounds {
             ack_ms: 6000,
+            sync_s: 4.0,
             drain_ms: 2000,
             grace_s: 6.0,
             apply_ms: 2000,
--- a/crates/beechcroft-range/src/whole/audit.rs
+++ b/crates/beechcroft-range/src/whole/audit.rs
@@ -3,6 +3,7 @@
 
 use super::actors::Unit;
 use super::wires::{Asked, Came, Sent, What, Wires};
+use super::wrongs::STRAY;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Figures of the rules, in ms and parts.
@@ -93,6 +94,7 @@
     audit.rollouts();
     audit.denied();
     audit.recovery();
+    audit.faults();
     let mut verdict = Verdict { breaches: audit.found.into_values().collect(), ..Verdict::default() };
     served(wires, &mut verdict);
     verdict
@@ -186,6 +188,13 @@
                 self.breach("TWICE", || self_tell(self.wires, &runs, id, asked));
             }
             let Some(answer) = &asked.answer else { continue };
+            let strange = answer.id.as_ref().is_some_and(|of| of != id);
+            if strange || answer.body.starts_with(STRAY.as_bytes()) {
+                self.breach("MIXED", || {
+                    let of = answer.id.clone().unwrap_or("nobody".into());
+                    format!("an answer to {of}: {}", self_tell(self.wires, &runs, id, asked))
+                });
+            }
             match answer.status {
                 Some(status @ (429 | 503 | 408 | 421)) if !asked.repeatable && !runs.is_empty() => {
                     self.breach("REFUSED", || {
@@ -316,7 +325,10 @@
         // By edge: the newest version whose effect was seen, and when.
         let mut seen: BTreeMap<&str, (u32, u64)> = BTreeMap::new();
         let mut lives: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
-        for trouble in &wires.troubles {
+        // A life of its processes ends by a kill, a loss of power or a stop, its own or all machines'; a cut or a freeze ends none.
+        let ends =
+            |said: &str| matches!(said, "killed" | "no power" | "SIGTERM" | "started" | "the closing fault");
+        for trouble in wires.troubles.iter().filter(|trouble| ends(&trouble.said)) {
             lives.entry(&trouble.on).or_default().push(trouble.from);
         }
         let may: Vec<&Sent> = wires.configs.iter().filter(|c| c.valid && c.refused.is_none()).collect();
@@ -364,7 +376,7 @@
                     )
                 });
             }
-            let life_from = lives.get(asked.edge.as_str()).into_iter().flatten();
+            let life_from = [asked.edge.as_str(), "*"].into_iter().filter_map(|on| lives.get(on)).flatten();
             let life_from = life_from.filter(|&&from| from <= at).max().copied().unwrap_or(0);
             let held = seen.entry(&asked.edge).or_insert((0, 0));
             if held.1 < life_from {
@@ -537,6 +549,13 @@
         }
     }
 
+    /// Fault: a program that panicked, or ended by itself, whatever went on around it.
+    fn faults(&mut self) {
+        for fault in &self.wires.faults {
+            self.breach("Fault", || format!("{} at {} ms: {}", fault.on, fault.at, fault.said));
+        }
+    }
+
     /// RECOVER, after a closing fault.
     fn recovery(&mut self) {
         let Some(back) = self.wires.closing else { return };
--- a/crates/beechcroft-range/src/whole/day/events.rs
+++ b/crates/beechcroft-range/src/whole/day/events.rs
@@ -62,11 +62,12 @@
                 }
             }
             What::Ill { service, count, for_s, fails, slow, loses, spoils, lies } => {
-                let ill = Ill { fails, slow, loses, spoils, lies };
-                let units: Vec<_> = self.running(&service).into_iter().take(count).collect();
-                units.iter().for_each(|s| *s.unit.ill.borrow_mut() = ill.clone());
-                sleep(Duration::from_secs_f64(for_s)).await;
-                units.iter().for_each(|s| *s.unit.ill.borrow_mut() = Ill::default());
+                let ill = Ill { fails, slow, loses, spoils, lies, wrong: None };
+                self.ail(&service, count, for_s, ill).await;
+            }
+            What::Answers { service, count, for_s, part, wrong } => {
+                let ill = Ill { wrong: Some((wrong, part)), ..Ill::default() };
+                self.ail(&service, count, for_s, ill).await;
             }
             What::Dark { service, count, for_s } => {
                 let down: Vec<_> = self.running(&service).into_iter().take(count).collect();
@@ -111,6 +112,12 @@
             What::Kill { on, down_s } => self.down(&on, down_s, false, false).await,
             What::Power { on, down_s } => self.down(&on, down_s, true, false).await,
             What::Wipe { on, down_s } => self.down(&on, down_s, true, true).await,
+            What::Damage { on, record, down_s } => {
+                for plate in self.named(&on).iter().filter_map(|machine| machine.plate.as_ref()) {
+                    plate.damage(&record);
+                }
+                self.down(&on, down_s, false, false).await;
+            }
             What::Term { on } => {
                 for machine in self.named(&on) {
                     spawn_local(self.clone().stops(machine));
@@ -141,7 +148,7 @@
                     self.trouble(&other.name, self.now(), self.now(), "new");
                 }
             }
-            What::Cut { from, to, for_s, one_way } => {
+            What::Cut { from, to, for_s, one_way, how } => {
                 let now = self.now();
                 let until = Instant::now() + Duration::from_secs_f64(for_s);
                 let touched =
@@ -149,7 +156,7 @@
                 for machine in touched {
                     self.trouble(&machine.name, now, now + (for_s * 1000.0) as u64, "cut off");
                 }
-                self.stage.fabric.with().cuts.push(Cut { from, to, until, one_way });
+                self.stage.fabric.with().begin(Cut { from, to, until, one_way, how });
             }
             What::SlowDisk { on, sync_ms, for_s } => {
                 let now = self.now();
@@ -186,6 +193,14 @@
         }
     }
 
+    /// Units of a service are ill for a while.
+    async fn ail(&self, service: &str, count: usize, for_s: f64, ill: Ill) {
+        let units: Vec<_> = self.running(service).into_iter().take(count).collect();
+        units.iter().for_each(|s| *s.unit.ill.borrow_mut() = ill.clone());
+        sleep(Duration::from_secs_f64(for_s)).await;
+        units.iter().for_each(|s| *s.unit.ill.borrow_mut() = Ill::default());
+    }
+
     /// Asks every edge machine for a new route until it knows it.
     pub(super) async fn spreads(&self, prefix: &str) {
         let began = self.now();
@@ -247,6 +262,7 @@
     pub(super) async fn stops(self: Rc<Self>, machine: Rc<Machine>) {
         let from = self.now();
         self.trouble(&machine.name, from, from + 1000, "SIGTERM");
+        machine.told.set(true);
         if let Some(term) = machine.term.borrow().as_ref() {
             term.notify_one();
         }
@@ -259,8 +275,10 @@
             sleep(Duration::from_millis(20)).await;
         }
         self.kill(&machine);
-        if !machine.core {
-            self.stage.wires.borrow_mut().leaves.push((machine.name.clone(), from, self.now()));
+        let left = (machine.name.clone(), from, self.now());
+        match machine.core {
+            true => self.core_leaves.borrow_mut().push(left),
+            false => self.stage.wires.borrow_mut().leaves.push(left),
         }
         sleep(Duration::from_secs(1)).await;
         self.start(&machine, false);
--- a/crates/beechcroft-range/src/whole/scenario.rs
+++ b/crates/beechcroft-range/src/whole/scenario.rs
@@ -2,6 +2,8 @@
 //! checks; a fault is named by key and line.
 
 use super::disk::Sync;
+use super::fabric::CutHow;
+use super::wrongs::Wrong;
 use garde::Validate;
 use serde::{Deserialize, Serialize};
 
@@ -61,6 +63,9 @@
     /// Each edge machine is asked until it goes by a new configuration, to see how long that takes.
     #[serde(default)]
     pub spread: bool,
+    /// Each core machine is asked which membership it holds, to see when one changes hands.
+    #[serde(default)]
+    pub memberships: bool,
     /// By number: letters that are lost, syncs that do something else.
     #[serde(default)]
     pub lost_letters: Vec<u64>,
@@ -154,6 +159,14 @@
         #[serde(default)]
         lies: bool,
     },
+    /// A part of the answers of units is wrong for a while.
+    Answers {
+        service: String,
+        count: usize,
+        for_s: f64,
+        part: f64,
+        wrong: Wrong,
+    },
     /// Units lose power without a word, and come back at their addresses under other names.
     Dark {
         service: String,
@@ -198,6 +211,13 @@
         #[serde(default = "down")]
         down_s: f64,
     },
+    /// Processes are killed, and a record on their disks cannot be read any more as they start again.
+    Damage {
+        on: String,
+        record: String,
+        #[serde(default = "down")]
+        down_s: f64,
+    },
     /// A core machine is gone for good; an empty one comes at another address.
     Replace {
         on: String,
@@ -208,6 +228,8 @@
         for_s: f64,
         #[serde(default)]
         one_way: bool,
+        #[serde(default)]
+        how: CutHow,
     },
     SlowDisk {
         on: String,
@@ -275,6 +297,10 @@
     StaysDown,
     /// Requests go to units whose address another service has now, without naming the unit.
     AnyUnit,
+    /// A task of an edge panics; the others go on.
+    Panics,
+    /// An edge ends by itself, as if all were well.
+    Quits,
 }
 
 fn one() -> u64 {
@@ -331,7 +357,9 @@
                 service
             }
             What::Crash { service, .. } | What::Ill { service, .. } | What::Cold { service, .. } => service,
-            What::Flap { service, .. } | What::Dark { service, .. } => service,
+            What::Flap { service, .. } | What::Dark { service, .. } | What::Answers { service, .. } => {
+                service
+            }
             _ => return Ok(()),
         };
         match known(service) {
--- a/crates/beechcroft-trail/src/guide.rs
+++ b/crates/beechcroft-trail/src/guide.rs
@@ -174,16 +174,17 @@
             return;
         }
         if register == CONFIG {
-            let store: Option<ConfigStore> = postcard::from_bytes(&value.bytes).ok();
-            let Some(mut config) = store.and_then(|store| store.config()) else { return };
+            let Some(mut config) = ConfigStore::decode(&value).ok().and_then(|store| store.config()) else {
+                return;
+            };
             self.shared.usual.fill(&mut config);
             log::info!("guide: Configuration {:08x} is in force.", config.version);
             *self.shared.table.borrow_mut() = Some(Rc::new(Table::new(&config)));
         } else {
-            let Ok(orders) = postcard::from_bytes::<Orders>(&value.bytes) else { return };
+            let Ok(orders) = Orders::decode(&value) else { return };
             log::info!("guide: Orders at {}: {orders:?}.", value.revision);
             let before = self.shared.orders.replace(orders);
-            self.note_moves(now, &before);
+            self.note_moves(now);
             self.doubt_returned(now, &before);
         }
         self.held[register] = value;
@@ -193,14 +194,11 @@
     }
 
     /// Placements that have changed: for a while a key whose place is another now goes nowhere.
-    fn note_moves(&mut self, now: u64, before: &Orders) {
+    fn note_moves(&mut self, now: u64) {
         let orders = self.shared.orders.borrow();
-        let mut moved = self.shared.moved.borrow_mut();
+        let mut moves = self.shared.moves.borrow_mut();
         for (service, placement) in &orders.placements {
-            let held = before.placements.get(service).cloned().unwrap_or_default();
-            if held.version != placement.version {
-                moved.insert(service.clone(), (now, held.aside));
-            }
+            moves.entry(service.clone()).or_default().learn(now, placement.version, &placement.aside);
         }
     }
 
