A machine that leaves outlasts its successor's sync; one cut off and replaced hears of it

Cause: a core machine beside the first voters never waited for a membership (it went on as one that may still found the core); a holder that was replaced while it was cut off learnt of it by its own next round only.

Ruled out: a list of holders in the letters of the members (each voter tells the others once, and again when it changes).

Change: a machine that is not among the first voters waits; two guards, LeavesLast and EpochsTold, each with a test of the world that takes it out; each machine is watched on its own.

--- a/crates/beechcroft-hut/src/keeper/quorum.rs
+++ b/crates/beechcroft-hut/src/keeper/quorum.rs
@@ -90,7 +90,7 @@
     /// was taken must hear of it before it is counted on.
     pub(super) fn tell_epochs(&mut self, now: u64) {
         let Some(identity) = self.voter.identity.as_ref().filter(|_| self.quorum.votes) else { return };
-        if now < self.quorum.tell_at {
+        if now < self.quorum.tell_at || !stands(Guard::EpochsTold) {
             return;
         }
         self.quorum.tell_at = now + FENCE_EVERY_MS;
@@ -142,6 +142,8 @@
             if names.len() >= need && now >= self.cores.1 + SETTLE_MS {
                 names.truncate(need);
                 if !names.contains(&self.cairns.me.name) {
+                    // It waits for a membership from here on.
+                    self.fresh = false;
                     return;
                 }
                 log::info!("keeper: The first voters are {names:?}.");
@@ -283,6 +285,9 @@
     /// What a machine that leaves would take away has a copy elsewhere: every other voter that is up has accepted what this
     /// one holds, and where a machine waits for a membership, it has taken this one's.
     pub fn may_end(&self) -> bool {
+        if !stands(Guard::LeavesLast) {
+            return true;
+        }
         let Some(identity) = &self.voter.identity else {
             return self.quorum.handed_over || self.quorum.leaving.is_none_or(|(_, held)| !held);
         };
--- a/crates/beechcroft-railing/src/lib.rs
+++ b/crates/beechcroft-railing/src/lib.rs
@@ -50,6 +50,10 @@
     DeposedIsSilent,
     /// An epoch that is recorded as another machine's is not taken.
     OneTaker,
+    /// Epochs are told to each core machine until it says that it knows them.
+    EpochsTold,
+    /// A machine that leaves ends once its membership is taken, or every voter that is up holds what it holds.
+    LeavesLast,
     /// A learner goes on with what all that answered know of epochs.
     MergedEpochs,
     // State on disk.
--- a/crates/beechcroft-range/src/whole/day/watch.rs
+++ b/crates/beechcroft-range/src/whole/day/watch.rs
@@ -10,21 +10,24 @@
 impl Day {
     pub(super) async fn watches(self: Rc<Self>) {
         let ground = Ground::world(Rc::new(self.stage.fabric.seat(operator())));
-        let mut last: BTreeMap<String, Option<String>> = BTreeMap::new();
         loop {
             let cores: Vec<Rc<Machine>> =
                 self.machines.borrow().iter().filter(|m| m.core && !m.gone.get()).cloned().collect();
-            let asked = cores.iter().map(|core| async {
-                let to = SocketAddrV4::new(core.ip, INSIDE[0]);
-                let within = Duration::from_millis(400);
-                let (_, body) = call(&ground, to, "POST", "/show", b"", within).await?;
-                Some((core.name.clone(), held(&String::from_utf8_lossy(&body))))
-            });
-            for (name, held) in futures_util::future::join_all(asked).await.into_iter().flatten() {
-                if last.get(&name) != Some(&held) {
-                    last.insert(name.clone(), held.clone());
-                    self.memberships.borrow_mut().push((self.now(), name, held));
-                }
+            for core in cores {
+                let (day, ground) = (self.clone(), ground.clone());
+                spawn_local(async move {
+                    let to = SocketAddrV4::new(core.ip, INSIDE[0]);
+                    let within = Duration::from_millis(400);
+                    let Some((_, body)) = call(&ground, to, "POST", "/show", b"", within).await else {
+                        return;
+                    };
+                    let held = held(&String::from_utf8_lossy(&body));
+                    let mut seen = day.memberships.borrow_mut();
+                    let last = seen.iter().rev().find(|(_, name, _)| *name == core.name);
+                    if last.is_none_or(|(_, _, last)| *last != held) {
+                        seen.push((day.now(), core.name.clone(), held));
+                    }
+                });
             }
             sleep(Duration::from_millis(EVERY_MS)).await;
         }
