--- a/crates/beechcroft-range/src/whole/scenario.rs
+++ b/crates/beechcroft-range/src/whole/scenario.rs
@@ -66,6 +66,9 @@
     /// Each core machine is asked which membership it holds, to see when one changes hands.
     #[serde(default)]
     pub memberships: bool,
+    /// Each edge machine is asked from its start on until it is ready, to see how long that takes.
+    #[serde(default)]
+    pub starts: bool,
     /// By number: letters that are lost, syncs that do something else.
     #[serde(default)]
     pub lost_letters: Vec<u64>,
