--- a/crates/beechcroft-hut/src/keeper/contact.rs
+++ b/crates/beechcroft-hut/src/keeper/contact.rs
@@ -41,7 +41,7 @@
             epochs.get(voter_id).map_or_else(|| voter_id.clone(), |(_, holder)| holder.clone())
         };
         let (machines, all, votes): (BTreeSet<String>, usize, bool) =
-            match (&self.voter.identity, &self.told_voters) {
+            match (&self.voter.identity, self.memberships.told()) {
                 (Some(identity), _) => {
                     let holders = identity.voters.iter().map(|voter_id| holder(&identity.epochs, voter_id));
                     (holders.collect(), identity.voters.len(), true)
--- a/crates/beechcroft-hutbook/tests/orders.rs
+++ b/crates/beechcroft-hutbook/tests/orders.rs
@@ -442,7 +442,7 @@
     let Ask::Fence { epoch, .. } = fence.clone() else { panic!() };
     for from in [1, 2] {
         let (reply, _) = core.voters[from].ask(fence.clone());
-        core.voters[0].fenced(&format!("hut-{from}"), epoch, reply);
+        core.voters[0].fenced(epoch, reply);
     }
     core.proposers = (0..3).map(|at| Proposer::new(90 + at)).collect();
     for proposer in &mut core.proposers {
--- a/crates/beechcroft-railing/src/lib.rs
+++ b/crates/beechcroft-railing/src/lib.rs
@@ -56,6 +56,20 @@
     FencedPromises,
     /// A proposer does not count an acceptance of an epoch that has been fenced.
     FencedAcceptances,
+    /// A learner does not count a copy by an epoch that another of its copies knows to be over.
+    FencedCopies,
+    /// A learner takes the former holder's own copy only if no other knows of an epoch between.
+    HandedOverOnce,
+    /// A holder that hears of a later epoch of its membership is a voter no more.
+    DeposedIsSilent,
+    /// An epoch that is recorded as another machine's is not taken.
+    OneTaker,
+    /// Epochs are told to each core machine until it says that it knows them.
+    EpochsTold,
+    /// A machine that leaves ends once its membership is taken, or every voter that is up holds what it holds.
+    LeavesLast,
+    /// A learner goes on with what all that answered know of epochs.
+    MergedEpochs,
     // State on disk.
     /// An end of the log that cannot be read is torn only beyond the last entry that is known to be synced.
     SyncedMark,
--- a/crates/beechcroft-range/src/whole/day.rs
+++ b/crates/beechcroft-range/src/whole/day.rs
@@ -5,6 +5,7 @@
 mod hand;
 mod operator;
 mod troubles;
+pub mod watch;
 
 pub use hand::{by_hand, Hand};
 
@@ -55,6 +56,10 @@
     pub edge_bytes: (f64, f64),
     /// For each acknowledged configuration that added a route: ms from then until the last edge machine went by it.
     pub spread_ms: Vec<u64>,
+    /// If the scenario asks: when a core machine first said that it holds which membership, or none.
+    pub memberships: Vec<watch::Held>,
+    /// Core machines that were told to leave: when, and when their processes ended.
+    pub core_leaves: Vec<(String, u64, u64)>,
     pub simulated_s: f64,
     /// Orders that were never acknowledged.
     pub unacked: Vec<String>,
@@ -108,6 +113,8 @@
     seeds: RefCell<Option<Vec<SocketAddrV4>>>,
     unacked: RefCell<Vec<String>>,
     spread_ms: RefCell<Vec<u64>>,
+    memberships: RefCell<Vec<watch::Held>>,
+    core_leaves: RefCell<Vec<(String, u64, u64)>>,
     down_for_good: Cell<bool>,
 }
 
@@ -172,6 +179,8 @@
         seeds: RefCell::default(),
         unacked: RefCell::default(),
         spread_ms: RefCell::default(),
+        memberships: RefCell::default(),
+        core_leaves: RefCell::default(),
         down_for_good: Cell::new(false),
         scenario,
     });
@@ -493,6 +502,9 @@
             spawn_local(self.clone().source(kind, part, start));
         }
         spawn_local(self.clone().probes(start));
+        if self.scenario.memberships {
+            spawn_local(self.clone().watches());
+        }
         let end = Duration::from_secs_f64(self.scenario.seconds);
         tokio::time::sleep_until(start + end).await;
         self.over.set(true);
@@ -578,6 +590,8 @@
             counts,
             edge_bytes,
             spread_ms: self.spread_ms.borrow().clone(),
+            memberships: self.memberships.borrow().clone(),
+            core_leaves: self.core_leaves.borrow().clone(),
             simulated_s: seconds,
             unacked: self.unacked.borrow().clone(),
             wires,
--- a/crates/beechcroft-range/src/whole/day/events.rs
+++ b/crates/beechcroft-range/src/whole/day/events.rs
@@ -326,8 +326,10 @@
             sleep(Duration::from_millis(20)).await;
         }
         self.kill(machine);
-        if !machine.core {
-            self.stage.wires.borrow_mut().leaves.push((machine.name.clone(), from, self.now()));
+        let left = (machine.name.clone(), from, self.now());
+        match machine.core {
+            true => self.core_leaves.borrow_mut().push(left),
+            false => self.stage.wires.borrow_mut().leaves.push(left),
         }
     }
 
--- a/crates/beechcroft-range/src/whole/scenario.rs
+++ b/crates/beechcroft-range/src/whole/scenario.rs
@@ -66,6 +66,9 @@
     /// Each edge machine is asked until it goes by a new configuration, to see how long that takes.
     #[serde(default)]
     pub spread: bool,
+    /// Each core machine is asked which membership it holds, to see when one changes hands.
+    #[serde(default)]
+    pub memberships: bool,
     /// Each edge machine is asked from its start on until it is ready, to see how long that takes.
     #[serde(default)]
     pub starts: bool,
