--- a/crates/beechcroft-hut/src/keeper.rs
+++ b/crates/beechcroft-hut/src/keeper.rs
@@ -44,8 +44,13 @@
 const STOP_MS: u64 = 250;
 const AFTER_STOP_MS: u64 = 400;
 const FENCE_EVERY_MS: u64 = 300;
-/// A voter that has been down for so long gives its membership to a machine that waits for one.
-const VACANT_MS: u64 = 2500;
+/// A machine without a membership asks so often who holds them.
+const HOLDERS_EVERY_MS: u64 = 1000;
+/// A machine that leaves answers for so long what was taken, and takes new orders.
+pub const LEAVE_MS: u64 = 800;
+/// A voter that has been down for a quarter of `syncS` gives its membership to a machine that waits for one: as long again
+/// until that it is down is known everywhere, and the successor votes well before it has to count.
+const VACANT_MS_PER_SYNC_S: f64 = 250.0;
 /// The same for one that is leaving.
 const LEFT_MS: u64 = 200;
 const CONDUCT_EVERY_MS: u64 = 200;
@@ -77,10 +82,15 @@
         reply: Reply,
     },
     Fenced {
-        from: String,
         epoch: u64,
         reply: Reply,
     },
+    /// Another core machine was told of epochs.
+    Known {
+        from: String,
+        told: beechcroft_hutbook::Epochs,
+        reply: Reply,
+    },
     VotesAgain,
     /// The identity could not be written.
     NotKept,
@@ -141,10 +151,7 @@
     place_at: u64,
     /// Rounds that are to show that the core agrees.
     touches: BTreeMap<OrderId, u64>,
-    /// The voters and which machine holds each membership, as told to this machine while it has none.
-    told_voters: Option<(Vec<String>, beechcroft_hutbook::Epochs)>,
-    /// A membership whose machine is down, and since when.
-    vacant: Option<(String, u64)>,
+    memberships: quorum::Memberships,
     /// The machines that make a majority with this one or without it, and when they were last looked up.
     quorum: Quorum,
     quorum_at: u64,
@@ -154,12 +161,11 @@
     answers: BTreeMap<OrderId, oneshot::Sender<Answer>>,
     next_order: OrderId,
     pulling: [u64; 2],
-    fence_at: u64,
     conduct_at: u64,
     /// Core machines known, and since when no other has come.
     cores: (usize, u64),
     /// Since when each rollout stands at its stage, as this machine saw it.
-    stages: BTreeMap<String, (u64, Stage, u64)>,
+    stages: BTreeMap<String, rollouts::StageSeen>,
     unbased: BTreeMap<String, u64>,
     read_at: u64,
     jot_at: u64,
@@ -179,8 +185,7 @@
         post: Post, errands: Errands, queue: Queue,
     ) -> Keeper {
         let cairns = Cairns::new(me, settings.internal_ports[0], settings.seed_nodes.clone(), salt);
-        let mut proposer = Proposer::new(salt ^ 0x5eed);
-        proposer.voters(voter.voters(), voter.highest());
+        let proposer = Proposer::new(salt ^ 0x5eed);
         let mut keeper = Keeper {
             fresh: settings.bootstrap && !table.contains_key("identity"),
             settings,
@@ -199,8 +204,7 @@
             wished: BTreeMap::new(),
             place_at: 0,
             touches: BTreeMap::new(),
-            told_voters: None,
-            vacant: None,
+            memberships: Default::default(),
             quorum: Quorum::default(),
             quorum_at: 0,
             held_widely: BTreeMap::new(),
@@ -208,7 +212,6 @@
             answers: BTreeMap::new(),
             next_order: 0,
             pulling: [0; 2],
-            fence_at: 0,
             conduct_at: 0,
             cores: (0, 0),
             stages: BTreeMap::new(),
@@ -223,6 +226,7 @@
             errands,
             queue,
         };
+        keeper.votes_again();
         keeper.recall(table);
         keeper
     }
@@ -313,13 +317,20 @@
                 if let Reply::Accepted { epochs, .. } | Reply::Refused { epochs, .. } = &reply {
                     self.learn_epochs(epochs);
                 }
+                if matches!(reply, Reply::Accepted { .. }) {
+                    self.accepted(register, &from, ballot);
+                }
                 self.propose(Event::Reply { from, register, ballot, reply });
             }
-            Command::Fenced { from, epoch, reply } => self.fenced(&from, epoch, reply),
+            Command::Fenced { epoch, reply } => self.fenced(epoch, reply),
+            Command::Known { from, told, reply } => self.known(from, told, reply),
             Command::NotKept => self.keep_identity(),
             Command::VotesAgain => {
                 self.unkept = false;
-                self.votes();
+                self.votes_again();
+            }
+            Command::Order { answer, .. } if self.is_over(now) => {
+                let _ = answer.send(Err(Fault::new(Kind::Leaving, "this machine leaves")));
             }
             Command::Order { register, op, read, answer } => match self.may_order(now, &op) {
                 Ok(()) => self.asked(register, op, read, answer),
@@ -342,6 +353,7 @@
             Command::Show(answer) => drop(answer.send(self.show())),
             Command::Seeds(seeds) => self.cairns.seeds(seeds),
             Command::Leave => {
+                self.leave(now);
                 self.cairns.stand(Standing::Leaving);
                 self.cairns.hurry(now, &mut news);
             }
@@ -382,10 +394,18 @@
 
     /// This machine's own part as a voter: the reply goes out once what it says is on disk.
     fn ask(&mut self, ask: Ask, answer: oneshot::Sender<Reply>) {
+        let told = match &ask {
+            Ask::Tell { by, epochs } => Some((by.clone(), epochs.clone())),
+            _ => None,
+        };
         let (reply, mut records) = self.voter.ask(ask);
         if self.unkept && stands(Guard::IdentityBeforeAnswers) {
             records = self.voter.records();
         }
+        match told {
+            Some((by, epochs)) => self.told(by, &epochs),
+            None => self.deposed(),
+        }
         let disk = self.disk.clone();
         spawn_local(async move {
             // After a write that failed the voter holds more in memory than on disk: it only promises more than it has
@@ -463,7 +483,7 @@
             Ask::Prepare { register, ballot, .. } | Ask::Accept { register, ballot, .. } => {
                 (*register, *ballot)
             }
-            Ask::Fence { .. } => return,
+            Ask::Fence { .. } | Ask::Tell { .. } => return,
         };
         let bytes = postcard::to_stdvec(ask).expect("plain data");
         for from in voters {
@@ -529,6 +549,8 @@
             self.settle(now);
             return;
         }
+        self.tell_epochs(now);
+        self.hand_on(now);
         if now >= self.read_at {
             // What this voter has accepted, and does not know to be chosen, a round confirms or replaces. Rounds of
             // all huts at once would only meet: one at a time looks, in the order of their names.
