Two of five machines at a time restart, lose their disks and are replaced under changes

Cause: a machine that waited while another took the first of two vacant memberships never learned of it and waited for good: found by this test before the change of memberships, which mends it. While an identity was not on disk yet, what an answer has to write beside it was left out of the write.

Ruled out: a second copy of the test for each kind of trouble.

Change: the trouble is played with so many machines at a time. An answer that waits for an identity is written with it, and with all that it says itself.

Before the change of memberships the second of two replaced machines held none after 60 s.

--- a/crates/beechcroft-hut/src/keeper.rs
+++ b/crates/beechcroft-hut/src/keeper.rs
@@ -400,7 +400,7 @@
         };
         let (reply, mut records) = self.voter.ask(ask);
         if self.unkept && stands(Guard::IdentityBeforeAnswers) {
-            records = self.voter.records();
+            records.splice(0..0, self.voter.records());
         }
         match told {
             Some((by, epochs)) => self.told(by, &epochs),
--- a/crates/beechcroft-range/tests/many_changes.rs
+++ b/crates/beechcroft-range/tests/many_changes.rs
@@ -31,7 +31,8 @@
 }
 
 impl Changes {
-    fn new(core: &Rc<Core>) -> Rc<Changes> {
+    /// `read_ms`: how often one of the machines is read.
+    fn new(core: &Rc<Core>, read_ms: u64) -> Rc<Changes> {
         let changes = Changes {
             core: core.clone(),
             acknowledged: Cell::new(0),
@@ -41,7 +42,7 @@
             ends: Cell::new(false),
         };
         let changes = Rc::new(changes);
-        spawn_local(changes.clone().read_on());
+        spawn_local(changes.clone().read_on(read_ms));
         changes
     }
 
@@ -62,10 +63,10 @@
     }
 
     /// Asks every hut again and again.
-    async fn read_on(self: Rc<Self>) {
+    async fn read_on(self: Rc<Self>, read_ms: u64) {
         let mut nth = 0;
         while !self.ends.get() {
-            sleep(Duration::from_millis(40)).await;
+            sleep(Duration::from_millis(read_ms)).await;
             let huts = self.core.huts.borrow().clone();
             nth += 1;
             let (hut, changes) = (huts[nth % huts.len()].clone(), self.clone());
@@ -188,12 +189,13 @@
     worst
 }
 
-/// So many changes with all that trouble among them.
-fn changes(count: u32, machines: usize, together: usize, seed: u64) {
+/// So many changes with all that trouble among them; one of the machines is read so often, and so many reads are answered
+/// at least.
+fn changes(count: u32, machines: usize, together: usize, (read_ms, least): (u64, u32), seed: u64) {
     play(machines, seed, |core| async move {
         // Of the letters, which tell who is there and who has newer values, one in ten is lost, and one in twenty comes twice.
         (core.fabric.with().loss, core.fabric.with().twice) = (0.1, 0.05);
-        let changes = Changes::new(&core);
+        let changes = Changes::new(&core, read_ms);
         let huts = || core.huts.borrow().clone();
         changes.until(100).await;
         let early: Vec<_> = huts().iter().map(|hut| sizes(hut)).collect();
@@ -211,7 +213,7 @@
         println!("{each} bytes written on each disk for a change and the reads beside it");
         println!("slowest acknowledgement {:?}, {} reads", changes.slowest.get(), changes.reads.get());
         assert_eq!(*changes.older.borrow(), Vec::<String>::new());
-        assert!(changes.reads.get() > 10 * count, "{} reads", changes.reads.get());
+        assert!(changes.reads.get() > least, "{} reads", changes.reads.get());
         assert!(worst.iter().zip(BOUNDS).all(|(took, bound)| *took < bound), "{worst:?}");
         assert!(changes.slowest.get() < Duration::from_secs(8), "{:?}", changes.slowest.get());
         for (files, table, value) in late {
@@ -223,5 +225,9 @@
 
 #[test]
 fn each_core_machine_restarts_loses_its_disk_and_is_replaced_over_a_thousand_changes() {
-    changes(1000, 3, 1, 4);
+    changes(1000, 3, 1, (40, 10_000), 4);
+}
+#[test]
+fn two_of_five_machines_at_a_time_restart_lose_their_disks_and_are_replaced_while_changes_go_on() {
+    changes(700, 5, 2, (200, 1000), 2);
 }
