An identity that is written again takes no promise back: the test for it

Cause: the mend of a retry that put older registers over later promises had no test of its own.

Ruled out: a guard for it (the retry has no line that could be left out; it writes what the voter holds).

Change: the disks of the core machines' tests notice a write that takes a register back behind what it had promised; a learner's identity is refused while orders go on.

--- a/crates/beechcroft-range/tests/core/mod.rs
+++ b/crates/beechcroft-range/tests/core/mod.rs
@@ -1,8 +1,10 @@
 //! Core machines alone, the program as it is, on folders of real files: what is written, damaged and read is bytes.
 //! Time is the world's, and so is what a sync takes.
 
-use beechcroft_cache::Cache;
+use beechcroft_cache::{Cache, Table};
 use beechcroft_hut::disk::{self, Disk, Keeps, Records};
+use beechcroft_hutbook::voter::Register;
+use beechcroft_hutbook::{bytes, Ballot};
 use beechcroft_map::usual::Usual;
 use beechcroft_map::Settings;
 use beechcroft_pass::lifecycle::Outside;
@@ -32,6 +34,15 @@
     /// Writes that fail.
     pub refuses: Cell<Refuses>,
     pub written: Cell<u64>,
+    /// Whether a write took a register back behind what it had promised.
+    pub went_back: Cell<bool>,
+}
+
+fn promised(table: &Table) -> [Ballot; 2] {
+    ["register-0", "register-1"].map(|name| {
+        let register = table.get(name).and_then(|held| bytes::decode::<Register>(held).ok());
+        register.unwrap_or_default().promised
+    })
 }
 
 struct Writes(Rc<Plate>);
@@ -48,7 +59,13 @@
             }
             let bytes: usize = records.iter().map(|(name, value)| name.len() + value.len()).sum();
             plate.written.set(plate.written.get() + bytes as u64);
-            plate.cache.borrow_mut().as_mut().is_some_and(|cache| cache.write(&records).is_ok())
+            let mut cache = plate.cache.borrow_mut();
+            let Some(cache) = cache.as_mut() else { return false };
+            let before = promised(cache.table());
+            let kept = cache.write(&records).is_ok();
+            let back = before.iter().zip(promised(cache.table())).any(|(before, after)| *before > after);
+            plate.went_back.set(plate.went_back.get() || back);
+            kept
         })
     }
 }
@@ -134,6 +151,7 @@
             free_at: Cell::new(Instant::now()),
             refuses: Cell::new(|_| false),
             written: Cell::new(0),
+            went_back: Cell::new(false),
         };
         let (folder, plate, process) = (folder(), Rc::new(plate), RefCell::default());
         Rc::new(Hut { name, ip, folder, plate, process })
--- a/crates/beechcroft-range/tests/damaged_disks.rs
+++ b/crates/beechcroft-range/tests/damaged_disks.rs
@@ -219,6 +219,32 @@
     assert!(refusing(), "without the guard a promise stands on a disk that does not know whose it is");
 }
 
+#[test]
+fn an_identity_that_is_written_again_takes_no_promise_back() {
+    play(3, 1, |core| async move {
+        assert_eq!(core.replace(0, &config(1, 0, "/first/")).await, Some(200));
+        let huts = names(&core);
+        core.kill(&huts[0]);
+        empty(huts[0].folder.path());
+        core.start(&huts[0], false);
+        // What it learns is refused for a while, and orders go on meanwhile.
+        let identity: fn(&beechcroft_hut::disk::Records) -> bool =
+            |records| records.iter().any(|(name, value)| name == "identity" && !value.is_empty());
+        huts[0].plate.refuses.set(identity);
+        for version in 2..40 {
+            if version == 20 {
+                huts[0].plate.refuses.set(|_| false);
+            }
+            let order = config(version, version - 1, &format!("/{version}/"));
+            assert_eq!(core.replace(version as usize, &order).await, Some(200));
+        }
+        sleep(Duration::from_secs(2)).await;
+        let table = Cache::peek(huts[0].folder.path()).0;
+        assert!(table.get("identity").is_some_and(|held| !held.is_empty()), "it votes again");
+        assert!(huts.iter().all(|hut| !hut.plate.went_back.get()), "a promise was taken back on disk");
+    });
+}
+
 /// A majority's disks refuse a register; what is acknowledged then is gone after a restart of all.
 async fn refused_and_acknowledged(core: Rc<Core>) -> bool {
     assert_eq!(core.replace(0, &config(1, 0, "/first/")).await, Some(200));
