Only an answer under its own attempt id is a request's; others promise nothing

Cause: `Beechcroft-Not-Executed` and 421 were believed on an answer without an attempt id. A stray one in the place of a write's answer made it be sent again while the unit ran it. Other strays without an id were passed on unless they were 2xx. A wait for a connection to take the first bytes had no bound. A request without an id was offered. Ruled out: believing nameless refusals on fresh connections only: units name the request in every answer. Change: `crossing::heard` says whose a head is. Another id: read over. No id, two ids that differ, or a success that says it was not run: unclear. A request without an id gets 400 and is not offered. A connection is not kept after a HEAD, as a late answer to it could not be measured. Guards for each of these lines and for those that held already.

--- a/crates/beechcroft-crossing/src/lib.rs
+++ b/crates/beechcroft-crossing/src/lib.rs
@@ -5,6 +5,55 @@
 //! if it is not repeatable, and only then may it be refused with a promise (rules TWICE and REFUSED).
 
 use beechcroft_kinds::Kind;
+use beechcroft_railing::{stands, Guard};
+
+/// What a head that came in the place of an answer says of whose it is and what became of the request.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Head<'a> {
+    /// Its attempt id.
+    pub id: Option<&'a str>,
+    pub status: u16,
+    /// `Beechcroft-Not-Executed`.
+    pub not_executed: bool,
+    pub sealed: bool,
+    /// Its body has a coding.
+    pub encoded: bool,
+}
+
+/// What a head is to the request that waits for an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// Not the last word: the answer follows.
+    Interim,
+    /// An answer to another request, in the place of this one's: it is read over.
+    Stray,
+    /// Nothing that this request may rely on.
+    Unclear,
+    /// It was not run here: another unit may be asked.
+    NotRun(End),
+    Answer,
+}
+
+/// Units name the request that they answer, also where they turn it away: without its attempt id an answer is nobody's,
+/// and what it promises is promised to nobody.
+pub fn heard(id: &str, head: &Head<'_>) -> Heard {
+    if (100..200).contains(&head.status) {
+        return Heard::Interim;
+    }
+    match head.id {
+        None if stands(Guard::NamelessAnswers) => return Heard::Unclear,
+        Some(other) if other != id && stands(Guard::StrangeAnswers) => return Heard::Stray,
+        _ => {}
+    }
+    let refusal = head.status >= 400 || !stands(Guard::RefusalStatus);
+    match head.status {
+        421 => Heard::NotRun(End::Elsewhere),
+        _ if head.not_executed && refusal => Heard::NotRun(End::Refused),
+        _ if head.not_executed => Heard::Unclear,
+        200..=299 if !head.sealed || head.encoded => Heard::Unclear,
+        _ => Heard::Answer,
+    }
+}
 
 /// How an offer to a unit ended, if not with an answer that is passed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,7 +128,7 @@
             }
             End::Unclear | End::Slow => {
                 self.maybe_run = true;
-                if self.repeatable && time && self.sends > 0 && budget() {
+                if self.may_run_again() && time && self.sends > 0 && budget() {
                     return Next::Again;
                 }
                 if !time || end == End::Slow {
@@ -88,7 +137,7 @@
             }
             End::Failed => {
                 self.maybe_run = true;
-                if self.repeatable && time && self.sends > 0 && budget() {
+                if self.may_run_again() && time && self.sends > 0 && budget() {
                     return Next::Again;
                 }
                 return Next::PassOn;
@@ -97,6 +146,10 @@
         Next::Answer(self.refusal())
     }
 
+    fn may_run_again(&self) -> bool {
+        self.repeatable || !stands(Guard::MaybeRun)
+    }
+
     /// An offer ended while another is still open: that one decides.
     pub fn ended_beside(&mut self, end: End) {
         match end {
--- a/crates/beechcroft-pass/src/guard.rs
+++ b/crates/beechcroft-pass/src/guard.rs
@@ -4,6 +4,7 @@
 //! other than chunked. Raw targets and header values are passed on as they came.
 
 use beechcroft_kinds::Kind;
+use beechcroft_railing::{stands, Guard};
 
 /// How the bytes after a head are told apart from the next head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -207,6 +208,9 @@
     };
     let Ok(common) = common(response.headers) else { return Read::Bad(Kind::Lost) };
     let status = response.code.unwrap_or(0);
+    if status < 100 {
+        return Read::Bad(Kind::Lost);
+    }
     let mut reply = Reply {
         status,
         reason: response.reason.unwrap_or_default().to_owned(),
@@ -220,7 +224,11 @@
     for header in response.headers.iter() {
         let is = |name: &str| header.name.eq_ignore_ascii_case(name);
         if is("beechcroft-attempt-id") {
-            reply.id = text(header.value);
+            let id = text(header.value);
+            if reply.id.is_some() && reply.id != id && stands(Guard::TwoOwners) {
+                return Read::Bad(Kind::Lost);
+            }
+            reply.id = id;
         } else if is("beechcroft-unit-id") {
             reply.unit = text(header.value);
         } else if is("beechcroft-server-seal") {
--- a/crates/beechcroft-railing/src/lib.rs
+++ b/crates/beechcroft-railing/src/lib.rs
@@ -18,6 +18,34 @@
     FencedAcceptances,
     // State on disk.
     // Answers and their owners.
+    /// A relay's call takes only the answer that names it.
+    CallIds,
+    /// A call's connection is kept only if nothing was read behind its answer.
+    ErrandReadAhead,
+    /// A desk ends a connection on which it has read into a next call.
+    DeskReadAhead,
+    /// A request without an attempt id is not offered: no answer could be told to be its own.
+    OwnId,
+    /// An answer without an attempt id is nobody's.
+    NamelessAnswers,
+    /// An answer with another attempt id is read over.
+    StrangeAnswers,
+    /// A refusal is believed with the status of one only.
+    RefusalStatus,
+    /// What has left in part may have run.
+    PartlySent,
+    /// A connection is kept only after a whole answer with nothing behind it.
+    CleanConnections,
+    /// What may have run and must not run twice is not offered again.
+    MaybeRun,
+    /// After a HEAD a connection is not kept: how long a late answer on it is cannot be told.
+    HeadLeavesNone,
+    /// An answer that names two owners is none.
+    TwoOwners,
+    /// An answer that breaks off under way to a client does not look whole.
+    BrokenOff,
+    /// A client's connection whose body was not read carries no other request.
+    UnreadBody,
 }
 
 /// Whether a guard stands.
--- a/crates/beechcroft-trail/src/offer.rs
+++ b/crates/beechcroft-trail/src/offer.rs
@@ -1,9 +1,10 @@
 //! One offer of a request to a unit: a connection, the bytes out, the answer's head and its body.
 
 use crate::shared::{Shared, PIECE};
-use beechcroft_crossing::End;
+use beechcroft_crossing::{heard, End, Head, Heard};
 use beechcroft_pass::guard::{self, Ask, Framing, Read, Reply};
 use beechcroft_pass::line::{Body, Line};
+use beechcroft_railing::{stands, Guard};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,9 +41,11 @@
 }
 
 impl Slot {
-    /// The connection may be used again.
-    pub fn keep(mut self, line: Line, reply: &Reply) {
-        if !reply.close && reply.framing != Some(Framing::Close) && line.clean() {
+    /// The connection may be used again, if nothing but this answer is under way on it. After a HEAD it may not: of an
+    /// answer to it that came late, one could not tell whether a body follows.
+    pub fn keep(mut self, line: Line, ask: &Ask, reply: &Reply) {
+        let ends = reply.close || reply.framing == Some(Framing::Close) || is_head(ask);
+        if !ends && (line.clean() || !stands(Guard::CleanConnections)) {
             self.kept = true;
             let now = self.shared.now();
             self.shared.pool.borrow_mut().keep(now, &self.unit, line, reply.keep_alive_s);
@@ -80,13 +83,14 @@
     let (mut line, slot) = connect(shared, offer).await?;
     send(&mut line, offer).await?;
     let mut strays = 0;
-    let reply = loop {
-        match read_head(&mut line, &offer.ask.method, offer.until).await? {
-            reply if (100..200).contains(&reply.status) => {}
-            reply if reply.id.is_some() && reply.id != offer.ask.id => {
-                // An answer to another request, late: it belongs to nobody here.
+    let (reply, not_run) = loop {
+        let reply = read_head(&mut line, &offer.ask.method, offer.until).await?;
+        match heard(offer.ask.id.as_deref().unwrap_or_default(), &head(&reply)) {
+            Heard::Interim => {}
+            Heard::Stray => {
+                // Late: it belongs to nobody here.
                 strays += 1;
-                if strays > STRAYS || reply.framing == Some(Framing::Close) {
+                if strays > STRAYS || reply.framing == Some(Framing::Close) || is_head(offer.ask) {
                     return Err(End::Unclear);
                 }
                 let mut body = Body::new(reply.framing);
@@ -96,14 +100,12 @@
                     part(&mut body, &mut line, &mut over, offer.until).await?;
                 }
             }
-            reply => break reply,
+            Heard::Unclear => return Err(End::Unclear),
+            Heard::NotRun(end) => break (reply, Some(end)),
+            Heard::Answer => break (reply, None),
         }
     };
     *told = reply.load.map(|(running, waiting, slots)| (running + waiting, slots));
-    let refused = reply.not_executed || reply.status == 421;
-    if (200..300).contains(&reply.status) && (!reply.sealed || reply.encoded || reply.id.is_none()) {
-        return Err(End::Unclear);
-    }
     let mut body = Body::new(reply.framing);
     let mut held = Vec::new();
     let large = !matches!(reply.framing, Some(Framing::Length(length)) if length <= 2 * PIECE as u64);
@@ -116,18 +118,25 @@
             shared.turn(false, held.len() - before).await;
         }
     }
-    if refused {
-        if body.done() {
-            slot.keep(line, &reply);
-        }
-        return Err(if reply.status == 421 { End::Elsewhere } else { End::Refused });
-    }
-    if body.done() {
-        slot.keep(line, &reply);
-        return Ok(Answer { reply, body: held, rest: None });
+    let rest = if body.done() {
+        slot.keep(line, offer.ask, &reply);
+        None
+    } else {
+        Some(Rest { line, body, guard: slot })
+    };
+    match not_run {
+        Some(end) => Err(end),
+        None => Ok(Answer { reply, body: held, rest }),
     }
-    let rest = Rest { line, body, guard: slot };
-    Ok(Answer { reply, body: held, rest: Some(rest) })
+}
+
+fn head(reply: &Reply) -> Head<'_> {
+    let Reply { status, not_executed, sealed, encoded, .. } = *reply;
+    Head { id: reply.id.as_deref(), status, not_executed, sealed, encoded }
+}
+
+fn is_head(ask: &Ask) -> bool {
+    ask.method == "HEAD" && stands(Guard::HeadLeavesNone)
 }
 
 async fn connect(shared: &Rc<Shared>, offer: &Offer<'_>) -> Result<(Line, Slot), End> {
@@ -171,21 +180,20 @@
     let chunked = !whole && ask.framing == Some(Framing::Chunked);
     push_part(&mut bytes, offer.body, chunked);
     // If not even the first bytes leave, nothing has been sent.
-    let _ = line.stream.writable().await;
     let first = loop {
+        if timeout_at(offer.until, line.stream.writable()).await.is_err() {
+            return Err(End::NotSent);
+        }
         match line.stream.try_write(&bytes) {
-            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {
-                if timeout_at(offer.until, line.stream.writable()).await.is_err() {
-                    return Err(End::NotSent);
-                }
-            }
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
             Err(_) => return Err(End::NotSent),
             Ok(sent) => break sent,
         }
     };
     let until = offer.until;
     let rest = async {
-        line.write(&bytes[first..]).await.map_err(|_| End::Unclear)?;
+        let part_left = if stands(Guard::PartlySent) { End::Unclear } else { End::NotSent };
+        line.write(&bytes[first..]).await.map_err(|_| part_left)?;
         let Some((client, body)) = &mut offer.more else { return Ok(()) };
         let mut some = Vec::new();
         while !body.done() {
--- a/crates/beechcroft-trail/src/pool.rs
+++ b/crates/beechcroft-trail/src/pool.rs
@@ -2,6 +2,7 @@
 //! and is used again only well inside the time for which the unit keeps it.
 
 use beechcroft_pass::line::Line;
+use beechcroft_railing::{stands, Guard};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -33,7 +34,9 @@
         let kept = self.0.get_mut(unit)?;
         while let Some(Idle { line, since, keep_ms }) = kept.idle.pop() {
             let age = now.saturating_sub(since);
-            if age < if sure { keep_ms / 2 } else { keep_ms } && line.clean() {
+            if age < if sure { keep_ms / 2 } else { keep_ms }
+                && (line.clean() || !stands(Guard::CleanConnections))
+            {
                 return Some(line);
             }
             kept.open -= 1;
--- a/crates/beechcroft-trail/src/serve.rs
+++ b/crates/beechcroft-trail/src/serve.rs
@@ -9,6 +9,7 @@
 use beechcroft_pass::guard::{self, Ask, Framing, Read};
 use beechcroft_pass::line::{Body, Line};
 use beechcroft_pass::Stream;
+use beechcroft_railing::{stands, Guard};
 use beechcroft_saddle::{key_of, Pins};
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -70,7 +71,7 @@
     let keep = ask.keep && shared.phase.get() == Phase::Ready;
     let has_body = !matches!(ask.framing, None | Some(Framing::Length(0)));
     // A connection whose body was not read cannot carry another request.
-    let refuse_keep = keep && !has_body;
+    let refuse_keep = keep && (!has_body || !stands(Guard::UnreadBody));
     let table = shared.table.borrow().clone();
     let Some(table) = table.filter(|_| !matches!(shared.phase.get(), Phase::Coming | Phase::Closing)) else {
         let kind = if shared.phase.get() == Phase::Coming { Kind::NotYet } else { Kind::Leaving };
@@ -81,6 +82,11 @@
         answer_own(line, Kind::NoRoute, 0, refuse_keep).await;
         return refuse_keep;
     };
+    if ask.id.as_deref().is_none_or(str::is_empty) && stands(Guard::OwnId) {
+        // No unit runs it, and no answer to it could be told from another's.
+        answer_own(line, Kind::Malformed, 0, refuse_keep).await;
+        return refuse_keep;
+    }
     if matches!(ask.framing, Some(Framing::Length(length)) if length > max_body) {
         answer_own(line, Kind::BodyTooLarge, 0, false).await;
         return false;
@@ -136,12 +142,14 @@
             log::debug!("serve: {} {} ends as {kind:?}.", ask.id.as_deref().unwrap_or("-"), ask.target);
             answer_own(line, kind, back_ms, keep).await && keep
         }
-        Final::Unit(answer) => pass_on(shared, line, *answer, keep, until).await && keep,
+        Final::Unit(answer) => pass_on(shared, line, &ask, *answer, keep, until).await && keep,
     }
 }
 
 /// Sends a unit's answer on as it is. Whether the connection is still sound.
-async fn pass_on(shared: &Shared, line: &mut Line, answer: Answer, keep: bool, until: Instant) -> bool {
+async fn pass_on(
+    shared: &Shared, line: &mut Line, ask: &Ask, answer: Answer, keep: bool, until: Instant,
+) -> bool {
     let Answer { reply, body, rest } = answer;
     let mut bytes = Vec::with_capacity(256 + reply.lines.len() + body.len());
     bytes.extend(format!("HTTP/1.1 {} {}\r\n", reply.status, reply.reason).as_bytes());
@@ -169,7 +177,10 @@
         bytes.clear();
         // What breaks off here must not look whole: the connection is closed without its end.
         if !matches!(timeout_at(until, left.next(&mut unit, &mut some)).await, Ok(Ok(()))) {
-            return false;
+            if stands(Guard::BrokenOff) {
+                return false;
+            }
+            break;
         }
         shared.turn(false, some.len()).await;
         push_part(&mut bytes, &some, chunked);
@@ -177,7 +188,7 @@
             return false;
         }
     }
-    guard.keep(unit, &reply);
+    guard.keep(unit, ask, &reply);
     !chunked || write_paced(shared, line, b"0\r\n\r\n", patience).await
 }
 
--- /dev/null
+++ b/crates/beechcroft-trail/tests/owners.rs
@@ -0,0 +1,606 @@
+//! Whose an answer is, and whether a request may have left: units that say something in the place of an answer, and
+//! connections that end at each byte of a request and of an answer. No sockets; the clock stands unless all wait.
+
+use beechcroft_junction::Table;
+use beechcroft_map::{Config, Settings};
+use beechcroft_pace::{Place, Side};
+use beechcroft_pass::ground::{Accepted, Pipe, World};
+use beechcroft_pass::{Ground, Stream};
+use beechcroft_railing::{without, Guard};
+use beechcroft_trail::serve;
+use beechcroft_trail::shared::{Phase, Shared};
+use std::collections::VecDeque;
+use std::future::{pending, Future};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::task::{spawn_local, LocalSet};
+
+const SETTINGS: &str =
+    "nodeName = \"edge-1\"\nip = \"127.0.0.1\"\nzone = \"z\"\nregion = \"r\"\ninternalPorts = [7540, 7555]\n\
+    [zones]\nz = \"r\"\n[listen]\n[bounds]\nretryExtra = 50.0\n";
+const CONFIG: &str = r#"{"version":"00000001","baseVersion":"00000000",
+"services":[{"name":"s","maxConns":100,"warmupS":3.0,"warmupRateS":2.0}],
+"limits":{"maxHeaderBytes":4096,"maxBodyBytes":200000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+"virtualHosts":[{"hostname":"h","pathRules":[
+{"name":"read","pathPrefix":"/read/","routeType":"idempotent","timeoutMs":5000,"targetMs":400,"service":"s","retries":2},
+{"name":"write","pathPrefix":"/write/","routeType":"non_idempotent","timeoutMs":5000,"targetMs":400,"service":"s",
+ "retries":2}]}]}"#;
+
+/// How a connection ends once it has taken, or given, so many bytes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Cut {
+    Close,
+    Reset,
+    Silence,
+}
+
+const CUTS: [Cut; 3] = [Cut::Close, Cut::Reset, Cut::Silence];
+
+/// A unit: what it says to the nth request of a connection, by its method and its id.
+#[derive(Clone, Copy)]
+struct Script {
+    takes: usize,
+    gives: usize,
+    cut: Cut,
+    says: fn(usize, &str, &str) -> String,
+}
+
+const SOUND: Script =
+    Script { takes: usize::MAX, gives: usize::MAX, cut: Cut::Close, says: |_, _, id| right(id) };
+
+fn answer(status: &str, id: &str, lines: &str, body: &str) -> String {
+    let id = if id.is_empty() { String::new() } else { format!("Beechcroft-Attempt-Id: {id}\r\n") };
+    format!("HTTP/1.1 {status}\r\n{id}{lines}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
+fn right(id: &str) -> String {
+    answer("200 OK", id, "Beechcroft-Server-Seal: s\r\n", &format!("to {id}"))
+}
+
+#[derive(Default)]
+struct Lanes {
+    coming: VecDeque<u8>,
+    going: Vec<u8>,
+    taken: usize,
+    given: usize,
+    requests: usize,
+    closed: bool,
+    wakers: Vec<Waker>,
+}
+
+/// The relay's end of a connection: to a unit with its script, or to a client without one.
+struct End {
+    lanes: Arc<Mutex<Lanes>>,
+    unit: Option<(usize, Script, Seen)>,
+}
+
+/// Ids of whole requests that came to units.
+type Seen = Arc<Mutex<Vec<(usize, String)>>>;
+
+impl End {
+    fn ended(&self, lanes: &Lanes) -> Option<Cut> {
+        let (_, script, _) = self.unit.as_ref()?;
+        let all_taken = lanes.taken >= script.takes && lanes.coming.is_empty();
+        (all_taken || lanes.given >= script.gives).then_some(script.cut)
+    }
+}
+
+impl Pipe for End {
+    fn try_read(&self, buf: &mut [u8]) -> io::Result<usize> {
+        let mut lanes = self.lanes.lock().unwrap();
+        match self.ended(&lanes) {
+            Some(Cut::Close) => return Ok(0),
+            Some(Cut::Reset) => return Err(io::ErrorKind::ConnectionReset.into()),
+            Some(Cut::Silence) => return Err(io::ErrorKind::WouldBlock.into()),
+            None if lanes.coming.is_empty() && lanes.closed => return Ok(0),
+            None if lanes.coming.is_empty() => return Err(io::ErrorKind::WouldBlock.into()),
+            None => {}
+        }
+        let gives = self.unit.as_ref().map_or(usize::MAX, |unit| unit.1.gives - lanes.given);
+        let some = buf.len().min(lanes.coming.len()).min(gives);
+        buf.iter_mut().zip(lanes.coming.drain(..some)).for_each(|(to, byte)| *to = byte);
+        lanes.given += some;
+        Ok(some)
+    }
+
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut lanes = self.lanes.lock().unwrap();
+        let ended = self.ended(&lanes);
+        if ended.is_none() && (!lanes.coming.is_empty() || lanes.closed)
+            || ended.is_some_and(|c| c != Cut::Silence)
+        {
+            return Poll::Ready(());
+        }
+        lanes.wakers.push(cx.waker().clone());
+        Poll::Pending
+    }
+
+    fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
+        let mut lanes = self.lanes.lock().unwrap();
+        let Some((number, script, seen)) = &self.unit else {
+            lanes.going.extend(bytes);
+            return Ok(bytes.len());
+        };
+        let some = bytes.len().min(script.takes - lanes.taken);
+        if some == 0 {
+            let silent = script.cut == Cut::Silence;
+            return Err(
+                if silent { io::ErrorKind::WouldBlock } else { io::ErrorKind::ConnectionReset }.into()
+            );
+        }
+        lanes.taken += some;
+        lanes.going.extend(&bytes[..some]);
+        let text = String::from_utf8_lossy(&lanes.going).into_owned();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let value = |name: &str| head.lines().find_map(|line| line.strip_prefix(name)).unwrap_or("");
+            if body.len() >= value("Content-Length: ").parse().unwrap_or(0) {
+                let (method, id) = (head.split(' ').next().unwrap(), value("Beechcroft-Attempt-Id: "));
+                seen.lock().unwrap().push((*number, id.to_owned()));
+                let said = (script.says)(lanes.requests, method, id);
+                lanes.coming.extend(said.bytes());
+                lanes.requests += 1;
+                lanes.going.clear();
+            }
+        }
+        lanes.wakers.drain(..).for_each(Waker::wake);
+        Ok(some)
+    }
+
+    fn poll_write_ready(&self, _: &mut Context<'_>) -> Poll<()> {
+        let lanes = self.lanes.lock().unwrap();
+        let full = self.unit.as_ref().is_some_and(|u| u.1.cut == Cut::Silence && lanes.taken >= u.1.takes);
+        if full {
+            Poll::Pending
+        } else {
+            Poll::Ready(())
+        }
+    }
+
+    fn shut(&self) {}
+}
+
+impl Drop for End {
+    fn drop(&mut self) {
+        self.lanes.lock().unwrap().closed = true;
+    }
+}
+
+/// Units by their ports.
+struct Units {
+    scripts: Vec<Script>,
+    seen: Seen,
+    lanes: Mutex<Vec<(usize, Arc<Mutex<Lanes>>)>>,
+}
+
+impl World for Units {
+    fn connect(&self, to: SocketAddrV4) -> Pin<Box<dyn Future<Output = io::Result<Arc<dyn Pipe>>>>> {
+        let unit = to.port() as usize;
+        let lanes = Arc::<Mutex<Lanes>>::default();
+        self.lanes.lock().unwrap().push((unit, lanes.clone()));
+        let end = End { lanes, unit: Some((unit, self.scripts[unit], self.seen.clone())) };
+        Box::pin(async move { Ok(Arc::new(end) as Arc<dyn Pipe>) })
+    }
+    fn listen(&self, _: SocketAddrV4) -> io::Result<UnboundedReceiver<Accepted>> {
+        Err(io::ErrorKind::Unsupported.into())
+    }
+    fn mail(&self, _: SocketAddrV4) -> io::Result<UnboundedReceiver<(SocketAddrV4, Vec<u8>)>> {
+        Err(io::ErrorKind::Unsupported.into())
+    }
+    fn send(&self, _: SocketAddrV4, _: SocketAddrV4, _: Vec<u8>) {}
+    fn wall(&self) -> Duration {
+        Duration::ZERO
+    }
+}
+
+struct Stand {
+    units: Rc<Units>,
+    client: Arc<Mutex<Lanes>>,
+}
+
+impl Stand {
+    fn new(scripts: &[Script]) -> Stand {
+        let units =
+            Rc::new(Units { scripts: scripts.to_vec(), seen: Seen::default(), lanes: Mutex::default() });
+        let shared = Rc::new(Shared::new(Settings::read(SETTINGS).unwrap(), 1, Ground::world(units.clone())));
+        *shared.table.borrow_mut() = Some(Rc::new(Table::new(&Config::read(CONFIG.as_bytes()).unwrap())));
+        shared.phase.set(Phase::Ready);
+        for number in 0..scripts.len() {
+            let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, number as u16);
+            let mut place = Place::new(&format!("i-{number}"), address, "z", "r", "v1", 100);
+            // The first unit is the emptiest: it is asked first.
+            (place.side, place.open_to_all, place.open) = (Side::Base, true, number as u32 * 10);
+            shared.yard.borrow_mut().service("s").push(place);
+        }
+        let client = Arc::<Mutex<Lanes>>::default();
+        let (queue, guide) = tokio::sync::mpsc::unbounded_channel();
+        let end = Stream::Pipe(Arc::new(End { lanes: client.clone(), unit: None }));
+        spawn_local(async move {
+            let _guide = guide;
+            serve::client(shared, queue, end).await;
+            pending::<()>().await
+        });
+        Stand { units, client }
+    }
+
+    fn send(&self, text: &str) {
+        let mut client = self.client.lock().unwrap();
+        client.coming.extend(text.bytes());
+        client.wakers.drain(..).for_each(Waker::wake);
+    }
+
+    /// Status and body of the next answer; none once the connection is closed without a whole one.
+    async fn next(&self) -> Option<(u16, String)> {
+        loop {
+            if let Some(ended) = self.ended() {
+                return ended;
+            }
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
+    fn ended(&self) -> Option<Option<(u16, String)>> {
+        let mut client = self.client.lock().unwrap();
+        let text = String::from_utf8_lossy(&client.going).into_owned();
+        let whole = text.split_once("\r\n\r\n").and_then(|(head, rest)| {
+            let length = head.lines().find_map(|line| line.strip_prefix("Content-Length: ")?.parse().ok());
+            let end = match length {
+                None if head.contains("chunked") => rest.find("0\r\n\r\n").map(|at| at + 5),
+                length => Some(length.unwrap_or(0)).filter(|length| rest.len() >= *length),
+            }?;
+            let status = head.split(' ').nth(1)?.parse().ok()?;
+            Some((head.len() + 4 + end, (status, rest[..end].to_owned())))
+        });
+        match whole {
+            Some((bytes, answer)) => {
+                client.going.drain(..bytes);
+                Some(Some(answer))
+            }
+            None => client.closed.then_some(None),
+        }
+    }
+
+    async fn ask(&self, text: &str) -> Option<(u16, String)> {
+        self.send(text);
+        self.next().await
+    }
+
+    /// Whole requests under an id that came to a unit.
+    fn seen(&self, unit: usize, id: &str) -> usize {
+        self.units.seen.lock().unwrap().iter().filter(|seen| (seen.0, seen.1.as_str()) == (unit, id)).count()
+    }
+
+    /// Bytes that each connection to a unit took.
+    fn taken(&self, unit: usize) -> Vec<usize> {
+        let lanes = self.units.lanes.lock().unwrap();
+        lanes.iter().filter(|lane| lane.0 == unit).map(|lane| lane.1.lock().unwrap().taken).collect()
+    }
+}
+
+fn read(id: &str) -> String {
+    format!("GET /read/x HTTP/1.1\r\nHost: h\r\nBeechcroft-Attempt-Id: {id}\r\nBeechcroft-Time-Budget: 3000\r\n\r\n")
+}
+
+fn write(id: &str) -> String {
+    format!(
+        "POST /write/x HTTP/1.1\r\nHost: h\r\nBeechcroft-Attempt-Id: {id}\r\nBeechcroft-Time-Budget: 300\r\n\
+         Content-Length: 4\r\n\r\nbody"
+    )
+}
+
+fn run<F: Future>(test: F) -> F::Output {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build().unwrap();
+    runtime.block_on(LocalSet::new().run_until(async {
+        tokio::time::timeout(Duration::from_secs(60), test).await.expect("the test hangs")
+    }))
+}
+
+/// Asks for `b` after `before` have been answered; what is wrong with how that ended, for a write and for a read.
+fn wrongs(first: Script, before: bool, write_ends: &[u16], read_ends: &[u16]) -> Vec<String> {
+    let mut wrong = Vec::new();
+    for writes in [true, false] {
+        run(async {
+            let stand = Stand::new(&[first, SOUND]);
+            if before {
+                assert_eq!(stand.ask(&read("a")).await, Some((200, "to a".into())));
+            }
+            let ended = stand.ask(&if writes { write("b") } else { read("b") }).await;
+            let (status, body) = ended.clone().unwrap_or_default();
+            let ran = stand.seen(0, "b") + stand.seen(1, "b");
+            let ends = if writes { write_ends } else { read_ends };
+            if writes && ran > 1
+                || body.contains("stray")
+                || status == 200 && body != "to b"
+                || !ends.contains(&status)
+            {
+                wrong.push(format!("writes {writes}: {ended:?}, at units {ran} times"));
+            }
+        });
+    }
+    wrong
+}
+
+/// What leaves for a unit whole.
+fn length(text: &str) -> usize {
+    run(async {
+        let stand = Stand::new(&[SOUND]);
+        stand.ask(text).await;
+        stand.taken(0)[0]
+    })
+}
+
+/// A write on a connection that ends after each byte of it; texts of those that went on to another unit all the same.
+fn sent_on(kept: bool) -> Vec<String> {
+    let (before, all) = (if kept { length(&read("a")) } else { 0 }, length(&write("b")));
+    let bytes = usize::from(kept)..=all;
+    let mut found = Vec::new();
+    for (cut, byte) in CUTS.into_iter().flat_map(|cut| bytes.clone().map(move |byte| (cut, byte))) {
+        run(async {
+            let stand = Stand::new(&[Script { takes: before + byte, cut, ..SOUND }, SOUND]);
+            if kept {
+                assert_eq!(stand.ask(&read("a")).await, Some((200, "to a".into())));
+            }
+            let (status, _) = stand.ask(&write("b")).await.unwrap();
+            let on: usize = stand.taken(1).iter().sum();
+            if byte > 0 && on > 0 {
+                found.push(format!("{cut:?} after {byte} of {all}: {on} bytes went on"));
+            }
+            let ends: &[u16] = match byte {
+                0 => &[200, 503],
+                _ if byte == all => &[200],
+                _ => &[502, 504],
+            };
+            assert!(!found.is_empty() || ends.contains(&status), "{cut:?} after {byte} of {all}: {status}");
+        });
+    }
+    found
+}
+
+#[test]
+fn a_write_of_which_one_byte_has_left_goes_nowhere_else_wherever_its_connection_ends() {
+    assert_eq!(sent_on(false), [] as [String; 0]);
+    assert_eq!(sent_on(true), [] as [String; 0]);
+    let _out = without(Some(Guard::PartlySent));
+    assert!(!sent_on(false).is_empty());
+}
+
+#[test]
+fn a_write_whose_answer_ends_at_any_byte_is_not_sent_again_and_a_read_is() {
+    let broken = || {
+        let all = right("b").len();
+        let cuts = CUTS.into_iter().flat_map(|cut| (0..all).map(move |byte| (cut, byte)));
+        cuts.flat_map(|(cut, gives)| wrongs(Script { gives, cut, ..SOUND }, false, &[502, 504], &[200]))
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(broken(), [] as [String; 0]);
+    let _out = without(Some(Guard::MaybeRun));
+    assert!(!broken().is_empty());
+}
+
+const REFUSED: &str = "Beechcroft-Not-Executed: 1\r\n";
+
+fn stray(status: &str, id: &str, lines: &str) -> String {
+    answer(status, id, lines, "stray")
+}
+
+/// Strays in the place of the answer to `b`, on a connection that has been used once or not.
+fn strays(named: bool) -> Vec<String> {
+    type Says = fn(usize, &str, &str) -> String;
+    fn ahead(stray: String, id: &str) -> String {
+        if id == "b" {
+            stray + &right(id)
+        } else {
+            right(id)
+        }
+    }
+    let all: [Says; 8] = [
+        |_, _, id| ahead(stray("503 No", "", REFUSED), id),
+        |_, _, id| ahead(stray("421 No", "", ""), id),
+        |_, _, id| ahead(stray("500 No", "", ""), id),
+        |_, _, id| ahead(stray("200 OK", "", "Beechcroft-Server-Seal: s\r\n"), id),
+        |_, _, id| ahead(stray("503 No", "other", REFUSED), id),
+        |_, _, id| ahead(stray("421 No", "other", ""), id),
+        |_, _, id| ahead(stray("500 No", "other", ""), id),
+        |_, _, id| ahead(stray("200 OK", "other", "Beechcroft-Server-Seal: s\r\n"), id),
+    ];
+    let (says, write_ends) = if named { (&all[4..], 200) } else { (&all[..4], 502) };
+    let each = says.iter().flat_map(|&says| [true, false].map(|before| (says, before)));
+    each.flat_map(|(says, before)| wrongs(Script { says, ..SOUND }, before, &[write_ends], &[200])).collect()
+}
+
+#[test]
+fn what_comes_under_no_id_or_under_another_in_the_place_of_an_answer_is_not_believed() {
+    assert_eq!((strays(false), strays(true)), (vec![], vec![]));
+    for (guard, named) in [(Guard::NamelessAnswers, false), (Guard::StrangeAnswers, true)] {
+        let _out = without(Some(guard));
+        let found = strays(named);
+        assert!(found.iter().any(|said| said.contains("2 times")), "{guard}: {found:?}");
+        assert!(found.iter().any(|said| said.contains("stray")), "{guard}: {found:?}");
+    }
+}
+
+#[test]
+fn an_answer_that_contradicts_itself_does_not_say_that_a_write_was_not_run() {
+    let success =
+        |_: usize, _: &str, id: &str| stray("200 OK", id, &format!("Beechcroft-Server-Seal: s\r\n{REFUSED}"));
+    let two = |_: usize, _: &str, id: &str| {
+        stray("503 No", "other", &format!("Beechcroft-Attempt-Id: {id}\r\n{REFUSED}"))
+    };
+    for (guard, says) in
+        [(Guard::RefusalStatus, success as fn(usize, &str, &str) -> String), (Guard::TwoOwners, two)]
+    {
+        let found = || wrongs(Script { says, ..SOUND }, false, &[502], &[200]);
+        assert_eq!(found(), [] as [String; 0], "{guard}");
+        let _out = without(Some(guard));
+        assert!(!found().is_empty(), "{guard}");
+    }
+}
+
+#[test]
+fn a_connection_with_something_behind_an_answer_or_closed_by_its_unit_is_not_used_again() {
+    let behind: [fn(usize, &str, &str) -> String; 4] = [
+        |_, _, id| right(id) + &stray("503 No", id, REFUSED),
+        |_, _, id| right(id) + "HTTP/1.1 200 OK\r\nBeech",
+        |_, _, id| right(id) + "\0\0 what is this",
+        |_, _, id| right(id),
+    ];
+    let found = || {
+        let each = behind.iter().enumerate();
+        each.flat_map(|(at, &says)| {
+            let gives = if at == 3 { right("a").len() } else { usize::MAX };
+            let bound = if at == 3 { &[200, 502][..] } else { &[200] };
+            run(async {
+                let stand = Stand::new(&[Script { says, gives, ..SOUND }, SOUND]);
+                stand.ask(&read("a")).await;
+                let ended = stand.ask(&write("b")).await;
+                let own = ended.as_ref().is_some_and(|(status, _)| bound.contains(status));
+                (!own || stand.taken(0).len() != 2).then(|| format!("{at}: {ended:?}"))
+            })
+        })
+        .collect::<Vec<_>>()
+    };
+    assert_eq!(found(), [] as [String; 0]);
+    let _out = without(Some(Guard::CleanConnections));
+    assert_eq!(found().len(), 4, "{:?}", found());
+}
+
+#[test]
+fn a_late_answer_to_a_head_does_not_eat_into_the_next_ones() {
+    let says = |nth: usize, method: &str, id: &str| match (nth, method) {
+        (_, "HEAD") => right(id).replace(&format!("to {id}"), ""),
+        (0, _) => right(id),
+        _ => right("a").replace("to a", "") + &right(id),
+    };
+    let ends = || {
+        run(async {
+            let stand = Stand::new(&[Script { says, ..SOUND }]);
+            let _ = stand.ask(&read("a").replace("GET", "HEAD")).await;
+            stand.ask(&write("b")).await
+        })
+    };
+    assert_eq!(ends(), Some((200, "to b".into())));
+    let _out = without(Some(Guard::HeadLeavesNone));
+    assert_ne!(ends(), Some((200, "to b".into())));
+}
+
+#[test]
+fn a_request_without_an_id_is_not_offered() {
+    let nameless = write("b").replace("Beechcroft-Attempt-Id: b\r\n", "");
+    let ends = || {
+        run(async {
+            let stand = Stand::new(&[SOUND]);
+            (stand.ask(&nameless).await.map(|ended| ended.0), stand.taken(0).len())
+        })
+    };
+    assert_eq!(ends(), (Some(400), 0));
+    let _out = without(Some(Guard::OwnId));
+    assert_eq!(ends().1, 1);
+}
+
+#[test]
+fn requests_in_one_piece_get_their_answers_in_turn_however_these_are_framed() {
+    let says = |_: usize, method: &str, id: &str| match id {
+        "b" => answer("204 None", id, "Beechcroft-Server-Seal: s\r\n", ""),
+        "c" => answer("304 Same", id, "", "").replace("Content-Length: 0", "Content-Length: 9"),
+        "d" => {
+            answer("200 OK", id, "Beechcroft-Server-Seal: s\r\n", "")
+                .replace("Content-Length: 0", "Transfer-Encoding: chunked")
+                + "3;x=y\r\nto \r\n1\r\nd\r\n0\r\nTo: e\r\n\r\n"
+        }
+        "e" => "HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 103 Hints\r\n\r\n".to_owned() + &right(id),
+        _ if method == "HEAD" => right(id).replace(&format!("to {id}"), ""),
+        _ => right(id),
+    };
+    run(async {
+        let stand = Stand::new(&[Script { says, ..SOUND }]);
+        let asks: String = ["a", "b", "c", "d", "e"].map(read).concat();
+        stand.send(&(asks + &read("f").replace("GET", "HEAD") + &write("g")));
+        for (status, body) in
+            [(200, "to a"), (204, ""), (304, ""), (200, "to d"), (200, "to e"), (200, ""), (200, "to g")]
+        {
+            assert_eq!(stand.next().await, Some((status, body.to_owned())));
+        }
+    });
+}
+
+#[test]
+fn an_offer_that_was_left_takes_its_connection_and_its_answer_with_it() {
+    run(async {
+        let silent = Script { gives: 0, cut: Cut::Silence, ..SOUND };
+        let stand = Stand::new(&[silent, SOUND]);
+        // A second unit is asked beside the first, and answers; then each gets only its own.
+        for id in ["a", "b", "c"] {
+            assert_eq!(stand.ask(&read(id)).await, Some((200, format!("to {id}"))));
+        }
+        assert!(stand.taken(0).iter().all(|bytes| *bytes <= length_of(&read("a"))), "{:?}", stand.taken(0));
+        let lanes = stand.units.lanes.lock().unwrap();
+        assert!(lanes.iter().filter(|lane| lane.0 == 0).all(|lane| lane.1.lock().unwrap().closed));
+    });
+    run(async {
+        let silent = Script { gives: 0, cut: Cut::Silence, ..SOUND };
+        let stand = Stand::new(&[silent]);
+        stand.send(&write("a"));
+        while stand.seen(0, "a") == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        stand.client.lock().unwrap().closed = true;
+        stand.send("");
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        assert!(stand.units.lanes.lock().unwrap()[0].1.lock().unwrap().closed);
+    });
+}
+
+/// More than a request of the relay's takes.
+fn length_of(text: &str) -> usize {
+    text.len() + 100
+}
+
+#[test]
+fn an_answer_that_breaks_off_under_way_never_looks_whole() {
+    let chunked = |_: usize, _: &str, id: &str| {
+        let body = "x".repeat(200_000);
+        let head = answer("200 OK", id, "Beechcroft-Server-Seal: s\r\n", "");
+        head.replace("Content-Length: 0", "Transfer-Encoding: chunked")
+            + &format!("{:x}\r\n{body}\r\n0\r\n\r\n", body.len())
+    };
+    let plain = |_: usize, _: &str, id: &str| {
+        answer("200 OK", id, "Beechcroft-Server-Seal: s\r\n", &"x".repeat(200_000))
+    };
+    let whole = |says: fn(usize, &str, &str) -> String| {
+        let ended = |cut| {
+            run(
+                async move { Stand::new(&[Script { gives: 150_000, cut, says, ..SOUND }]).ask(&read("a")).await },
+            )
+        };
+        CUTS.into_iter().filter_map(ended).count()
+    };
+    assert_eq!((whole(plain), whole(chunked)), (0, 0));
+    let _out = without(Some(Guard::BrokenOff));
+    assert_eq!(whole(chunked), 3);
+}
+
+#[test]
+fn a_body_that_was_not_read_is_not_taken_for_a_request() {
+    let inner = write("b");
+    let outer = format!(
+        "POST /none/ HTTP/1.1\r\nHost: h\r\nBeechcroft-Attempt-Id: a\r\nContent-Length: {}\r\n\r\n{inner}",
+        inner.len()
+    );
+    let inner_runs = || {
+        run(async {
+            let stand = Stand::new(&[SOUND]);
+            assert_eq!(stand.ask(&outer).await.unwrap().0, 404);
+            stand.next().await;
+            stand.seen(0, "b")
+        })
+    };
+    assert_eq!(inner_runs(), 0);
+    let _out = without(Some(Guard::UnreadBody));
+    assert_eq!(inner_runs(), 1);
+}
