Calls between relays are named, and desks carry out nothing of a call read ahead

Cause: the owner of an answer between relays was the order on the wire alone: a late or doubled one on a kept connection became the next call's. async-h1 reads ahead into a buffer that it drops with the message: a desk that had read into a next call took the rest of it for a call of its own, and answered that in the next one's place. Ruled out: no kept connections (three round trips for each change); refusing relays that do not name a call: those of an older release would be cut off while an upgrade rolls. Change: each call has an id, the desk puts it into the answer, another id is nobody's answer and ends the connection. An answer without one is believed on a new connection only, which is not kept. The wire counts what was read: with bytes behind a message, the connection ends with that message's answer.

--- a/crates/beechcroft-pass/src/desk.rs
+++ b/crates/beechcroft-pass/src/desk.rs
@@ -3,9 +3,11 @@
 //! The guard holds what async-h1 lets pass: a body that is shorter than its head says, several lengths that
 //! differ, a body that is too large, a head that never ends.
 
+use crate::errand::CALL_ID;
 use crate::{Ground, Wire};
 use async_h1::server::{decode, Encoder};
 use beechcroft_kinds::{Fault, Kind};
+use beechcroft_railing::{stands, Guard};
 use futures_lite::io::{self, AsyncReadExt};
 use http_types::{Body, Request, Response, StatusCode};
 use std::future::Future;
@@ -128,21 +130,25 @@
     H: Fn(Call) -> F,
     F: Future<Output = Answer>,
 {
+    wire.begin();
     let Ok(decoded) = timeout(bounds.head_time, decode(wire.clone())).await else { return Ok(false) };
     let (mut request, mut rest) = match decoded {
         Ok(Some(decoded)) => decoded,
         Ok(None) => return Ok(false),
         Err(_) => {
-            reply(wire, http_types::Method::Get, Kind::Malformed.into(), true).await?;
+            reply(wire, http_types::Method::Get, None, Kind::Malformed.into(), true).await?;
             return Ok(false);
         }
     };
     let method = request.method();
+    let id = request.header(CALL_ID).map(|id| id.as_str().to_owned());
     let mut keep = !request.header("connection").is_some_and(|v| v.as_str().eq_ignore_ascii_case("close"));
     let answer = match timeout(bounds.body_time, body(&mut request, bounds)).await {
         Ok(Ok(body)) => {
             let url = request.url();
             let (path, query) = (url.path().to_owned(), url.query().unwrap_or("").to_owned());
+            // A next call that was read ahead is lost: its caller must not take a later one's answer for its own.
+            keep &= !stands(Guard::DeskReadAhead) || wire.read_just(body.len());
             handler(Call { method: method.to_string(), path, query, body, from }).await
         }
         Ok(Err(fault)) => {
@@ -154,7 +160,7 @@
             Kind::TooSlow.into()
         }
     };
-    reply(wire, method, answer, !keep).await?;
+    reply(wire, method, id, answer, !keep).await?;
     if keep {
         io::copy(&mut rest, &mut io::sink()).await?;
     }
@@ -193,7 +199,7 @@
 }
 
 async fn reply(
-    wire: &Wire, method: http_types::Method, answer: Answer, close: bool,
+    wire: &Wire, method: http_types::Method, id: Option<String>, answer: Answer, close: bool,
 ) -> http_types::Result<()> {
     let status = StatusCode::try_from(answer.status).unwrap_or(StatusCode::InternalServerError);
     let mut response = Response::new(status);
@@ -202,6 +208,9 @@
         "content-type",
         if answer.json { "application/json" } else { "application/octet-stream" },
     );
+    if let Some(id) = id {
+        response.insert_header(CALL_ID, id);
+    }
     if let Some(location) = answer.location {
         response.insert_header("location", location);
     }
--- a/crates/beechcroft-pass/src/errand.rs
+++ b/crates/beechcroft-pass/src/errand.rs
@@ -2,9 +2,10 @@
 
 use crate::{Ground, Wire};
 use beechcroft_kinds::{Fault, Kind};
+use beechcroft_railing::{stands, Guard};
 use futures_lite::io::AsyncReadExt;
 use http_types::{Body, Method, Request, Url};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -15,21 +16,28 @@
 const KEEP: Duration = Duration::from_secs(8);
 /// Connections kept to one relay.
 const KEPT: usize = 3;
+/// The header that names a call; the desk puts it into the call's answer.
+pub const CALL_ID: &str = "beechcroft-call-id";
 
 /// Idle connections to each relay, with when they were last used.
 type Kept = HashMap<SocketAddrV4, Vec<(Wire, Instant)>>;
 
 /// Kept connections to other relays.
 #[derive(Clone, Debug, Default)]
-pub struct Errands(Rc<RefCell<Kept>>, Ground);
+pub struct Errands {
+    kept: Rc<RefCell<Kept>>,
+    ground: Ground,
+    /// The id of the latest call.
+    latest: Rc<Cell<u64>>,
+}
 
 impl Errands {
     pub fn new(ground: Ground) -> Errands {
-        Errands(Rc::default(), ground)
+        Errands { ground, ..Errands::default() }
     }
 
     pub fn ground(&self) -> &Ground {
-        &self.1
+        &self.ground
     }
 
     /// One call; the answer's body, if its status is 200.
@@ -53,14 +61,27 @@
         postcard::from_bytes(&bytes).map_err(|e| Fault::new(Kind::Malformed, e.to_string()))
     }
 
+    /// Whatever ends this early takes its connection with it: only one with a whole answer of its own, and nothing
+    /// behind it, is kept.
     async fn call(&self, to: SocketAddrV4, path: &str, body: Vec<u8>) -> http_types::Result<(u16, Vec<u8>)> {
-        let wire = match self.kept(to) {
-            Some(wire) => wire,
-            None => Wire::new(self.1.connect(to).await?),
+        let (wire, fresh) = match self.kept(to) {
+            Some(wire) => (wire, false),
+            None => (Wire::new(self.ground.connect(to).await?), true),
         };
+        self.latest.set(self.latest.get() + 1);
+        let id = format!("{:x}", self.latest.get());
         let mut request = Request::new(Method::Post, Url::parse(&format!("http://{to}{path}"))?);
+        request.insert_header(CALL_ID, &id);
         request.set_body(Body::from_bytes(body));
+        wire.begin();
         let mut answer = async_h1::client::connect(wire.clone(), request).await?;
+        let named = answer.header(CALL_ID).map(|of| of.as_str() == id);
+        // A relay of an older release names no call: the first answer on a connection is the call's all the same.
+        let owned = named.unwrap_or(fresh);
+        if !owned && stands(Guard::CallIds) {
+            return Err(http_types::format_err!("an answer to another call"));
+        }
+        let closes = answer.header("connection").is_some_and(|v| v.as_str().eq_ignore_ascii_case("close"));
         let length = answer.header("content-length").and_then(|v| v.as_str().parse::<usize>().ok());
         let mut body = Vec::new();
         answer.take_body().read_to_end(&mut body).await?;
@@ -68,8 +89,9 @@
         if length != Some(body.len()) {
             return Err(http_types::format_err!("the answer ends after {} bytes", body.len()));
         }
-        if wire.clean() {
-            let mut kept = self.0.borrow_mut();
+        let just = !stands(Guard::ErrandReadAhead) || wire.read_just(body.len());
+        if named == Some(true) && !closes && just && wire.clean() {
+            let mut kept = self.kept.borrow_mut();
             let kept = kept.entry(to).or_default();
             if kept.len() < KEPT {
                 kept.push((wire, Instant::now()));
@@ -79,7 +101,7 @@
     }
 
     fn kept(&self, to: SocketAddrV4) -> Option<Wire> {
-        let mut kept = self.0.borrow_mut();
+        let mut kept = self.kept.borrow_mut();
         let kept = kept.get_mut(&to)?;
         while let Some((wire, since)) = kept.pop() {
             if since.elapsed() < KEEP && wire.clean() {
