--- a/crates/beechcroft-hut/src/keeper.rs
+++ b/crates/beechcroft-hut/src/keeper.rs
@@ -1,21 +1,27 @@
 //! The owner of a core machine's tables: members, units, the voter, this machine's rounds, what is chosen.
 //! Everything reaches it through one queue of commands; it never waits.
 
+mod contact;
 mod quorum;
 mod rollouts;
 mod show;
 
 use crate::disk::Disk;
+use crate::keeper::contact::Reads;
 use beechcroft_belvedere::{short, Bench, Verdict};
 use beechcroft_cache::Table;
-use beechcroft_cairns::{Action as News, Cairns, Letter, Member, Standing};
+use beechcroft_cairns::{Action as News, Cairns, Letter, Member, Quorum, Standing};
 use beechcroft_hutbook::proposer::{Action as Step, Answer, Event, OrderId};
-use beechcroft_hutbook::{Ask, Ballot, Op, Orders, Proposer, Reply, Stage, Value, Voter, CONFIG, ORDERS};
+use beechcroft_hutbook::{
+    bytes, Ask, Ballot, ConfigStore, Op, Orders, Proposer, Reply, Stage, Value, Voter, CONFIG, ORDERS,
+};
+use beechcroft_kinds::{Fault, Kind};
 use beechcroft_map::config::{Service, Unfit};
 use beechcroft_map::usual::Usual;
 use beechcroft_map::{Config, Settings};
 use beechcroft_pass::errand::Errands;
 use beechcroft_pass::post::Post;
+use beechcroft_railing::{stands, Guard};
 use beechcroft_ropes::conduct::{conduct, Next, View};
 use beechcroft_waymarks::{News as UnitNews, Note, State};
 use std::collections::{BTreeMap, BTreeSet};
@@ -29,11 +35,22 @@
 const CHOSEN: [&str; 2] = ["chosen-0", "chosen-1"];
 pub const ASK_WITHIN: Duration = Duration::from_millis(900);
 const COPY_WITHIN: Duration = Duration::from_millis(1500);
-/// The operator asks another machine after a second of silence.
+/// For as long an order that says on what it builds may begin a round.
 pub const ORDER_MS: u64 = 2500;
+/// The operator asks another machine after a second of silence. By then an order that builds on nothing is in a round, or
+/// enters none; what its way here and a stop of this process that goes unseen may take is left.
+const UNFENCED_MS: u64 = 700;
+/// A stop of this process, from which on what waited is turned away, and for how long after it.
+const STOP_MS: u64 = 250;
+const AFTER_STOP_MS: u64 = 400;
 const FENCE_EVERY_MS: u64 = 300;
-/// A voter that has been down for so long gives its membership to a machine that waits for one.
-const VACANT_MS: u64 = 2500;
+/// A machine without a membership asks so often who holds them.
+const HOLDERS_EVERY_MS: u64 = 1000;
+/// A machine that leaves answers for so long what was taken, and takes new orders.
+pub const LEAVE_MS: u64 = 800;
+/// A voter that has been down for a quarter of `syncS` gives its membership to a machine that waits for one: as long again
+/// until that it is down is known everywhere, and the successor votes well before it has to count.
+const VACANT_MS_PER_SYNC_S: f64 = 250.0;
 /// The same for one that is leaving.
 const LEFT_MS: u64 = 200;
 const CONDUCT_EVERY_MS: u64 = 200;
@@ -50,9 +67,11 @@
 /// What the keeper is asked or told.
 pub enum Command {
     Letter(SocketAddrV4, Box<Letter>),
-    /// A beat; answered once others know, if it tells of a drain.
-    Beat(Note, oneshot::Sender<()>),
-    Deregister(String, oneshot::Sender<()>),
+    /// A beat; answered once a majority of the core holds it, if it tells of a drain.
+    Beat(Note, oneshot::Sender<Done>),
+    Deregister(String, oneshot::Sender<Done>),
+    /// A majority of the core holds that a unit has come to this state.
+    HeldByMajority(String, State),
     /// Another core machine passes on a drain or an end.
     Told(Note, oneshot::Sender<()>),
     Ask(Ask, oneshot::Sender<Reply>),
@@ -63,18 +82,34 @@
         reply: Reply,
     },
     Fenced {
-        from: String,
         epoch: u64,
         reply: Reply,
     },
+    /// Another core machine was told of epochs.
+    Known {
+        from: String,
+        told: beechcroft_hutbook::Epochs,
+        reply: Reply,
+    },
     VotesAgain,
-    Order(usize, Op, oneshot::Sender<Answer>),
+    /// The identity could not be written.
+    NotKept,
+    /// `read`: when the order was read off its connection.
+    Order {
+        register: usize,
+        op: Op,
+        read: Instant,
+        answer: oneshot::Sender<Answer>,
+    },
     Back {
         service: String,
         begun: u64,
     },
     Copy(usize, oneshot::Sender<Value>),
     Copied(usize, Value),
+    /// The revisions of the registers, read from a majority.
+    Revisions(oneshot::Sender<Result<[u64; 2], Fault>>),
+    RevisionsRead,
     Resolve {
         region: String,
         zone: String,
@@ -89,6 +124,9 @@
 
 pub type Queue = mpsc::UnboundedSender<Command>;
 
+/// Whether something was done that may be acknowledged.
+pub type Done = Result<(), Fault>;
+
 pub struct Keeper {
     settings: Settings,
     usual: Usual,
@@ -96,6 +134,9 @@
     /// machine that has lost its membership is not fresh, though its first process was started as one.
     fresh: bool,
     began: Instant,
+    /// When this machine last did anything, and until when it turns away what waited while it did nothing.
+    awake_at: u64,
+    stopped_until: u64,
     cairns: Cairns,
     voter: Voter,
     proposer: Proposer,
@@ -109,26 +150,30 @@
     wished: BTreeMap<String, BTreeSet<String>>,
     place_at: u64,
     /// Rounds that are to show that the core agrees.
-    touches: BTreeSet<OrderId>,
-    /// The voters and which machine holds each membership, as told to this machine while it has none.
-    told_voters: Option<(Vec<String>, beechcroft_hutbook::Epochs)>,
-    /// A membership whose machine is down, and since when.
-    vacant: Option<(String, u64)>,
+    touches: BTreeMap<OrderId, u64>,
+    memberships: quorum::Memberships,
+    /// The machines that make a majority with this one or without it, and when they were last looked up.
+    quorum: Quorum,
+    quorum_at: u64,
+    /// Drains and ends that a majority of the core is known to hold.
+    held_widely: BTreeMap<String, State>,
+    reads: Reads,
     answers: BTreeMap<OrderId, oneshot::Sender<Answer>>,
     next_order: OrderId,
     pulling: [u64; 2],
-    fence_at: u64,
     conduct_at: u64,
     /// Core machines known, and since when no other has come.
     cores: (usize, u64),
     /// Since when each rollout stands at its stage, as this machine saw it.
-    stages: BTreeMap<String, (u64, Stage, u64)>,
+    stages: BTreeMap<String, rollouts::StageSeen>,
     unbased: BTreeMap<String, u64>,
     read_at: u64,
     jot_at: u64,
     units_new: bool,
     members_new: bool,
     disk: Disk,
+    /// The identity is not known to be on disk yet: no answer goes out that is not written together with it.
+    unkept: bool,
     post: Post,
     errands: Errands,
     queue: Queue,
@@ -140,13 +185,14 @@
         post: Post, errands: Errands, queue: Queue,
     ) -> Keeper {
         let cairns = Cairns::new(me, settings.internal_ports[0], settings.seed_nodes.clone(), salt);
-        let mut proposer = Proposer::new(salt ^ 0x5eed);
-        proposer.voters(voter.voters(), voter.highest());
+        let proposer = Proposer::new(salt ^ 0x5eed);
         let mut keeper = Keeper {
             fresh: settings.bootstrap && !table.contains_key("identity"),
             settings,
             usual,
             began: Instant::now(),
+            awake_at: 0,
+            stopped_until: 0,
             cairns,
             voter,
             proposer,
@@ -157,13 +203,15 @@
             benches: BTreeMap::new(),
             wished: BTreeMap::new(),
             place_at: 0,
-            touches: BTreeSet::new(),
-            told_voters: None,
-            vacant: None,
+            touches: BTreeMap::new(),
+            memberships: Default::default(),
+            quorum: Quorum::default(),
+            quorum_at: 0,
+            held_widely: BTreeMap::new(),
+            reads: Reads::default(),
             answers: BTreeMap::new(),
             next_order: 0,
             pulling: [0; 2],
-            fence_at: 0,
             conduct_at: 0,
             cores: (0, 0),
             stages: BTreeMap::new(),
@@ -173,18 +221,30 @@
             units_new: false,
             members_new: false,
             disk,
+            unkept: false,
             post,
             errands,
             queue,
         };
+        keeper.votes_again();
         keeper.recall(table);
         keeper
     }
 
     /// Begins where a former incarnation of the process ended: with what it knew to be chosen, its members and units.
     fn recall(&mut self, table: &Table) {
+        // All of this is only a help: what cannot be read is said, and come by again.
         fn read<T: serde::de::DeserializeOwned + Default>(table: &Table, name: &str) -> T {
-            table.get(name).and_then(|bytes| postcard::from_bytes(bytes).ok()).unwrap_or_default()
+            let read = table.get(name).map(|held| bytes::decode(held));
+            read.unwrap_or_else(|| Ok(T::default())).unwrap_or_else(|why| {
+                log::error!("keeper: {name} on disk is left out: {why}.");
+                T::default()
+            })
+        }
+        for said in &self.voter.unreadable {
+            log::error!(
+                "keeper: On disk, {said}. This counts as a lost disk: the machine learns before it votes."
+            );
         }
         let now = self.now();
         self.cairns.recall(now, read(table, "members"), read(table, "units"));
@@ -203,11 +263,11 @@
         if std::mem::take(&mut self.units_new) {
             let units = self.cairns.units.all().map(|unit| unit.note.id.as_str());
             let notes: Vec<Note> = units.filter_map(|id| self.cairns.units.note(now, id)).collect();
-            records.push(("units".to_owned(), postcard::to_stdvec(&notes).expect("plain data")));
+            records.push(("units".to_owned(), bytes::encode(&notes)));
         }
         if std::mem::take(&mut self.members_new) {
             let members: Vec<&Member> = self.cairns.known().collect();
-            records.push(("members".to_owned(), postcard::to_stdvec(&members).expect("plain data")));
+            records.push(("members".to_owned(), bytes::encode(&members)));
         }
         self.put_down(records);
     }
@@ -218,36 +278,32 @@
     }
 
     fn now(&self) -> u64 {
-        self.began.elapsed().as_millis() as u64 + 10_000 // ages before the start stay above 0
+        self.at(Instant::now())
+    }
+
+    fn at(&self, moment: Instant) -> u64 {
+        moment.saturating_duration_since(self.began).as_millis() as u64 + 10_000
+        // ages before the start stay above 0
+    }
+
+    /// Ticks come every few hundredths of a second: where nothing was done for longer, the process did not run.
+    fn wake(&mut self, now: u64) {
+        if self.awake_at > 0 && now > self.awake_at + STOP_MS {
+            self.stopped_until = now + AFTER_STOP_MS;
+        }
+        self.awake_at = now;
     }
 
     pub fn on(&mut self, command: Command) {
         let now = self.now();
+        self.wake(now);
         let mut news = Vec::new();
         match command {
             Command::Letter(from, letter) => self.cairns.letter(now, from, *letter, &mut news),
-            Command::Beat(note, done) => {
-                let state = note.state;
-                let changed = self.cairns.beat(now, note.clone()) == UnitNews::Change;
-                self.units_new |= changed;
-                if changed && state == State::Draining {
-                    self.cairns.hurry(now, &mut news);
-                    self.tell_cores(note, done);
-                } else {
-                    let _ = done.send(());
-                }
-            }
-            Command::Deregister(id, done) => {
-                if self.cairns.unit_gone(&id) {
-                    self.units_new = true;
-                    self.cairns.hurry(now, &mut news);
-                    match self.cairns.units.note(now, &id) {
-                        Some(note) => self.tell_cores(note, done),
-                        None => drop(done.send(())),
-                    }
-                } else {
-                    let _ = done.send(());
-                }
+            Command::Beat(note, done) => self.beat(now, note, done, &mut news),
+            Command::Deregister(id, done) => self.deregister(now, &id, done, &mut news),
+            Command::HeldByMajority(id, state) => {
+                self.held_widely.insert(id, state);
             }
             Command::Told(note, done) => {
                 if self.cairns.beat(now, note) == UnitNews::Change {
@@ -261,11 +317,25 @@
                 if let Reply::Accepted { epochs, .. } | Reply::Refused { epochs, .. } = &reply {
                     self.learn_epochs(epochs);
                 }
+                if matches!(reply, Reply::Accepted { .. }) {
+                    self.accepted(register, &from, ballot);
+                }
                 self.propose(Event::Reply { from, register, ballot, reply });
             }
-            Command::Fenced { from, epoch, reply } => self.fenced(&from, epoch, reply),
-            Command::VotesAgain => self.votes(),
-            Command::Order(register, op, answer) => self.order(register, op, Some(answer)),
+            Command::Fenced { epoch, reply } => self.fenced(epoch, reply),
+            Command::Known { from, told, reply } => self.known(from, told, reply),
+            Command::NotKept => self.keep_identity(),
+            Command::VotesAgain => {
+                self.unkept = false;
+                self.votes_again();
+            }
+            Command::Order { answer, .. } if self.is_over(now) => {
+                let _ = answer.send(Err(Fault::new(Kind::Leaving, "this machine leaves")));
+            }
+            Command::Order { register, op, read, answer } => match self.may_order(now, &op) {
+                Ok(()) => self.asked(register, op, read, answer),
+                Err(fault) => drop(answer.send(Err(fault))),
+            },
             Command::Back { service, begun } => self.back(&service, begun),
             Command::Copy(register, answer) => {
                 let _ = answer.send(self.held[register.min(1)].clone());
@@ -274,18 +344,23 @@
                 self.pulling[register] = 0;
                 self.learn(register, value);
             }
+            Command::Revisions(answer) => self.revisions(now, answer),
+            Command::RevisionsRead => self.revisions_read(),
             Command::Resolve { region, zone, answer } => {
-                let _ = answer.send(self.resolve(&region, &zone));
+                let _ = answer.send(self.resolve(now, &region, &zone));
             }
             Command::Why(unit, answer) => drop(answer.send(self.why(&unit))),
             Command::Show(answer) => drop(answer.send(self.show())),
             Command::Seeds(seeds) => self.cairns.seeds(seeds),
             Command::Leave => {
+                self.leave(now);
                 self.cairns.stand(Standing::Leaving);
                 self.cairns.hurry(now, &mut news);
             }
             Command::Tick => {
                 self.cairns.tick(now, &mut news);
+                self.look_for_quorum(now);
+                self.cairns.ping_quorum(now, &self.quorum, &mut news);
                 self.tick(now);
             }
         }
@@ -317,49 +392,70 @@
         }
     }
 
-    /// Every other core machine is told of a drain before it is acknowledged; one that answers is enough.
-    fn tell_cores(&self, note: Note, done: oneshot::Sender<()>) {
-        let cores: Vec<SocketAddrV4> =
-            self.cairns.alive().filter(|m| m.core).map(|m| self.cairns.address(m)).collect();
-        let Ok(bytes) = postcard::to_stdvec(&note) else { return };
-        let (told, mut heard) = mpsc::unbounded_channel();
-        for to in cores {
-            let (errands, bytes, told) = (self.errands.clone(), bytes.clone(), told.clone());
-            spawn_local(async move {
-                if errands.run(to, "/unit", bytes, Duration::from_millis(600)).await.is_ok() {
-                    let _ = told.send(());
-                }
-            });
-        }
-        drop(told);
-        spawn_local(async move {
-            let _ = tokio::time::timeout(Duration::from_millis(600), heard.recv()).await;
-            let _ = done.send(());
-        });
-    }
-
     /// This machine's own part as a voter: the reply goes out once what it says is on disk.
     fn ask(&mut self, ask: Ask, answer: oneshot::Sender<Reply>) {
-        let (reply, records) = self.voter.ask(ask);
+        let told = match &ask {
+            Ask::Tell { by, epochs } => Some((by.clone(), epochs.clone())),
+            _ => None,
+        };
+        let (reply, mut records) = self.voter.ask(ask);
+        if self.unkept && stands(Guard::IdentityBeforeAnswers) {
+            records = self.voter.records();
+        }
+        match told {
+            Some((by, epochs)) => self.told(by, &epochs),
+            None => self.deposed(),
+        }
         let disk = self.disk.clone();
         spawn_local(async move {
-            if disk.keep(records).await {
+            // After a write that failed the voter holds more in memory than on disk: it only promises more than it has
+            // said. Whatever it says of it later comes with a write of the whole register.
+            if disk.keep(records).await || !stands(Guard::AnswerAfterSync) {
                 let _ = answer.send(reply);
             }
         });
     }
 
-    fn order(&mut self, register: usize, op: Op, answer: Option<oneshot::Sender<Answer>>) {
-        self.next_order += 1;
-        let id = self.next_order;
-        if let Some(answer) = answer {
-            self.answers.insert(id, answer);
+    /// An order from outside. One that builds on nothing would be carried out whenever it is read, after later ones too: it is
+    /// only for as long as its caller waits here for it.
+    fn asked(&mut self, register: usize, op: Op, read: Instant, answer: oneshot::Sender<Answer>) {
+        let mut until = self.at(read) + ORDER_MS;
+        if !op.is_fenced() {
+            if stands(Guard::OrderLimit) {
+                until = self.at(read) + UNFENCED_MS;
+            }
+            if self.now() < self.stopped_until && stands(Guard::StoodStill) {
+                let fault = Fault::new(Kind::StoodStill, "ask another core machine");
+                return drop(answer.send(Err(fault)));
+            }
         }
+        self.answers.insert(self.next_order + 1, answer);
+        self.order_until(register, op, until);
+    }
+
+    /// An order of this machine's own.
+    fn order(&mut self, register: usize, op: Op) {
         let until = self.now() + ORDER_MS;
-        self.propose(Event::Order { id, register, op, until });
+        self.order_until(register, op, until);
+    }
+
+    fn order_until(&mut self, register: usize, op: Op, until: u64) {
+        self.next_order += 1;
+        self.propose(Event::Order { id: self.next_order, register, op, until });
+    }
+
+    /// Orders whose callers have gone are not begun.
+    fn withdraw(&mut self) {
+        let gone = self.answers.iter().filter(|(_, answer)| answer.is_closed()).map(|(id, _)| *id);
+        for id in gone.collect::<Vec<OrderId>>() {
+            self.answers.remove(&id);
+            let own = |_: usize| None;
+            self.proposer.on(self.now(), Event::Withdrawn { id }, &own, &mut Vec::new());
+        }
     }
 
     fn propose(&mut self, event: Event) {
+        self.withdraw();
         let mut steps = Vec::new();
         let (now, voter) = (self.now(), &self.voter);
         self.proposer.on(now, event, &|register| voter.register(register).accepted.clone(), &mut steps);
@@ -368,8 +464,9 @@
                 Step::Ask { to, ask } => self.send_to_voters(to, &ask),
                 Step::Answer { id, answer } => {
                     let shows = self.touches.remove(&id);
-                    if let (Ok(value), true) = (&answer, shows) {
-                        self.cairns.touched(now, value.revision);
+                    if let (Ok(value), Some(given_at)) = (&answer, shows) {
+                        // What a round reads is as old as its beginning: this machine may have stood still in it.
+                        self.cairns.touched(given_at, value.revision);
                     }
                     if let Some(asked) = self.answers.remove(&id) {
                         let _ = asked.send(answer);
@@ -386,7 +483,7 @@
             Ask::Prepare { register, ballot, .. } | Ask::Accept { register, ballot, .. } => {
                 (*register, *ballot)
             }
-            Ask::Fence { .. } => return,
+            Ask::Fence { .. } | Ask::Tell { .. } => return,
         };
         let bytes = postcard::to_stdvec(ask).expect("plain data");
         for from in voters {
@@ -418,18 +515,26 @@
             return;
         }
         if register == CONFIG {
-            let store: Option<beechcroft_hutbook::ConfigStore> = postcard::from_bytes(&value.bytes).ok();
-            let mut config = store.and_then(|store| store.config());
-            config.iter_mut().for_each(|config| self.usual.fill(config));
-            let services: Vec<Service> = config.into_iter().flat_map(|c: Config| c.services).collect();
+            let config = match ConfigStore::decode(&value).and_then(|store| store.body()) {
+                Ok(body) => Config::read(&body).ok(),
+                Err(fault) => return log::error!("keeper: A chosen value is left out: {fault}."),
+            };
+            let services = config.into_iter().flat_map(|mut config| {
+                self.usual.fill(&mut config);
+                config.services
+            });
+            let services: Vec<Service> = services.collect();
             let ruled = services.iter().filter_map(|s| Some((s.name.clone(), s.unfit.clone()?)));
             self.unfit = ruled.collect();
             self.services = services.into_iter().map(|s| s.name).collect();
         } else {
-            self.orders = postcard::from_bytes(&value.bytes).unwrap_or_default();
+            match Orders::decode(&value) {
+                Ok(orders) => self.orders = orders,
+                Err(fault) => return log::error!("keeper: A chosen value is left out: {fault}."),
+            }
             log::info!("keeper: Orders at {}: {:?}.", value.revision, self.orders);
         }
-        self.put_down(vec![(CHOSEN[register].to_owned(), postcard::to_stdvec(&value).expect("plain data"))]);
+        self.put_down(vec![(CHOSEN[register].to_owned(), bytes::encode(&value))]);
         self.held[register] = value;
         self.cairns.revisions[register] = self.held[register].revision;
         let (now, mut news) = (self.now(), Vec::new());
@@ -444,6 +549,8 @@
             self.settle(now);
             return;
         }
+        self.tell_epochs(now);
+        self.hand_on(now);
         if now >= self.read_at {
             // What this voter has accepted, and does not know to be chosen, a round confirms or replaces. Rounds of
             // all huts at once would only meet: one at a time looks, in the order of their names.
@@ -458,26 +565,17 @@
             };
             let behind: Vec<usize> = [CONFIG, ORDERS].into_iter().filter(behind).collect();
             if !first {
-                behind.into_iter().for_each(|register| self.order(register, Op::Read, None));
+                behind.into_iter().for_each(|register| self.order(register, Op::Read));
             }
         }
         if now >= self.conduct_at {
             self.conduct_at = now + CONDUCT_EVERY_MS;
-            self.place(now);
-            self.put_bases_down(now);
-            self.conduct(now);
-        }
-    }
-
-    /// Where a client goes: the ready edges of its region, else all.
-    fn resolve(&self, region: &str, _zone: &str) -> Vec<SocketAddrV4> {
-        let ready = || self.cairns.alive().filter(|m| m.standing == Standing::Ready && m.ingress.is_some());
-        let mut found: Vec<SocketAddrV4> =
-            ready().filter(|m| m.region == region).filter_map(|m| m.ingress).collect();
-        if found.is_empty() {
-            found = ready().filter_map(|m| m.ingress).collect();
+            // What this machine knows of units and signs is no evidence while it hears no majority.
+            if self.in_contact(now) {
+                self.place(now);
+                self.put_bases_down(now);
+                self.conduct(now);
+            }
         }
-        found.truncate(64);
-        found
     }
 }
--- a/crates/beechcroft-pass/src/wire.rs
+++ b/crates/beechcroft-pass/src/wire.rs
@@ -42,7 +42,7 @@
 
 /// A connection, and what was read of the message that is under way on it.
 #[derive(Clone, Debug)]
-pub struct Wire(Arc<Stream>, Arc<Mutex<Tally>>);
+pub struct Wire(pub Arc<Stream>, Arc<Mutex<Tally>>);
 
 impl Wire {
     pub fn new(stream: Stream) -> Wire {
--- a/crates/beechcroft-range/src/whole/mod.rs
+++ b/crates/beechcroft-range/src/whole/mod.rs
@@ -13,5 +13,5 @@
 pub mod wrongs;
 
 pub use audit::{Breach, Verdict};
-pub use day::{play, Report};
+pub use day::{by_hand, play, Hand, Report};
 pub use scenario::Scenario;
--- a/crates/beechcroft-range/src/whole/mutants.rs
+++ b/crates/beechcroft-range/src/whole/mutants.rs
@@ -13,10 +13,21 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-/// A hut that acknowledges whatever it is told.
-pub async fn hut(ground: Ground, at: SocketAddrV4) {
+/// A hut that acknowledges whatever it is told, or never says what it should.
+pub async fn hut(stage: Rc<Stage>, ground: Ground, at: SocketAddrV4, mutant: Option<Mutant>) {
     sleep(Duration::from_millis(50)).await; // after the sound one: it takes the address over
-    let all = |_| async { Answer::json("{}") };
+    let all = move |call: desk::Call| {
+        let taken = stage.wires.borrow().configs.iter().any(|c| c.acked.is_some() && c.body == call.body);
+        let orders = call.path.starts_with("/evacuation") || call.path.starts_with("/config");
+        let later = stage.now() > 9000;
+        async move {
+            match mutant {
+                Some(Mutant::TakesOnce) if taken => Answer { status: 412, ..Answer::json("{}") },
+                Some(Mutant::Mute) if orders && later => std::future::pending().await,
+                _ => Answer::json("{}"),
+            }
+        }
+    };
     let _ = desk::serve(ground, at, Bounds::default(), all).await;
 }
 
@@ -24,7 +35,15 @@
 pub async fn edge(stage: Rc<Stage>, ground: Ground, at: SocketAddrV4, mutant: Mutant) {
     let carries = !matches!(
         mutant,
-        Mutant::NoNews | Mutant::HastyEnds | Mutant::LyingDisks | Mutant::BothWin | Mutant::StaysDown
+        Mutant::NoNews
+            | Mutant::HastyEnds
+            | Mutant::LyingDisks
+            | Mutant::BothWin
+            | Mutant::StaysDown
+            | Mutant::TakesOnce
+            | Mutant::Mute
+            | Mutant::Panics
+            | Mutant::Quits
     );
     if mutant == Mutant::NoNews {
         sleep(Duration::from_secs(7)).await;
@@ -33,6 +52,10 @@
         // Copies go by connections: the relays' own are cut as well.
         return;
     }
+    if mutant == Mutant::Panics {
+        sleep(Duration::from_secs(9)).await;
+        panic!("a task of the edge at {at}");
+    }
     if !carries {
         return;
     }
--- a/crates/beechcroft-trail/tests/owners.rs
+++ b/crates/beechcroft-trail/tests/owners.rs
@@ -121,6 +121,11 @@
         Poll::Pending
     }
 
+    /// Only desks ask.
+    fn poll_ended(&self, _: &mut Context<'_>) -> Poll<()> {
+        Poll::Pending
+    }
+
     fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
         let mut lanes = self.lanes.lock().unwrap();
         let Some((number, script, seen)) = &self.unit else {
