--- a/crates/beechcroft-trail/tests/owners.rs
+++ b/crates/beechcroft-trail/tests/owners.rs
@@ -375,6 +375,25 @@
     assert!(!sent_on(false).is_empty());
 }
 
+#[test]
+fn a_write_too_large_to_be_held_is_sent_once_wherever_its_connection_ends() {
+    let large = write("b").replace("Length: 4", "Length: 150000").replace("\r\n\r\nbody", "\r\n\r\n")
+        + &"x".repeat(150_000);
+    let all = length(&large);
+    for (cut, byte) in CUTS
+        .into_iter()
+        .flat_map(|cut| [0, 1].into_iter().chain((100..all).step_by(9973)).map(move |byte| (cut, byte)))
+    {
+        run(async {
+            let stand = Stand::new(&[Script { takes: byte, cut, ..SOUND }, SOUND]);
+            let (status, _) = stand.ask(&large).await.unwrap();
+            let ends: &[u16] = if byte == 0 { &[503] } else { &[502, 504] };
+            assert!(ends.contains(&status), "{cut:?} after {byte} of {all}: {status}");
+            assert_eq!(stand.taken(1), [] as [usize; 0], "{cut:?} after {byte} of {all}");
+        });
+    }
+}
+
 #[test]
 fn a_write_whose_answer_ends_at_any_byte_is_not_sent_again_and_a_read_is() {
     let broken = || {
