--- a/crates/beechcroft-hut/src/keeper.rs
+++ b/crates/beechcroft-hut/src/keeper.rs
@@ -1,14 +1,16 @@
 //! The owner of a core machine's tables: members, units, the voter, this machine's rounds, what is chosen.
 //! Everything reaches it through one queue of commands; it never waits.
 
+mod contact;
 mod quorum;
 mod rollouts;
 mod show;
 
 use crate::disk::Disk;
+use crate::keeper::contact::Reads;
 use beechcroft_belvedere::{short, Bench, Verdict};
 use beechcroft_cache::Table;
-use beechcroft_cairns::{Action as News, Cairns, Letter, Member, Standing};
+use beechcroft_cairns::{Action as News, Cairns, Letter, Member, Quorum, Standing};
 use beechcroft_hutbook::proposer::{Action as Step, Answer, Event, OrderId};
 use beechcroft_hutbook::{
     bytes, Ask, Ballot, ConfigStore, Op, Orders, Proposer, Reply, Stage, Value, Voter, CONFIG, ORDERS,
@@ -42,8 +44,13 @@
 const STOP_MS: u64 = 250;
 const AFTER_STOP_MS: u64 = 400;
 const FENCE_EVERY_MS: u64 = 300;
-/// A voter that has been down for so long gives its membership to a machine that waits for one.
-const VACANT_MS: u64 = 2500;
+/// A machine without a membership asks so often who holds them.
+const HOLDERS_EVERY_MS: u64 = 1000;
+/// A machine that leaves answers for so long what was taken, and takes new orders.
+pub const LEAVE_MS: u64 = 800;
+/// A voter that has been down for a quarter of `syncS` gives its membership to a machine that waits for one: as long again
+/// until that it is down is known everywhere, and the successor votes well before it has to count.
+const VACANT_MS_PER_SYNC_S: f64 = 250.0;
 /// The same for one that is leaving.
 const LEFT_MS: u64 = 200;
 const CONDUCT_EVERY_MS: u64 = 200;
@@ -60,9 +67,11 @@
 /// What the keeper is asked or told.
 pub enum Command {
     Letter(SocketAddrV4, Box<Letter>),
-    /// A beat; answered once others know, if it tells of a drain.
-    Beat(Note, oneshot::Sender<()>),
-    Deregister(String, oneshot::Sender<()>),
+    /// A beat; answered once a majority of the core holds it, if it tells of a drain.
+    Beat(Note, oneshot::Sender<Done>),
+    Deregister(String, oneshot::Sender<Done>),
+    /// A majority of the core holds that a unit has come to this state.
+    HeldByMajority(String, State),
     /// Another core machine passes on a drain or an end.
     Told(Note, oneshot::Sender<()>),
     Ask(Ask, oneshot::Sender<Reply>),
@@ -73,10 +82,15 @@
         reply: Reply,
     },
     Fenced {
-        from: String,
         epoch: u64,
         reply: Reply,
     },
+    /// Another core machine was told of epochs.
+    Known {
+        from: String,
+        told: beechcroft_hutbook::Epochs,
+        reply: Reply,
+    },
     VotesAgain,
     /// The identity could not be written.
     NotKept,
@@ -93,6 +107,9 @@
     },
     Copy(usize, oneshot::Sender<Value>),
     Copied(usize, Value),
+    /// The revisions of the registers, read from a majority.
+    Revisions(oneshot::Sender<Result<[u64; 2], Fault>>),
+    RevisionsRead,
     Resolve {
         region: String,
         zone: String,
@@ -107,6 +124,9 @@
 
 pub type Queue = mpsc::UnboundedSender<Command>;
 
+/// Whether something was done that may be acknowledged.
+pub type Done = Result<(), Fault>;
+
 pub struct Keeper {
     settings: Settings,
     usual: Usual,
@@ -130,15 +150,17 @@
     wished: BTreeMap<String, BTreeSet<String>>,
     place_at: u64,
     /// Rounds that are to show that the core agrees.
-    touches: BTreeSet<OrderId>,
-    /// The voters and which machine holds each membership, as told to this machine while it has none.
-    told_voters: Option<(Vec<String>, beechcroft_hutbook::Epochs)>,
-    /// A membership whose machine is down, and since when.
-    vacant: Option<(String, u64)>,
+    touches: BTreeMap<OrderId, u64>,
+    memberships: quorum::Memberships,
+    /// The machines that make a majority with this one or without it, and when they were last looked up.
+    quorum: Quorum,
+    quorum_at: u64,
+    /// Drains and ends that a majority of the core is known to hold.
+    held_widely: BTreeMap<String, State>,
+    reads: Reads,
     answers: BTreeMap<OrderId, oneshot::Sender<Answer>>,
     next_order: OrderId,
     pulling: [u64; 2],
-    fence_at: u64,
     conduct_at: u64,
     /// Core machines known, and since when no other has come.
     cores: (usize, u64),
@@ -163,8 +185,7 @@
         post: Post, errands: Errands, queue: Queue,
     ) -> Keeper {
         let cairns = Cairns::new(me, settings.internal_ports[0], settings.seed_nodes.clone(), salt);
-        let mut proposer = Proposer::new(salt ^ 0x5eed);
-        proposer.voters(voter.voters(), voter.highest());
+        let proposer = Proposer::new(salt ^ 0x5eed);
         let mut keeper = Keeper {
             fresh: settings.bootstrap && !table.contains_key("identity"),
             settings,
@@ -182,13 +203,15 @@
             benches: BTreeMap::new(),
             wished: BTreeMap::new(),
             place_at: 0,
-            touches: BTreeSet::new(),
-            told_voters: None,
-            vacant: None,
+            touches: BTreeMap::new(),
+            memberships: Default::default(),
+            quorum: Quorum::default(),
+            quorum_at: 0,
+            held_widely: BTreeMap::new(),
+            reads: Reads::default(),
             answers: BTreeMap::new(),
             next_order: 0,
             pulling: [0; 2],
-            fence_at: 0,
             conduct_at: 0,
             cores: (0, 0),
             stages: BTreeMap::new(),
@@ -203,6 +226,7 @@
             errands,
             queue,
         };
+        keeper.votes_again();
         keeper.recall(table);
         keeper
     }
@@ -276,28 +300,10 @@
         let mut news = Vec::new();
         match command {
             Command::Letter(from, letter) => self.cairns.letter(now, from, *letter, &mut news),
-            Command::Beat(note, done) => {
-                let state = note.state;
-                let changed = self.cairns.beat(now, note.clone()) == UnitNews::Change;
-                self.units_new |= changed;
-                if changed && state == State::Draining {
-                    self.cairns.hurry(now, &mut news);
-                    self.tell_cores(note, done);
-                } else {
-                    let _ = done.send(());
-                }
-            }
-            Command::Deregister(id, done) => {
-                if self.cairns.unit_gone(&id) {
-                    self.units_new = true;
-                    self.cairns.hurry(now, &mut news);
-                    match self.cairns.units.note(now, &id) {
-                        Some(note) => self.tell_cores(note, done),
-                        None => drop(done.send(())),
-                    }
-                } else {
-                    let _ = done.send(());
-                }
+            Command::Beat(note, done) => self.beat(now, note, done, &mut news),
+            Command::Deregister(id, done) => self.deregister(now, &id, done, &mut news),
+            Command::HeldByMajority(id, state) => {
+                self.held_widely.insert(id, state);
             }
             Command::Told(note, done) => {
                 if self.cairns.beat(now, note) == UnitNews::Change {
@@ -311,15 +317,25 @@
                 if let Reply::Accepted { epochs, .. } | Reply::Refused { epochs, .. } = &reply {
                     self.learn_epochs(epochs);
                 }
+                if matches!(reply, Reply::Accepted { .. }) {
+                    self.accepted(register, &from, ballot);
+                }
                 self.propose(Event::Reply { from, register, ballot, reply });
             }
-            Command::Fenced { from, epoch, reply } => self.fenced(&from, epoch, reply),
+            Command::Fenced { epoch, reply } => self.fenced(epoch, reply),
+            Command::Known { from, told, reply } => self.known(from, told, reply),
             Command::NotKept => self.keep_identity(),
             Command::VotesAgain => {
                 self.unkept = false;
-                self.votes();
+                self.votes_again();
+            }
+            Command::Order { answer, .. } if self.is_over(now) => {
+                let _ = answer.send(Err(Fault::new(Kind::Leaving, "this machine leaves")));
             }
-            Command::Order { register, op, read, answer } => self.asked(register, op, read, answer),
+            Command::Order { register, op, read, answer } => match self.may_order(now, &op) {
+                Ok(()) => self.asked(register, op, read, answer),
+                Err(fault) => drop(answer.send(Err(fault))),
+            },
             Command::Back { service, begun } => self.back(&service, begun),
             Command::Copy(register, answer) => {
                 let _ = answer.send(self.held[register.min(1)].clone());
@@ -328,18 +344,23 @@
                 self.pulling[register] = 0;
                 self.learn(register, value);
             }
+            Command::Revisions(answer) => self.revisions(now, answer),
+            Command::RevisionsRead => self.revisions_read(),
             Command::Resolve { region, zone, answer } => {
-                let _ = answer.send(self.resolve(&region, &zone));
+                let _ = answer.send(self.resolve(now, &region, &zone));
             }
             Command::Why(unit, answer) => drop(answer.send(self.why(&unit))),
             Command::Show(answer) => drop(answer.send(self.show())),
             Command::Seeds(seeds) => self.cairns.seeds(seeds),
             Command::Leave => {
+                self.leave(now);
                 self.cairns.stand(Standing::Leaving);
                 self.cairns.hurry(now, &mut news);
             }
             Command::Tick => {
                 self.cairns.tick(now, &mut news);
+                self.look_for_quorum(now);
+                self.cairns.ping_quorum(now, &self.quorum, &mut news);
                 self.tick(now);
             }
         }
@@ -371,33 +392,20 @@
         }
     }
 
-    /// Every other core machine is told of a drain before it is acknowledged; one that answers is enough.
-    fn tell_cores(&self, note: Note, done: oneshot::Sender<()>) {
-        let cores: Vec<SocketAddrV4> =
-            self.cairns.alive().filter(|m| m.core).map(|m| self.cairns.address(m)).collect();
-        let Ok(bytes) = postcard::to_stdvec(&note) else { return };
-        let (told, mut heard) = mpsc::unbounded_channel();
-        for to in cores {
-            let (errands, bytes, told) = (self.errands.clone(), bytes.clone(), told.clone());
-            spawn_local(async move {
-                if errands.run(to, "/unit", bytes, Duration::from_millis(600)).await.is_ok() {
-                    let _ = told.send(());
-                }
-            });
-        }
-        drop(told);
-        spawn_local(async move {
-            let _ = tokio::time::timeout(Duration::from_millis(600), heard.recv()).await;
-            let _ = done.send(());
-        });
-    }
-
     /// This machine's own part as a voter: the reply goes out once what it says is on disk.
     fn ask(&mut self, ask: Ask, answer: oneshot::Sender<Reply>) {
+        let told = match &ask {
+            Ask::Tell { by, epochs } => Some((by.clone(), epochs.clone())),
+            _ => None,
+        };
         let (reply, mut records) = self.voter.ask(ask);
         if self.unkept && stands(Guard::IdentityBeforeAnswers) {
             records = self.voter.records();
         }
+        match told {
+            Some((by, epochs)) => self.told(by, &epochs),
+            None => self.deposed(),
+        }
         let disk = self.disk.clone();
         spawn_local(async move {
             // After a write that failed the voter holds more in memory than on disk: it only promises more than it has
@@ -421,8 +429,7 @@
                 return drop(answer.send(Err(fault)));
             }
         }
-        let id = self.next_order + 1;
-        self.answers.insert(id, answer);
+        self.answers.insert(self.next_order + 1, answer);
         self.order_until(register, op, until);
     }
 
@@ -457,8 +464,9 @@
                 Step::Ask { to, ask } => self.send_to_voters(to, &ask),
                 Step::Answer { id, answer } => {
                     let shows = self.touches.remove(&id);
-                    if let (Ok(value), true) = (&answer, shows) {
-                        self.cairns.touched(now, value.revision);
+                    if let (Ok(value), Some(given_at)) = (&answer, shows) {
+                        // What a round reads is as old as its beginning: this machine may have stood still in it.
+                        self.cairns.touched(given_at, value.revision);
                     }
                     if let Some(asked) = self.answers.remove(&id) {
                         let _ = asked.send(answer);
@@ -475,7 +483,7 @@
             Ask::Prepare { register, ballot, .. } | Ask::Accept { register, ballot, .. } => {
                 (*register, *ballot)
             }
-            Ask::Fence { .. } => return,
+            Ask::Fence { .. } | Ask::Tell { .. } => return,
         };
         let bytes = postcard::to_stdvec(ask).expect("plain data");
         for from in voters {
@@ -541,6 +549,8 @@
             self.settle(now);
             return;
         }
+        self.tell_epochs(now);
+        self.hand_on(now);
         if now >= self.read_at {
             // What this voter has accepted, and does not know to be chosen, a round confirms or replaces. Rounds of
             // all huts at once would only meet: one at a time looks, in the order of their names.
@@ -560,21 +570,12 @@
         }
         if now >= self.conduct_at {
             self.conduct_at = now + CONDUCT_EVERY_MS;
-            self.place(now);
-            self.put_bases_down(now);
-            self.conduct(now);
-        }
-    }
-
-    /// Where a client goes: the ready edges of its region, else all.
-    fn resolve(&self, region: &str, _zone: &str) -> Vec<SocketAddrV4> {
-        let ready = || self.cairns.alive().filter(|m| m.standing == Standing::Ready && m.ingress.is_some());
-        let mut found: Vec<SocketAddrV4> =
-            ready().filter(|m| m.region == region).filter_map(|m| m.ingress).collect();
-        if found.is_empty() {
-            found = ready().filter_map(|m| m.ingress).collect();
+            // What this machine knows of units and signs is no evidence while it hears no majority.
+            if self.in_contact(now) {
+                self.place(now);
+                self.put_bases_down(now);
+                self.conduct(now);
+            }
         }
-        found.truncate(64);
-        found
     }
 }
--- a/crates/beechcroft-range/src/whole/actors.rs
+++ b/crates/beechcroft-range/src/whole/actors.rs
@@ -2,7 +2,8 @@
 //! reader of heads and bodies as the programs, and write down what they see.
 
 use super::fabric::Fabric;
-use super::wires::{Answered, Asked, Came, Wires};
+use super::wires::{Answered, Asked, Came, Said, Wires};
+use super::wrongs::Wrong;
 use beechcroft_pass::guard::{self, Read};
 use beechcroft_pass::line::{Body, Line};
 use beechcroft_pass::Ground;
@@ -34,6 +35,10 @@
     pub cores: RefCell<Vec<Ipv4Addr>>,
     pub rng: RefCell<Pcg64Mcg>,
     pub next: Cell<u64>,
+    /// Writes of clients that were answered with success.
+    pub taken: Cell<u64>,
+    /// The core machine whose directory was read last.
+    pub reader: Cell<Option<Ipv4Addr>>,
 }
 
 impl Stage {
@@ -46,7 +51,7 @@
         self.next.get()
     }
 
-    fn draw(&self) -> f64 {
+    pub fn draw(&self) -> f64 {
         self.rng.borrow_mut().random()
     }
 
@@ -56,6 +61,31 @@
         draw * mean
     }
 
+    /// Asks a hut, and writes down what it said. `also`: what the path does not tell.
+    pub async fn ask_hut(
+        &self, ground: &Ground, to: SocketAddrV4, ask: (&str, &str, &str), body: &[u8], within: Duration,
+    ) -> Option<(u16, Vec<u8>)> {
+        self.ask_hut_at(ground, to, ask, body, within).await.map(|(status, body, _)| (status, body))
+    }
+
+    /// The same, with where it sends its caller on to.
+    pub async fn ask_hut_at(
+        &self, ground: &Ground, to: SocketAddrV4, ask: (&str, &str, &str), body: &[u8], within: Duration,
+    ) -> Option<(u16, Vec<u8>, Option<String>)> {
+        let (method, path, also) = ask;
+        let at = self.now();
+        let answer = call_at(ground, to, method, path, body, within).await;
+        let said = Said {
+            hut: self.name_of(*to.ip()),
+            at,
+            until: self.now(),
+            what: format!("{method} {path}{also}"),
+            status: answer.as_ref().map(|answer| answer.0),
+        };
+        self.wires.borrow_mut().said.push(said);
+        answer
+    }
+
     fn name_of(&self, ip: Ipv4Addr) -> String {
         self.fabric.with().spots.get(&ip).map(|spot| spot.name.clone()).unwrap_or_default()
     }
@@ -74,6 +104,8 @@
     pub spoils: f64,
     /// Health says the opposite.
     pub lies: bool,
+    /// What is wrong with a part of its answers.
+    pub wrong: Option<(Wrong, f64)>,
 }
 
 pub struct Unit {
@@ -119,6 +151,11 @@
         }
     }
 
+    /// How much longer it is cold, as it says.
+    fn warm_left(&self, now: u64) -> u64 {
+        self.cold_until.get().max(self.told_cold.get()).saturating_sub(now)
+    }
+
     fn load(&self) -> String {
         let running = self.slots - self.free.available_permits().min(self.slots);
         format!("{running},{},{}", self.waiting.get(), self.slots)
@@ -173,7 +210,7 @@
 
 async fn beat(stage: &Stage, unit: &Unit, ground: &Ground) -> bool {
     unit.sequence.set(unit.sequence.get() + 1);
-    let left = unit.cold_until.get().max(unit.told_cold.get()).saturating_sub(stage.now());
+    let left = unit.warm_left(stage.now());
     let body = serde_json::json!({
         "address": unit.at.to_string(),
         "info": {"service": unit.service, "version": unit.version, "zone": unit.zone, "capacity": unit.slots},
@@ -185,7 +222,8 @@
     let from = (stage.draw() * cores.len() as f64) as usize;
     for nth in 0..cores.len() {
         let to = SocketAddrV4::new(cores[(from + nth) % cores.len()], CONTROL);
-        let done = call(ground, to, "POST", &path, body.to_string().as_bytes(), Duration::from_secs(1)).await;
+        let ask = ("POST", path.as_str(), if unit.draining.get() { " draining" } else { "" });
+        let done = stage.ask_hut(ground, to, ask, body.to_string().as_bytes(), Duration::from_secs(1)).await;
         if done.is_some_and(|(status, _)| status == 200) {
             return true;
         }
@@ -200,7 +238,7 @@
     let cores = stage.cores.borrow().clone();
     for core in cores {
         let to = SocketAddrV4::new(core, CONTROL);
-        let done = call(&ground, to, "POST", &path, b"", Duration::from_secs(1)).await;
+        let done = stage.ask_hut(&ground, to, ("POST", &path, ""), b"", Duration::from_secs(1)).await;
         if done.is_some_and(|(status, _)| status == 200) {
             return true;
         }
@@ -216,6 +254,11 @@
 
 /// One request at a unit; whether another may follow.
 async fn serve(stage: &Rc<Stage>, unit: &Rc<Unit>, edge: &str, line: &mut Line) -> bool {
+    let wrong = unit.ill.borrow().wrong.filter(|(_, part)| stage.draw() < *part).map(|wrong| wrong.0);
+    if let Some(wrong) = wrong.filter(|wrong| wrong.is_at_request()) {
+        wrong.request(stage, line).await;
+        return false;
+    }
     let (ask, head) = loop {
         match guard::ask(line.unread(), 64 << 10) {
             Read::Whole(ask, length) => {
@@ -244,9 +287,10 @@
         let well = (ill.fails < 0.5 && !unit.draining.get()) != ill.lies;
         let status = if well { "200 OK" } else { "503 Service Unavailable" };
         let text = format!(
-            "HTTP/1.1 {status}\r\nContent-Length: 0\r\nBeechcroft-Unit-Id: {}\r\nBeechcroft-Unit-Load: {}\r\n\r\n",
+            "HTTP/1.1 {status}\r\nContent-Length: 0\r\nBeechcroft-Unit-Id: {}\r\nBeechcroft-Unit-Load: {}\r\nBeechcroft-Warmup-Remaining: {}\r\n\r\n",
             unit.id,
-            unit.load()
+            unit.load(),
+            unit.warm_left(stage.now()),
         );
         return line.write(text.as_bytes()).await.is_ok();
     }
@@ -313,7 +357,7 @@
         () if failed => (500, "Internal Server Error"),
         () => (200, "OK"),
     };
-    breaks(false, Some(status));
+    breaks(wrong.is_some(), Some(status));
     let (body, seal) = Unit::answer_to(&unit.id, &id, if failed { 0 } else { unit.bytes });
     let seal = if failed { String::new() } else { format!("Beechcroft-Server-Seal: {seal}\r\n") };
     let text = format!(
@@ -323,13 +367,23 @@
     );
     let mut bytes = text.into_bytes();
     bytes.extend(body);
-    line.write(&bytes).await.is_ok() && !unit.draining.get()
+    match wrong {
+        Some(wrong) => wrong.answer(stage, unit, line, &id, &bytes).await,
+        None => line.write(&bytes).await.is_ok() && !unit.draining.get(),
+    }
 }
 
 /// One call on a connection of its own; the status and the body of a whole answer.
 pub async fn call(
     ground: &Ground, to: SocketAddrV4, method: &str, path: &str, body: &[u8], within: Duration,
 ) -> Option<(u16, Vec<u8>)> {
+    call_at(ground, to, method, path, body, within).await.map(|(status, body, _)| (status, body))
+}
+
+/// The same, and where it says that the call should go instead.
+pub async fn call_at(
+    ground: &Ground, to: SocketAddrV4, method: &str, path: &str, body: &[u8], within: Duration,
+) -> Option<(u16, Vec<u8>, Option<String>)> {
     let done = async {
         let mut line = Line::new(ground.connect(to).await.ok()?);
         let head = format!(
@@ -339,7 +393,8 @@
         line.write(head.as_bytes()).await.ok()?;
         line.write(body).await.ok()?;
         let (reply, body) = read_answer(&mut line, method).await?;
-        Some((reply.status, body))
+        let lines = String::from_utf8_lossy(&reply.lines);
+        Some((reply.status, body, header(&lines, "location").map(str::to_owned)))
     };
     timeout(within, done).await.ok().flatten()
 }
@@ -394,7 +449,8 @@
             cores.sort_by_key(spots);
             for core in cores.into_iter().take(3) {
                 let to = SocketAddrV4::new(core, DIRECTORY);
-                let done = call(&self.ground, to, "GET", &path, b"", Duration::from_secs(1)).await;
+                let ask = ("GET", path.as_str(), "");
+                let done = stage.ask_hut(&self.ground, to, ask, b"", Duration::from_secs(1)).await;
                 let Some((200, body)) = done else { continue };
                 let Ok(answer) = serde_json::from_slice::<serde_json::Value>(&body) else { continue };
                 let addresses = answer["addresses"].as_array().cloned().unwrap_or_default();
@@ -403,6 +459,7 @@
                 if found.is_empty() {
                     continue;
                 }
+                stage.reader.set(Some(core));
                 ttl_s = answer["ttlS"].as_f64().unwrap_or(1.0).clamp(0.2, 5.0);
                 self.idle.borrow_mut().retain(|at, _| found.contains(at));
                 *self.found.borrow_mut() = found;
@@ -462,6 +519,9 @@
         let answer = try_once(&stage, &clients, to, &id, &asked, left).await;
         let status = answer.status;
         let back = answer.retry_after;
+        if !kind.repeatable && status == Some(200) {
+            stage.taken.set(stage.taken.get() + 1);
+        }
         if let Some(asked) = stage.wires.borrow_mut().asked.get_mut(&id) {
             asked.answer = Some(answer);
         }
@@ -576,5 +636,7 @@
         cores: RefCell::default(),
         rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed ^ 0x57a6e)),
         next: Cell::new(0),
+        taken: Cell::new(0),
+        reader: Cell::new(None),
     })
 }
