--- a/crates/beechcroft-cairns/src/lib.rs
+++ b/crates/beechcroft-cairns/src/lib.rs
@@ -12,6 +12,7 @@
 pub use letter::{Beat, Item, Letter, Member, Ranges, Standing, Sums, Who};
 
 use beechcroft_belvedere::Word;
+use beechcroft_railing::{stands, Guard};
 use beechcroft_waymarks::{News, Note, State, Waymarks};
 use letter::MEMBER_RANGES;
 use rand::seq::IteratorRandom;
@@ -44,6 +45,8 @@
 const SETTLED_MS: [u64; 2] = [300, 80];
 /// A beat that tells nothing new is passed on this often.
 pub const EVERY_BEAT: u64 = 4;
+/// A unit that says it turns warm so much later than is known is cold anew: beats take their time and are no clock.
+const COLDER_MS: u64 = 200;
 /// Without an answer for this long, a watched relay is said to be down.
 const DOWN_MS: u64 = 1300;
 /// The longest that a watcher that was wrong waits.
@@ -138,6 +141,8 @@
     watched: Option<Vec<(String, SocketAddrV4)>>,
     clock: u64,
     ticked_at: u64,
+    /// Before this, what the core shows is taken from no letter: it may have lain unread.
+    touch_from: u64,
     /// Before this, no other relay is said to be down.
     accuse_from: u64,
     /// When members and when units last changed.
@@ -171,6 +176,7 @@
             watched: None,
             clock: 0,
             ticked_at: 0,
+            touch_from: 0,
             accuse_from: 0,
             changed_at: [0; 2],
             next_ping: 0,
@@ -259,8 +265,10 @@
     /// A unit's note from its own beat.
     pub fn beat(&mut self, now: u64, note: Note) -> News {
         let id = note.id.clone();
-        let was_warm = self.units.get(&id).is_none_or(|unit| unit.note.warm_left_ms == 0);
-        let tells = note.sequence.is_multiple_of(EVERY_BEAT) || (was_warm && note.warm_left_ms > 0);
+        // Others must know of it if it is cold, or cold for longer, than they believe.
+        let warm_at = self.units.get(&id).map_or(0, |unit| unit.warm_at);
+        let colder = note.warm_left_ms > 0 && now + u64::from(note.warm_left_ms) > warm_at + COLDER_MS;
+        let tells = note.sequence.is_multiple_of(EVERY_BEAT) || colder;
         let news = self.units.merge(now, note);
         match news {
             News::Change => self.pass_on(What::Unit(id)),
@@ -321,10 +329,16 @@
         self.flush(now, 2 * FEW, true, out);
     }
 
+    /// Whether this relay stood still, or was held up, since its last tick.
+    fn is_late(&self, now: u64) -> bool {
+        self.ticked_at > 0 && now > self.ticked_at + LAG_MS
+    }
+
     pub fn tick(&mut self, now: u64, out: &mut Vec<Action>) {
-        if self.ticked_at > 0 && now > self.ticked_at + LAG_MS {
+        if self.is_late(now) {
             // This relay itself was late: answers may lie unread.
             self.accuse_from = now + DOWN_MS;
+            self.touch_from = now + LAG_MS;
         }
         (self.ticked_at, self.clock) = (now, now);
         if now >= self.next_flush {
@@ -551,7 +565,9 @@
                 Item::Pong(number, contact) => self.contact.answered(&name, number, contact),
             }
         }
-        if let Some((age, revision)) = sums.touch {
+        // Its age is told as of the sending. A letter that lay in a queue while this relay stood still would make it new.
+        let lay = stands(Guard::FreshTouches) && (self.is_late(now) || now < self.touch_from);
+        if let Some((age, revision)) = sums.touch.filter(|_| !lay) {
             self.touched(now.saturating_sub(u64::from(age)), revision);
         }
         for (register, &revision) in sums.revisions.iter().enumerate() {
--- a/crates/beechcroft-cairns/tests/news.rs
+++ b/crates/beechcroft-cairns/tests/news.rs
@@ -310,3 +310,23 @@
     let calm = net.bytes as f64 / 5.0 / 93.0;
     assert!(calm < 2500.0, "{calm} bytes a second and relay once the links are fine");
 }
+
+#[test]
+fn a_unit_that_is_cold_and_says_that_it_will_be_for_longer_is_told_of_at_once() {
+    let mut hut = Cairns::new(member(0, 1), PORT, Vec::new(), 5);
+    hut.recall(10_000, vec![member(1, 1)], Vec::new());
+    let mut beat = |now: u64, sequence: u64, warm_left_ms: u32| {
+        hut.beat(now, Note { warm_left_ms, ..note(1, State::Ready, sequence) });
+        let mut out = Vec::new();
+        // Twice each, as all news.
+        (1..4).for_each(|nth| hut.tick(now + nth * 100, &mut out));
+        out.iter().any(|action| {
+            matches!(action, Action::Send { letter, .. }
+                if letter.items.iter().any(|item| !matches!(item, beechcroft_cairns::Item::Member(_))))
+        })
+    };
+    assert!(beat(10_000, 1, 3000), "it is new, and cold");
+    assert!(!beat(11_000, 2, 1990), "as was known");
+    assert!(beat(12_000, 3, 3800), "cold for longer than is known");
+    assert!(!beat(13_000, 5, 2810));
+}
--- a/crates/beechcroft-hut/src/keeper/contact.rs
+++ b/crates/beechcroft-hut/src/keeper/contact.rs
@@ -197,7 +197,8 @@
         let mut reads = Vec::new();
         for register in [CONFIG, ORDERS] {
             let (answer, told) = oneshot::channel();
-            self.order(register, Op::Read, Some(answer));
+            self.answers.insert(self.next_order + 1, answer);
+            self.order(register, Op::Read);
             reads.push(told);
         }
         let queue = self.queue.clone();
--- a/crates/beechcroft-hut/src/keeper/rollouts.rs
+++ b/crates/beechcroft-hut/src/keeper/rollouts.rs
@@ -28,7 +28,7 @@
             self.unbased.values_mut().for_each(|since| *since = now);
         }
         for op in due {
-            self.order(ORDERS, op, None);
+            self.order(ORDERS, op);
         }
     }
 
@@ -42,8 +42,8 @@
         let first = self.is_first(now);
         // One core machine shows it; another does once that one's word stays out.
         if first || self.cairns.touched_at().is_none_or(|at| now > at + 2 * PLACE_EVERY_MS) {
-            self.order(ORDERS, Op::Read, None);
-            self.touches.insert(self.next_order);
+            self.order(ORDERS, Op::Read);
+            self.touches.insert(self.next_order, now);
         }
         let clock = self.errands.ground().wall().as_secs() as u32;
         self.benches.values_mut().for_each(|bench| bench.pass(clock));
@@ -72,7 +72,7 @@
             }
         }
         for op in due {
-            self.order(ORDERS, op, None);
+            self.order(ORDERS, op);
         }
     }
 
@@ -127,7 +127,7 @@
             due.push(Op::Move { service: service.clone(), begun: rollout.begun, from: rollout.stage, to });
         }
         for op in due {
-            self.order(ORDERS, op, None);
+            self.order(ORDERS, op);
         }
     }
 
@@ -144,6 +144,6 @@
         };
         log::info!("keeper: Rollout of {service} is voted back.");
         let op = Op::Move { service: service.to_owned(), begun, from, to: Stage::Reverted };
-        self.order(ORDERS, op, None);
+        self.order(ORDERS, op);
     }
 }
--- a/crates/beechcroft-range/src/whole/audit.rs
+++ b/crates/beechcroft-range/src/whole/audit.rs
@@ -3,6 +3,7 @@
 
 use super::actors::Unit;
 use super::wires::{Asked, Came, Sent, What, Wires};
+use super::wrongs::STRAY;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Figures of the rules, in ms and parts.
@@ -93,6 +94,7 @@
     audit.rollouts();
     audit.denied();
     audit.recovery();
+    audit.faults();
     let mut verdict = Verdict { breaches: audit.found.into_values().collect(), ..Verdict::default() };
     served(wires, &mut verdict);
     verdict
@@ -186,6 +188,13 @@
                 self.breach("TWICE", || self_tell(self.wires, &runs, id, asked));
             }
             let Some(answer) = &asked.answer else { continue };
+            let strange = answer.id.as_ref().is_some_and(|of| of != id);
+            if strange || answer.body.starts_with(STRAY.as_bytes()) {
+                self.breach("MIXED", || {
+                    let of = answer.id.clone().unwrap_or("nobody".into());
+                    format!("an answer to {of}: {}", self_tell(self.wires, &runs, id, asked))
+                });
+            }
             match answer.status {
                 Some(status @ (429 | 503 | 408 | 421)) if !asked.repeatable && !runs.is_empty() => {
                     self.breach("REFUSED", || {
@@ -540,6 +549,13 @@
         }
     }
 
+    /// Fault: a program that panicked, or ended by itself, whatever went on around it.
+    fn faults(&mut self) {
+        for fault in &self.wires.faults {
+            self.breach("Fault", || format!("{} at {} ms: {}", fault.on, fault.at, fault.said));
+        }
+    }
+
     /// RECOVER, after a closing fault.
     fn recovery(&mut self) {
         let Some(back) = self.wires.closing else { return };
--- a/crates/beechcroft-range/src/whole/mod.rs
+++ b/crates/beechcroft-range/src/whole/mod.rs
@@ -10,7 +10,8 @@
 pub mod process;
 pub mod scenario;
 pub mod wires;
+pub mod wrongs;
 
 pub use audit::{Breach, Verdict};
-pub use day::{play, Report};
+pub use day::{by_hand, play, Hand, Report};
 pub use scenario::Scenario;
--- a/crates/beechcroft-range/tests/cut_off.rs
+++ b/crates/beechcroft-range/tests/cut_off.rs
@@ -2,6 +2,7 @@
 //! a rollout go on and relays start. What it answers in that time is held against what the majority did.
 
 use beechcroft_railing::Guard;
+use beechcroft_range::whole::fabric::CutHow;
 use beechcroft_range::whole::scenario::{Event, What};
 use beechcroft_range::whole::wires::Said;
 use beechcroft_range::whole::{play, Report, Scenario};
@@ -14,7 +15,11 @@
 const LAPSE_MS: u64 = 2700;
 
 fn cut(from: &str, to: &str, one_way: bool) -> Event {
-    let what = What::Cut { from: from.into(), to: to.into(), for_s: FOR_S, one_way };
+    cut_so(from, to, one_way, CutHow::Silent)
+}
+
+fn cut_so(from: &str, to: &str, one_way: bool, how: CutHow) -> Event {
+    let what = What::Cut { from: from.into(), to: to.into(), for_s: FOR_S, one_way, how };
     Event { at: CUT_S, what }
 }
 
@@ -107,22 +112,32 @@
     assert_eq!(report.verdict.duties_missed, [] as [String; 0]);
 }
 
+/// One hut is cut off so; what it said and what the others did.
+fn decides_nothing(hut: &str, cuts: Vec<Event>) {
+    let report = play(&scenario(cuts, busy()));
+    sound(&report);
+    assert_eq!(falsehoods(&report, hut, true), [] as [String; 0], "{hut}");
+    // It was asked, and the majority decided.
+    let asked = |kind: fn(&Said) -> bool| said(&report, hut, 0).filter(|said| kind(said)).count();
+    assert!(asked(orders) >= 1 && asked(drains) >= 1, "{hut} was not asked");
+    assert_eq!(report.wires.configs.iter().filter(|config| config.acked.is_some()).count(), 7);
+    assert!(report.wires.units.values().filter(|life| life.left_acked.is_some()).count() >= 12);
+}
+
 #[test]
-fn a_hut_that_is_cut_off_decides_nothing_and_the_others_go_on() {
-    let cases = [("core-0", true, true), ("core-1", true, false), ("core-2", false, true)];
+fn a_hut_that_is_cut_off_silently_or_one_way_decides_nothing_and_the_others_go_on() {
     std::thread::scope(|scope| {
-        for (hut, out, back) in cases {
-            scope.spawn(move || {
-                let report = play(&scenario(from_the_core(hut, out, back), busy()));
-                sound(&report);
-                assert_eq!(falsehoods(&report, hut, true), [] as [String; 0], "{hut} {out} {back}");
-                // It was asked, and the majority decided.
-                let asked = |kind: fn(&Said) -> bool| said(&report, hut, 0).filter(|s| kind(s)).count();
-                assert!(asked(orders) >= 1 && asked(drains) >= 1, "{hut} was not asked");
-                assert_eq!(report.wires.configs.iter().filter(|config| config.acked.is_some()).count(), 7);
-                assert!(report.wires.units.values().filter(|life| life.left_acked.is_some()).count() >= 12);
-            });
-        }
+        scope.spawn(|| decides_nothing("core-0", from_the_core("core-0", true, true)));
+        scope.spawn(|| decides_nothing("core-1", from_the_core("core-1", true, false)));
+        scope.spawn(|| decides_nothing("core-2", from_the_core("core-2", false, true)));
+    });
+}
+
+#[test]
+fn a_hut_whose_connections_are_reset_or_refused_decides_nothing_and_the_others_go_on() {
+    std::thread::scope(|scope| {
+        scope.spawn(|| decides_nothing("core-0", vec![cut_so("core-0", "core", false, CutHow::Reset)]));
+        scope.spawn(|| decides_nothing("core-1", vec![cut_so("core-1", "core", false, CutHow::Refused)]));
     });
 }
 
