What contact with a majority costs is bounded by a test

Cause: huts ping all other voters' machines twice a second, which is small for three and grows with their number. Ruled out: more than the letters' heads; a ping or its answer carries a number and a bit. Change: a test of the bytes that contact alone costs a hut, for 3, 5 and 18 voters.

--- a/crates/beechcroft-cairns/tests/contact.rs
+++ b/crates/beechcroft-cairns/tests/contact.rs
@@ -225,3 +225,32 @@
     huts.pass(CONTACT_MS + 100, |_, _| ());
     huts.pass(10_000, |_, contact| assert_eq!(contact, [false, false, true, true, true]));
 }
+
+#[test]
+fn contact_costs_a_hut_little() {
+    for (count, most) in [(3, 400), (5, 800), (18, 3400)] {
+        let mut huts = Huts::new(count, 1);
+        let mut flights = Vec::new();
+        let mut bytes = 0;
+        for tick in 0..500 {
+            let now = 10_000 + tick * TICK_MS;
+            let due: Vec<(u64, usize, usize, Letter)> = std::mem::take(&mut flights);
+            for at in 0..count {
+                let (mut out, quorum) = (Vec::new(), huts.quorum(at));
+                huts.huts[at].ping_quorum(now, &quorum, &mut out);
+                for (_, from, _, letter) in due.iter().filter(|flight| flight.2 == at) {
+                    let from = SocketAddrV4::new(huts.huts[*from].me.ip, 7540);
+                    huts.huts[at].letter(now, from, letter.clone(), &mut out);
+                }
+                for action in out {
+                    let Action::Send { to, letter } = action else { continue };
+                    bytes += postcard::to_stdvec(&letter).unwrap().len();
+                    flights.push((now, at, huts.at[&to], letter));
+                }
+            }
+        }
+        let each = bytes / count / 20;
+        println!("{count} voters: {each} bytes a hut and second");
+        assert!(each < most, "{count} voters: {each} bytes a hut and second");
+    }
+}
