--- a/crates/beechcroft-cairns/src/lib.rs
+++ b/crates/beechcroft-cairns/src/lib.rs
@@ -45,6 +45,8 @@
 const SETTLED_MS: [u64; 2] = [300, 80];
 /// A beat that tells nothing new is passed on this often.
 pub const EVERY_BEAT: u64 = 4;
+/// A unit that says it turns warm so much later than is known is cold anew: beats take their time and are no clock.
+const COLDER_MS: u64 = 200;
 /// Without an answer for this long, a watched relay is said to be down.
 const DOWN_MS: u64 = 1300;
 /// The longest that a watcher that was wrong waits.
@@ -263,8 +265,10 @@
     /// A unit's note from its own beat.
     pub fn beat(&mut self, now: u64, note: Note) -> News {
         let id = note.id.clone();
-        let was_warm = self.units.get(&id).is_none_or(|unit| unit.note.warm_left_ms == 0);
-        let tells = note.sequence.is_multiple_of(EVERY_BEAT) || (was_warm && note.warm_left_ms > 0);
+        // Others must know of it if it is cold, or cold for longer, than they believe.
+        let warm_at = self.units.get(&id).map_or(0, |unit| unit.warm_at);
+        let colder = note.warm_left_ms > 0 && now + u64::from(note.warm_left_ms) > warm_at + COLDER_MS;
+        let tells = note.sequence.is_multiple_of(EVERY_BEAT) || colder;
         let news = self.units.merge(now, note);
         match news {
             News::Change => self.pass_on(What::Unit(id)),
