--- a/crates/beechcroft-cache/tests/power.rs
+++ b/crates/beechcroft-cache/tests/power.rs
@@ -12,15 +12,28 @@
 
 fn copy(from: &Path) -> TempDir {
     let to = TempDir::new().unwrap();
+    copy_into(from, to.path());
+    to
+}
+
+fn copy_into(from: &Path, to: &Path) {
+    fs::create_dir_all(to).unwrap();
     for entry in fs::read_dir(from).unwrap().map(Result::unwrap) {
-        fs::copy(entry.path(), to.path().join(entry.file_name())).unwrap();
+        match entry.file_type().unwrap().is_dir() {
+            true => copy_into(&entry.path(), &to.join(entry.file_name())),
+            false => drop(fs::copy(entry.path(), to.join(entry.file_name())).unwrap()),
+        }
     }
-    to
 }
 
-fn log(folder: &Path) -> PathBuf {
+/// The folder of the log, with the number of its snapshot.
+fn log_folder(folder: &Path) -> PathBuf {
     let mut paths = fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path());
-    paths.find(|path| path.file_name().unwrap().to_string_lossy().starts_with("wal-")).unwrap()
+    paths.find(|path| path.file_name().unwrap().to_string_lossy().starts_with("log-")).unwrap()
+}
+
+fn log(folder: &Path) -> PathBuf {
+    log_folder(folder).join("wal-1")
 }
 
 fn text(table: &Table, name: &str) -> Option<String> {
@@ -52,6 +65,7 @@
     let mut cache = Cache::open(folder.path()).unwrap();
     cache.write(&record("first", "synced")).unwrap();
     let synced = used(&log(folder.path()));
+    let mark = fs::read(folder.path().join("mark")).unwrap();
     cache.write(&record("second", "torn")).unwrap();
     drop(cache);
     let whole = used(&log(folder.path()));
@@ -59,6 +73,12 @@
         for garbage in [false, true] {
             let left = copy(folder.path());
             let path = log(left.path());
+            // Power went before the write was synced, so nothing marks it as synced; that mark may be lost as well.
+            match cut % 3 {
+                0 => fs::remove_file(left.path().join("mark")).unwrap(),
+                1 => fs::write(left.path().join("mark"), &mark[..cut % mark.len()]).unwrap(),
+                _ => fs::write(left.path().join("mark"), &mark).unwrap(),
+            }
             let mut bytes = fs::read(&path).unwrap();
             bytes[cut..whole].iter_mut().for_each(|byte| *byte = if garbage { 0xa5 } else { 0 });
             fs::write(&path, &bytes).unwrap();
@@ -79,22 +99,31 @@
 }
 
 #[test]
-fn a_log_that_is_cut_short_or_absent_leaves_the_snapshot() {
+fn a_log_that_is_cut_short_or_absent_is_said_and_leaves_the_snapshot() {
     let folder = TempDir::new().unwrap();
     let mut cache = Cache::open(folder.path()).unwrap();
     cache.write(&record("old", "in the snapshot")).unwrap();
     drop(cache);
     drop(Cache::open(folder.path()).unwrap());
     let length = fs::metadata(log(folder.path())).unwrap().len();
-    for left in (0..64).chain([length - 1]) {
+    // Without its first entry nobody knows whether it held anything.
+    let first = used(&log(folder.path())) as u64;
+    for left in (0..first + 64).chain([length - 1]) {
         let lost = copy(folder.path());
         fs::File::options().write(true).open(log(lost.path())).unwrap().set_len(left).unwrap();
-        let cache = Cache::open(lost.path()).unwrap();
-        assert_eq!(text(cache.table(), "old"), Some("in the snapshot".into()), "{left} bytes of log");
+        let (table, damage) = Cache::peek(lost.path());
+        assert_eq!(text(&table, "old"), Some("in the snapshot".into()), "{left} bytes of log");
+        // okaywal's own last bytes behind it are not needed to read it.
+        let (least, most) = (first - 16, first);
+        assert!(damage.is_none() || left < most, "{left} of {first} bytes of log: {damage}");
+        assert!(!damage.is_none() || left >= least, "{left} of {first} bytes of log open without a word");
+        assert_eq!(Cache::open(lost.path()).is_ok(), damage.is_none(), "{left} bytes of log");
     }
     let lost = copy(folder.path());
     fs::remove_file(log(lost.path())).unwrap();
-    assert_eq!(text(Cache::open(lost.path()).unwrap().table(), "old"), Some("in the snapshot".into()));
+    let said = Cache::open(lost.path()).err().expect("no log is an error").to_string();
+    assert!(said.contains("log: the file is missing"), "{said}");
+    assert_eq!(text(&Cache::peek(lost.path()).0, "old"), Some("in the snapshot".into()));
 }
 
 /// A compaction: beside, synced, renamed, folder synced, old log removed, new log begun. Each state that a loss
@@ -113,28 +142,68 @@
     let after = copy(folder.path());
 
     let snapshot = fs::read(after.path().join("state")).unwrap();
-    let old_log = fs::read(log(before.path())).unwrap();
+    let new_log = log_folder(after.path()).file_name().unwrap().to_owned();
+    let empty_log = fs::read(log(after.path())).unwrap();
     let whole = |left: &Path, said: &str| {
         let cache = Cache::open(left).unwrap();
         assert_eq!(*cache.table(), expected, "{said}");
     };
-    for cut in (0..snapshot.len()).step_by(7) {
+    let with_new_log = |bytes: &[u8]| {
         let left = copy(before.path());
+        fs::create_dir(left.path().join(&new_log)).unwrap();
+        fs::write(left.path().join(&new_log).join("wal-1"), bytes).unwrap();
+        left
+    };
+    for cut in (0..200).chain((200..empty_log.len()).step_by(4093)) {
+        let left = with_new_log(&empty_log[..cut]);
+        whole(left.path(), &format!("the new log torn at {cut}"));
+    }
+    let left = copy(before.path());
+    fs::create_dir(left.path().join(&new_log)).unwrap();
+    whole(left.path(), "the new log's folder is empty");
+    for cut in (0..snapshot.len()).step_by(7) {
+        let left = with_new_log(&empty_log);
         fs::write(left.path().join("state-new"), &snapshot[..cut]).unwrap();
         whole(left.path(), &format!("the new snapshot torn at {cut}"));
     }
-    let left = copy(before.path());
+    let left = with_new_log(&empty_log);
     fs::write(left.path().join("state-new"), &snapshot).unwrap();
     whole(left.path(), "not renamed yet");
-    let left = copy(before.path());
+    let left = with_new_log(&empty_log);
     fs::write(left.path().join("state"), &snapshot).unwrap();
     whole(left.path(), "renamed, the old log still there");
-    let left = copy(after.path());
-    fs::write(log(left.path()), &old_log).unwrap();
-    whole(left.path(), "the old log is back, its removal did not last");
-    let left = copy(after.path());
-    fs::remove_file(log(left.path())).unwrap();
-    whole(left.path(), "no log begun yet");
+    let left = copy(before.path());
+    copy_into(after.path(), left.path());
+    whole(left.path(), "all done, but the old log's removal did not last");
+}
+
+/// The first start: the log, its folder synced, the snapshot beside, renamed, the mark. Nothing was acknowledged before
+/// the end of it.
+#[test]
+fn a_first_start_interrupted_at_any_step_is_a_first_start_again() {
+    let done = TempDir::new().unwrap();
+    drop(Cache::open(done.path()).unwrap());
+    let (snapshot, empty) =
+        (fs::read(done.path().join("state")).unwrap(), fs::read(log(done.path())).unwrap());
+    let folder = log_folder(done.path()).file_name().unwrap().to_owned();
+    let begun = |log: &[u8]| {
+        let left = TempDir::new().unwrap();
+        fs::create_dir(left.path().join(&folder)).unwrap();
+        fs::write(left.path().join(&folder).join("wal-1"), log).unwrap();
+        left
+    };
+    let first = |left: &TempDir, said: &str| {
+        assert_eq!(*Cache::open(left.path()).unwrap().table(), Table::new(), "{said}");
+    };
+    for cut in (0..200).chain([empty.len() / 2]) {
+        first(&begun(&empty[..cut]), &format!("the log torn at {cut}"));
+    }
+    first(&begun(&empty), "no snapshot yet");
+    let left = begun(&empty);
+    fs::write(left.path().join("state-new"), &snapshot).unwrap();
+    first(&left, "the snapshot is beside");
+    fs::write(left.path().join("state"), &snapshot).unwrap();
+    first(&left, "no mark yet");
 }
 
 #[test]
@@ -162,8 +231,10 @@
     let large = vec![7; 300_000];
     for n in 0..60u32 {
         cache.write(&[("large".to_owned(), [&large[..], &n.to_le_bytes()[..]].concat())]).unwrap();
-        let size: u64 =
-            fs::read_dir(folder.path()).unwrap().map(|e| e.unwrap().metadata().unwrap().len()).sum();
+        let size: u64 = [folder.path().join("state"), log(folder.path())]
+            .iter()
+            .map(|path| fs::metadata(path).unwrap().len())
+            .sum();
         assert!(size < 8 << 20, "{size} bytes after {n} writes");
     }
     drop(cache);
@@ -177,11 +248,11 @@
     let mut cache = Cache::open(folder.path()).unwrap();
     cache.write(&record("a", "b")).unwrap();
     let files = || {
-        let mut all: Vec<_> = fs::read_dir(folder.path()).unwrap().map(|e| e.unwrap().path()).collect();
-        all.sort();
+        let all = [folder.path().join("state"), folder.path().join("mark"), log(folder.path())];
+        assert_eq!(fs::read_dir(folder.path()).unwrap().count(), all.len());
         all.into_iter().map(|path| (path.clone(), fs::read(path).unwrap())).collect::<Vec<_>>()
     };
     let before = files();
-    assert_eq!(text(&Cache::peek(folder.path()).unwrap(), "a"), Some("b".into()));
+    assert_eq!(text(&Cache::peek(folder.path()).0, "a"), Some("b".into()));
     assert_eq!(files(), before);
 }
--- a/crates/beechcroft-range/src/whole/actors.rs
+++ b/crates/beechcroft-range/src/whole/actors.rs
@@ -2,7 +2,8 @@
 //! reader of heads and bodies as the programs, and write down what they see.
 
 use super::fabric::Fabric;
-use super::wires::{Answered, Asked, Came, Wires};
+use super::wires::{Answered, Asked, Came, Said, Wires};
+use super::wrongs::Wrong;
 use beechcroft_pass::guard::{self, Read};
 use beechcroft_pass::line::{Body, Line};
 use beechcroft_pass::Ground;
@@ -60,6 +61,31 @@
         draw * mean
     }
 
+    /// Asks a hut, and writes down what it said. `also`: what the path does not tell.
+    pub async fn ask_hut(
+        &self, ground: &Ground, to: SocketAddrV4, ask: (&str, &str, &str), body: &[u8], within: Duration,
+    ) -> Option<(u16, Vec<u8>)> {
+        self.ask_hut_at(ground, to, ask, body, within).await.map(|(status, body, _)| (status, body))
+    }
+
+    /// The same, with where it sends its caller on to.
+    pub async fn ask_hut_at(
+        &self, ground: &Ground, to: SocketAddrV4, ask: (&str, &str, &str), body: &[u8], within: Duration,
+    ) -> Option<(u16, Vec<u8>, Option<String>)> {
+        let (method, path, also) = ask;
+        let at = self.now();
+        let answer = call_at(ground, to, method, path, body, within).await;
+        let said = Said {
+            hut: self.name_of(*to.ip()),
+            at,
+            until: self.now(),
+            what: format!("{method} {path}{also}"),
+            status: answer.as_ref().map(|answer| answer.0),
+        };
+        self.wires.borrow_mut().said.push(said);
+        answer
+    }
+
     fn name_of(&self, ip: Ipv4Addr) -> String {
         self.fabric.with().spots.get(&ip).map(|spot| spot.name.clone()).unwrap_or_default()
     }
@@ -78,6 +104,8 @@
     pub spoils: f64,
     /// Health says the opposite.
     pub lies: bool,
+    /// What is wrong with a part of its answers.
+    pub wrong: Option<(Wrong, f64)>,
 }
 
 pub struct Unit {
@@ -194,7 +222,8 @@
     let from = (stage.draw() * cores.len() as f64) as usize;
     for nth in 0..cores.len() {
         let to = SocketAddrV4::new(cores[(from + nth) % cores.len()], CONTROL);
-        let done = call(ground, to, "POST", &path, body.to_string().as_bytes(), Duration::from_secs(1)).await;
+        let ask = ("POST", path.as_str(), if unit.draining.get() { " draining" } else { "" });
+        let done = stage.ask_hut(ground, to, ask, body.to_string().as_bytes(), Duration::from_secs(1)).await;
         if done.is_some_and(|(status, _)| status == 200) {
             return true;
         }
@@ -209,7 +238,7 @@
     let cores = stage.cores.borrow().clone();
     for core in cores {
         let to = SocketAddrV4::new(core, CONTROL);
-        let done = call(&ground, to, "POST", &path, b"", Duration::from_secs(1)).await;
+        let done = stage.ask_hut(&ground, to, ("POST", &path, ""), b"", Duration::from_secs(1)).await;
         if done.is_some_and(|(status, _)| status == 200) {
             return true;
         }
@@ -225,6 +254,11 @@
 
 /// One request at a unit; whether another may follow.
 async fn serve(stage: &Rc<Stage>, unit: &Rc<Unit>, edge: &str, line: &mut Line) -> bool {
+    let wrong = unit.ill.borrow().wrong.filter(|(_, part)| stage.draw() < *part).map(|wrong| wrong.0);
+    if let Some(wrong) = wrong.filter(|wrong| wrong.is_at_request()) {
+        wrong.request(stage, line).await;
+        return false;
+    }
     let (ask, head) = loop {
         match guard::ask(line.unread(), 64 << 10) {
             Read::Whole(ask, length) => {
@@ -323,7 +357,7 @@
         () if failed => (500, "Internal Server Error"),
         () => (200, "OK"),
     };
-    breaks(false, Some(status));
+    breaks(wrong.is_some(), Some(status));
     let (body, seal) = Unit::answer_to(&unit.id, &id, if failed { 0 } else { unit.bytes });
     let seal = if failed { String::new() } else { format!("Beechcroft-Server-Seal: {seal}\r\n") };
     let text = format!(
@@ -333,7 +367,10 @@
     );
     let mut bytes = text.into_bytes();
     bytes.extend(body);
-    line.write(&bytes).await.is_ok() && !unit.draining.get()
+    match wrong {
+        Some(wrong) => wrong.answer(stage, unit, line, &id, &bytes).await,
+        None => line.write(&bytes).await.is_ok() && !unit.draining.get(),
+    }
 }
 
 /// One call on a connection of its own; the status and the body of a whole answer.
@@ -412,7 +449,8 @@
             cores.sort_by_key(spots);
             for core in cores.into_iter().take(3) {
                 let to = SocketAddrV4::new(core, DIRECTORY);
-                let done = call(&self.ground, to, "GET", &path, b"", Duration::from_secs(1)).await;
+                let ask = ("GET", path.as_str(), "");
+                let done = stage.ask_hut(&self.ground, to, ask, b"", Duration::from_secs(1)).await;
                 let Some((200, body)) = done else { continue };
                 let Ok(answer) = serde_json::from_slice::<serde_json::Value>(&body) else { continue };
                 let addresses = answer["addresses"].as_array().cloned().unwrap_or_default();
--- a/crates/beechcroft-range/src/whole/audit.rs
+++ b/crates/beechcroft-range/src/whole/audit.rs
@@ -3,6 +3,7 @@
 
 use super::actors::Unit;
 use super::wires::{Asked, Came, Sent, What, Wires};
+use super::wrongs::STRAY;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Figures of the rules, in ms and parts.
@@ -190,6 +191,13 @@
                 self.breach("TWICE", || self_tell(self.wires, &runs, id, asked));
             }
             let Some(answer) = &asked.answer else { continue };
+            let strange = answer.id.as_ref().is_some_and(|of| of != id);
+            if strange || answer.body.starts_with(STRAY.as_bytes()) {
+                self.breach("MIXED", || {
+                    let of = answer.id.clone().unwrap_or("nobody".into());
+                    format!("an answer to {of}: {}", self_tell(self.wires, &runs, id, asked))
+                });
+            }
             match answer.status {
                 Some(status @ (429 | 503 | 408 | 421)) if !asked.repeatable && !runs.is_empty() => {
                     self.breach("REFUSED", || {
@@ -338,7 +346,10 @@
         // By edge: the newest version whose effect was seen, and when.
         let mut seen: BTreeMap<&str, (u32, u64)> = BTreeMap::new();
         let mut lives: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
-        for trouble in &wires.troubles {
+        // A life of its processes ends by a kill, a loss of power or a stop, its own or all machines'; a cut or a freeze ends none.
+        let ends =
+            |said: &str| matches!(said, "killed" | "no power" | "SIGTERM" | "started" | "the closing fault");
+        for trouble in wires.troubles.iter().filter(|trouble| ends(&trouble.said)) {
             lives.entry(&trouble.on).or_default().push(trouble.from);
         }
         let may: Vec<&Sent> = wires.configs.iter().filter(|c| c.valid && c.refused.is_none()).collect();
@@ -386,7 +397,7 @@
                     )
                 });
             }
-            let life_from = lives.get(asked.edge.as_str()).into_iter().flatten();
+            let life_from = [asked.edge.as_str(), "*"].into_iter().filter_map(|on| lives.get(on)).flatten();
             let life_from = life_from.filter(|&&from| from <= at).max().copied().unwrap_or(0);
             let held = seen.entry(&asked.edge).or_insert((0, 0));
             if held.1 < life_from {
--- a/crates/beechcroft-range/src/whole/day.rs
+++ b/crates/beechcroft-range/src/whole/day.rs
@@ -2,10 +2,13 @@
 //! what the scenario plans and lets go wrong. One seed, one run.
 
 mod events;
+mod hand;
 mod operator;
 mod troubles;
 
-use super::actors::{self, Clients, Ill, Kind, Stage, CONTROL, DIRECTORY, INGRESS, READY};
+pub use hand::{by_hand, Hand};
+
+use super::actors::{self, call, Clients, Ill, Kind, Stage, CONTROL, DIRECTORY, INGRESS, READY};
 use super::audit::{judge, Bounds, Verdict};
 use super::disk::{Plate, Sync};
 use super::fabric::{Counts, Cut, Fabric, Spot};
@@ -125,6 +128,11 @@
 }
 
 async fn run(scenario: Scenario) -> Report {
+    stand(scenario).traffic().await
+}
+
+/// Machines and units, started.
+fn stand(scenario: Scenario) -> Rc<Day> {
     process::watch();
     let fabric = Fabric::new(scenario.seed, scenario.zone_ms, scenario.region_ms);
     {
@@ -169,7 +177,22 @@
     });
     day.clone().machines_start();
     day.units_start();
-    day.clone().traffic().await
+    day
+}
+
+/// Asks an edge machine, from beside it, until it says that it is ready.
+async fn ready(stage: Rc<Stage>, machine: Rc<Machine>) {
+    let ground = Ground::world(Rc::new(stage.fabric.seat(machine.ip)));
+    let (at, within) = (SocketAddrV4::new(machine.ip, READY), Duration::from_secs(1));
+    let began = stage.now();
+    while stage.now() < began + 20_000 {
+        if let Some((200, _)) = call(&ground, at, "GET", "/ready", b"", within).await {
+            let now = stage.now();
+            stage.wires.borrow_mut().ready.push((machine.name.clone(), began, now));
+            return;
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
 }
 
 fn operator() -> Ipv4Addr {
@@ -273,6 +296,7 @@
 
     /// Starts a machine's process. `bootstrap`: the first start of the whole system.
     fn start(&self, machine: &Rc<Machine>, bootstrap: bool) {
+        // The port is taken while a process runs: a second start would end at once, and leave the first one as it is.
         let runs = machine.process.borrow().as_ref().is_some_and(|process| !process.is_over());
         if machine.gone.get() || self.down_for_good.get() || runs {
             return;
@@ -297,7 +321,7 @@
             let _kept = told;
             let done = match plate {
                 Some(plate) => {
-                    let table = plate.state.borrow().table.clone();
+                    let table = plate.open();
                     let disk = Disk::world(Rc::new(plate));
                     if let Some(Mutant::BothWin | Mutant::TakesOnce | Mutant::Mute) = mutant {
                         spawn_local(mutants::hut(stage, ground, SocketAddrV4::new(ip, CONTROL), mutant));
@@ -327,6 +351,9 @@
             faulty.wires.borrow_mut().faults.push(wires::Fault { at: faulty.now(), on: name, said });
         };
         *machine.process.borrow_mut() = Some(Process::start(&self.stage.fabric, ip, main));
+        if self.scenario.starts && !machine.core {
+            spawn_local(ready(self.stage.clone(), machine.clone()));
+        }
     }
 
     /// Machines by name, zone or region; `leader`: the core machine that acknowledged last, `reader`: the one whose
--- a/crates/beechcroft-range/src/whole/day/events.rs
+++ b/crates/beechcroft-range/src/whole/day/events.rs
@@ -1,7 +1,6 @@
 //! What a scenario plans and lets go wrong, event by event.
 
 use super::*;
-use crate::whole::actors::call;
 
 impl Day {
     pub(super) async fn event(self: Rc<Self>, nth: usize, event: Event, start: Instant) {
@@ -87,11 +86,12 @@
                 }
             }
             What::Ill { service, count, for_s, fails, slow, loses, spoils, lies } => {
-                let ill = Ill { fails, slow, loses, spoils, lies };
-                let units: Vec<_> = self.running(&service).into_iter().take(count).collect();
-                units.iter().for_each(|s| *s.unit.ill.borrow_mut() = ill.clone());
-                sleep(Duration::from_secs_f64(for_s)).await;
-                units.iter().for_each(|s| *s.unit.ill.borrow_mut() = Ill::default());
+                let ill = Ill { fails, slow, loses, spoils, lies, wrong: None };
+                self.ail(&service, count, for_s, ill).await;
+            }
+            What::Answers { service, count, for_s, part, wrong } => {
+                let ill = Ill { wrong: Some((wrong, part)), ..Ill::default() };
+                self.ail(&service, count, for_s, ill).await;
             }
             What::Dark { service, count, for_s } => {
                 let down: Vec<_> = self.running(&service).into_iter().take(count).collect();
@@ -136,6 +136,12 @@
             What::Kill { on, down_s } => self.down(&on, down_s, false, false).await,
             What::Power { on, down_s } => self.down(&on, down_s, true, false).await,
             What::Wipe { on, down_s } => self.down(&on, down_s, true, true).await,
+            What::Damage { on, record, down_s } => {
+                for plate in self.named(&on).iter().filter_map(|machine| machine.plate.as_ref()) {
+                    plate.damage(&record);
+                }
+                self.down(&on, down_s, false, false).await;
+            }
             What::Term { on } => {
                 for machine in self.named(&on) {
                     spawn_local(self.clone().stops(machine));
@@ -221,6 +227,14 @@
         }
     }
 
+    /// Units of a service are ill for a while.
+    async fn ail(&self, service: &str, count: usize, for_s: f64, ill: Ill) {
+        let units: Vec<_> = self.running(service).into_iter().take(count).collect();
+        units.iter().for_each(|s| *s.unit.ill.borrow_mut() = ill.clone());
+        sleep(Duration::from_secs_f64(for_s)).await;
+        units.iter().for_each(|s| *s.unit.ill.borrow_mut() = Ill::default());
+    }
+
     /// Asks every edge machine for a new route until it knows it.
     pub(super) async fn spreads(&self, prefix: &str) {
         let began = self.now();
@@ -384,7 +398,8 @@
             sleep(Duration::from_millis(300)).await;
             let cores = self.stage.cores.borrow().clone();
             let to = SocketAddrV4::new(cores[nth % cores.len()], CONTROL);
-            let done = call(&ground, to, "GET", &path, b"", Duration::from_secs(1)).await;
+            let ask = ("GET", path.as_str(), "");
+            let done = self.stage.ask_hut(&ground, to, ask, b"", Duration::from_secs(1)).await;
             let Some((200, body)) = done else { continue };
             let state = serde_json::from_slice::<serde_json::Value>(&body).unwrap_or_default();
             match state["state"].as_str() {
--- a/crates/beechcroft-range/src/whole/day/operator.rs
+++ b/crates/beechcroft-range/src/whole/day/operator.rs
@@ -1,7 +1,6 @@
 //! The operator: changes and orders, sent as PROTOCOL says until they end, and read back at the end of the day.
 
 use super::*;
-use crate::whole::actors::{call, call_at};
 use crate::whole::scenario::Change;
 
 /// Calls that may be under way at once.
@@ -170,7 +169,7 @@
         for core in cores {
             let to = SocketAddrV4::new(core, CONTROL);
             let within = Duration::from_secs(1);
-            let done = call(&ground, to, "GET", "/config/show", b"", within).await;
+            let done = self.stage.ask_hut(&ground, to, ("GET", "/config/show", ""), b"", within).await;
             let Some((200, body)) = done else { continue };
             let wires = self.stage.wires.borrow();
             let Some(at) = wires.configs.iter().position(|config| config.body == body) else { continue };
@@ -259,7 +258,8 @@
     ) -> Option<(u16, Ipv4Addr)> {
         let (mut to, mut path) = (to, path.to_owned());
         for _ in 0..3 {
-            let (status, _, location) = call_at(ground, to, "POST", &path, body, wait).await?;
+            let ask = ("POST", path.as_str(), "");
+            let (status, _, location) = self.stage.ask_hut_at(ground, to, ask, body, wait).await?;
             let Some(location) = location.filter(|_| status == 307) else {
                 return Some((status, *to.ip()));
             };
@@ -282,7 +282,8 @@
             let cores = self.stage.cores.borrow().clone();
             let to = SocketAddrV4::new(cores[nth % cores.len()], CONTROL);
             let (asked, within) = (self.now(), Duration::from_secs(3));
-            if let Some((200, body)) = call(&ground, to, "GET", "/config/show", b"", within).await {
+            let ask = ("GET", "/config/show", "");
+            if let Some((200, body)) = self.stage.ask_hut(&ground, to, ask, b"", within).await {
                 let mut wires = self.stage.wires.borrow_mut();
                 (wires.read_back, wires.read_at) = (Some(body), asked);
                 break;
@@ -294,7 +295,8 @@
             for core in cores {
                 let path = format!("/rollouts/{service}/show");
                 let to = SocketAddrV4::new(core, CONTROL);
-                let done = call(&ground, to, "GET", &path, b"", Duration::from_secs(3)).await;
+                let ask = ("GET", path.as_str(), "");
+                let done = self.stage.ask_hut(&ground, to, ask, b"", Duration::from_secs(3)).await;
                 let state = match done {
                     Some((200, body)) => {
                         let said = serde_json::from_slice::<serde_json::Value>(&body).unwrap_or_default();
--- a/crates/beechcroft-range/src/whole/scenario.rs
+++ b/crates/beechcroft-range/src/whole/scenario.rs
@@ -3,6 +3,7 @@
 
 use super::disk::Sync;
 use super::fabric::CutHow;
+use super::wrongs::Wrong;
 use garde::Validate;
 use serde::{Deserialize, Serialize};
 
@@ -65,6 +66,9 @@
     /// Each edge machine is asked until it goes by a new configuration, to see how long that takes.
     #[serde(default)]
     pub spread: bool,
+    /// Each edge machine is asked from its start on until it is ready, to see how long that takes.
+    #[serde(default)]
+    pub starts: bool,
     /// By number: letters that are lost, syncs that do something else.
     #[serde(default)]
     pub lost_letters: Vec<u64>,
@@ -216,6 +220,14 @@
         #[serde(default)]
         lies: bool,
     },
+    /// A part of the answers of units is wrong for a while.
+    Answers {
+        service: String,
+        count: usize,
+        for_s: f64,
+        part: f64,
+        wrong: Wrong,
+    },
     /// Units lose power without a word, and come back at their addresses under other names.
     Dark {
         service: String,
@@ -260,6 +272,13 @@
         #[serde(default = "down")]
         down_s: f64,
     },
+    /// Processes are killed, and a record on their disks cannot be read any more as they start again.
+    Damage {
+        on: String,
+        record: String,
+        #[serde(default = "down")]
+        down_s: f64,
+    },
     /// A core machine is gone for good; an empty one comes at another address.
     Replace {
         on: String,
@@ -461,7 +480,9 @@
                 service
             }
             What::Crash { service, .. } | What::Ill { service, .. } | What::Cold { service, .. } => service,
-            What::Flap { service, .. } | What::Dark { service, .. } => service,
+            What::Flap { service, .. } | What::Dark { service, .. } | What::Answers { service, .. } => {
+                service
+            }
             _ => return Ok(()),
         };
         match known(service) {
