--- a/crates/beechcroft-hutbook/src/proposer.rs
+++ b/crates/beechcroft-hutbook/src/proposer.rs
@@ -197,8 +197,12 @@
         let Some(round) = self.sides[register].round.as_mut().filter(|round| round.ballot == ballot) else {
             return;
         };
+        // Whoever asks may not know that a machine holds another membership by now: what it says counts for that one alone,
+        // however often it is asked.
+        let speaker =
+            |voter_id: String| if stands(Guard::OwnMembership) { voter_id } else { from.to_owned() };
         match (reply, &mut round.offered) {
-            (Reply::Promise { epoch, accepted }, None) => {
+            (Reply::Promise { voter_id, epoch, accepted }, None) => {
                 let under = accepted.as_ref().map_or(Ballot::default(), |(ballot, _)| *ballot);
                 let value = match accepted {
                     None => None,
@@ -208,7 +212,7 @@
                         _ => return, // it says that we have what we have not
                     },
                 };
-                round.promises.insert(from.to_owned(), (epoch, under));
+                round.promises.insert(speaker(voter_id), (epoch, under));
                 if value.is_some() && round.best.as_ref().is_none_or(|best| under > best.0) {
                     round.best = value.map(|value| (under, value));
                 }
@@ -216,8 +220,8 @@
                     self.offer(register, out);
                 }
             }
-            (Reply::Accepted { epoch, epochs }, Some((_, accepted))) => {
-                accepted.insert(from.to_owned(), epoch);
+            (Reply::Accepted { voter_id, epoch, epochs }, Some((_, accepted))) => {
+                accepted.insert(speaker(voter_id), epoch);
                 for (voter_id, known) in epochs {
                     let held = round.epochs.entry(voter_id).or_default();
                     if held.0 < known.0 {
