The model reads values by their own decoding

Cause: with the merged text a value begins with its layout's number; the model read it as plain postcard, took every store for an empty one and found each acknowledged change missing from its value.

Ruled out: a fault of the merged voter or proposer (the same walks pass once the value is read as a hut reads it).

Change: the model uses `ConfigStore::decode`, and a value that cannot be read ends the test.

--- a/crates/beechcroft-hutbook/tests/model/state.rs
+++ b/crates/beechcroft-hutbook/tests/model/state.rs
@@ -205,7 +205,7 @@
                     self.breaches.insert(Breach::ReadsBack);
                 }
                 self.floor = self.floor.max(value.revision);
-                let store: ConfigStore = postcard::from_bytes(&value.bytes).unwrap_or_default();
+                let store = ConfigStore::decode(value).expect("a value that was agreed");
                 if let Op::Replace { version, base, .. } = given.op {
                     self.repeat_acked |= given.taken;
                     if self.acked.iter().any(|(other, on)| *other != version && *on == base) {
