--- a/crates/beechcroft-railing/src/lib.rs
+++ b/crates/beechcroft-railing/src/lib.rs
@@ -47,6 +47,8 @@
     BegunAnew,
     /// A rollout that is sent again soon after it was reverted is not begun anew.
     RepeatWindow,
+    /// A vote to revert a rollout holds though a step was taken just before it.
+    VotesMeetAnyStage,
     /// A value that cannot be read is not taken for an empty one.
     UnreadableValues,
     // Membership of the quorum.
@@ -84,6 +86,25 @@
     /// Nothing is answered under an identity that is not on disk.
     IdentityBeforeAnswers,
     // Answers and their owners.
+    // Rollouts.
+    /// What earlier stages left of evidence against a version is not forgotten when a stage begins.
+    EvidenceOfAllStages,
+    /// Few outcomes are judged by the lowest rate of failures.
+    FewOutcomesByLowestRate,
+    /// What a version got in earlier stages counts to what it may get.
+    ExposureOfAllStages,
+    /// No stage begins while the earlier version fails so often that a bad one would pass for its like.
+    EarlierVersionWell,
+    /// Of a request only its first offer is evidence on a version.
+    FirstOffersOnly,
+    /// That a unit is slow from its start is not held against its version.
+    ColdIsNoBuild,
+    /// What a few units bring beyond the median one keeps no version from its end.
+    IllUnitsAreNoVersion,
+    /// A rollout that is still in doubt when its time is over goes back.
+    DoubtAtTheEnd,
+    /// A relay that knows too little of the earlier version takes the slow mark from what all know.
+    SlowMarkOfAll,
 }
 
 /// Whether a guard stands.
