--- a/crates/beechcroft-hut/src/keeper.rs
+++ b/crates/beechcroft-hut/src/keeper.rs
@@ -317,8 +317,8 @@
                 if let Reply::Accepted { epochs, .. } | Reply::Refused { epochs, .. } = &reply {
                     self.learn_epochs(epochs);
                 }
-                if matches!(reply, Reply::Accepted { .. }) {
-                    self.accepted(register, &from, ballot);
+                if let Reply::Accepted { voter_id, .. } = &reply {
+                    self.accepted(register, voter_id, ballot);
                 }
                 self.propose(Event::Reply { from, register, ballot, reply });
             }
--- a/crates/beechcroft-hutbook/src/voter.rs
+++ b/crates/beechcroft-hutbook/src/voter.rs
@@ -40,10 +40,11 @@
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Reply {
-    /// No value where the one who asked has it.
-    Promise { epoch: u64, accepted: Option<(Ballot, Option<Value>)> },
+    /// By the membership that the machine holds, which need not be the one that it was asked for. No value where the one who
+    /// asked has it.
+    Promise { voter_id: String, epoch: u64, accepted: Option<(Ballot, Option<Value>)> },
     /// With the epochs that the voter knows: what a former epoch of another membership says does not count beside it.
-    Accepted { epoch: u64, epochs: Epochs },
+    Accepted { voter_id: String, epoch: u64, epochs: Epochs },
     /// A later ballot has been promised, or the round stands on a lost disk.
     Refused { promised: Ballot, epochs: Epochs },
     /// All that a voter holds. `by`: the membership and the epoch that it holds it as; `before`: the highest epoch that it
@@ -378,7 +379,8 @@
                 held.promised = ballot;
                 let accepted = held.accepted.as_ref();
                 let accepted = accepted.map(|(of, value)| (*of, (*of != have).then(|| value.clone())));
-                let reply = Reply::Promise { epoch: identity.epoch, accepted };
+                let voter_id = identity.voter_id.clone();
+                let reply = Reply::Promise { voter_id, epoch: identity.epoch, accepted };
                 (reply, vec![record(&format!("register-{register}"), held)])
             }
             Ask::Accept { register, ballot, value, quorum } => {
@@ -420,7 +422,7 @@
         held.promised = ballot;
         held.accepted = Some((ballot, value));
         (
-            Reply::Accepted { epoch: identity.epoch, epochs },
+            Reply::Accepted { voter_id: identity.voter_id.clone(), epoch: identity.epoch, epochs },
             vec![record(&format!("register-{register}"), held)],
         )
     }
--- a/crates/beechcroft-railing/src/lib.rs
+++ b/crates/beechcroft-railing/src/lib.rs
@@ -70,6 +70,8 @@
     LeavesLast,
     /// A learner goes on with what all that answered know of epochs.
     MergedEpochs,
+    /// What a machine says counts for the membership that it holds, not for the one that it was asked for.
+    OwnMembership,
     // State on disk.
     /// An end of the log that cannot be read is torn only beyond the last entry that is known to be synced.
     SyncedMark,
