--- a/crates/beechcroft-range/tests/cut_off.rs
+++ b/crates/beechcroft-range/tests/cut_off.rs
@@ -2,6 +2,7 @@
 //! a rollout go on and relays start. What it answers in that time is held against what the majority did.
 
 use beechcroft_railing::Guard;
+use beechcroft_range::whole::fabric::CutHow;
 use beechcroft_range::whole::scenario::{Event, What};
 use beechcroft_range::whole::wires::Said;
 use beechcroft_range::whole::{play, Report, Scenario};
@@ -14,7 +15,11 @@
 const LAPSE_MS: u64 = 2700;
 
 fn cut(from: &str, to: &str, one_way: bool) -> Event {
-    let what = What::Cut { from: from.into(), to: to.into(), for_s: FOR_S, one_way, how: Default::default() };
+    cut_so(from, to, one_way, CutHow::Silent)
+}
+
+fn cut_so(from: &str, to: &str, one_way: bool, how: CutHow) -> Event {
+    let what = What::Cut { from: from.into(), to: to.into(), for_s: FOR_S, one_way, how };
     Event { at: CUT_S, what }
 }
 
@@ -107,22 +112,32 @@
     assert_eq!(report.verdict.duties_missed, [] as [String; 0]);
 }
 
+/// One hut is cut off so; what it said and what the others did.
+fn decides_nothing(hut: &str, cuts: Vec<Event>) {
+    let report = play(&scenario(cuts, busy()));
+    sound(&report);
+    assert_eq!(falsehoods(&report, hut, true), [] as [String; 0], "{hut}");
+    // It was asked, and the majority decided.
+    let asked = |kind: fn(&Said) -> bool| said(&report, hut, 0).filter(|said| kind(said)).count();
+    assert!(asked(orders) >= 1 && asked(drains) >= 1, "{hut} was not asked");
+    assert_eq!(report.wires.configs.iter().filter(|config| config.acked.is_some()).count(), 7);
+    assert!(report.wires.units.values().filter(|life| life.left_acked.is_some()).count() >= 12);
+}
+
 #[test]
-fn a_hut_that_is_cut_off_decides_nothing_and_the_others_go_on() {
-    let cases = [("core-0", true, true), ("core-1", true, false), ("core-2", false, true)];
+fn a_hut_that_is_cut_off_silently_or_one_way_decides_nothing_and_the_others_go_on() {
     std::thread::scope(|scope| {
-        for (hut, out, back) in cases {
-            scope.spawn(move || {
-                let report = play(&scenario(from_the_core(hut, out, back), busy()));
-                sound(&report);
-                assert_eq!(falsehoods(&report, hut, true), [] as [String; 0], "{hut} {out} {back}");
-                // It was asked, and the majority decided.
-                let asked = |kind: fn(&Said) -> bool| said(&report, hut, 0).filter(|s| kind(s)).count();
-                assert!(asked(orders) >= 1 && asked(drains) >= 1, "{hut} was not asked");
-                assert_eq!(report.wires.configs.iter().filter(|config| config.acked.is_some()).count(), 7);
-                assert!(report.wires.units.values().filter(|life| life.left_acked.is_some()).count() >= 12);
-            });
-        }
+        scope.spawn(|| decides_nothing("core-0", from_the_core("core-0", true, true)));
+        scope.spawn(|| decides_nothing("core-1", from_the_core("core-1", true, false)));
+        scope.spawn(|| decides_nothing("core-2", from_the_core("core-2", false, true)));
+    });
+}
+
+#[test]
+fn a_hut_whose_connections_are_reset_or_refused_decides_nothing_and_the_others_go_on() {
+    std::thread::scope(|scope| {
+        scope.spawn(|| decides_nothing("core-0", vec![cut_so("core-0", "core", false, CutHow::Reset)]));
+        scope.spawn(|| decides_nothing("core-1", vec![cut_so("core-1", "core", false, CutHow::Refused)]));
     });
 }
 
@@ -243,3 +258,33 @@
     let (_, from, at) = ready.expect("it begins though nobody can confirm");
     assert!((4000..6000).contains(&(at - from)), "{} ms", at - from);
 }
+
+/// On a calm day: how long each relay takes to be ready, at the first start and after a SIGTERM, the middle and the worst.
+fn starts(without: Option<Guard>) -> [(u64, u64); 2] {
+    let stops = (0..6).map(|nth| at(1.0 + 3.0 * f64::from(nth), What::Term { on: format!("edge-{nth}") }));
+    let drains = at(20.0, What::Drain { service: "boards".into(), count: 6 });
+    let mut scenario = scenario(Vec::new(), stops.chain([drains]).collect());
+    (scenario.starts, scenario.without) = (true, without);
+    let report = play(&scenario);
+    assert_eq!(report.verdict.breaches, []);
+    let drained = |said: &&Said| said.what.ends_with(" draining") && said.status == Some(200);
+    let drained: Vec<u64> = report.wires.said.iter().filter(drained).map(|s| s.until - s.at).collect();
+    println!("{without:?}: drains acknowledged after {drained:?} ms");
+    [true, false].map(|first| {
+        let took = report.wires.ready.iter().filter(|(_, from, _)| (*from == 0) == first);
+        let mut took: Vec<u64> = took.map(|(_, from, at)| at - from).collect();
+        took.sort_unstable();
+        println!("{without:?}: first start {first}: {took:?} ms");
+        assert_eq!(took.len(), 6);
+        (took[3], took[5])
+    })
+}
+
+#[test]
+fn a_calm_start_waits_four_ways_there_and_back_at_most_for_the_word_of_a_majority() {
+    // To a hut of another region: to connect, to ask, and its round's two phases; 40 ms each. The first start waits for its
+    // configuration longer than that.
+    let ([first, again], [first_before, again_before]) = (starts(None), starts(Some(Guard::ConfirmedStart)));
+    assert_eq!(first, first_before);
+    assert!(again.1 <= again_before.1 + 4 * 40, "{again:?} ms, {again_before:?} ms without");
+}
