Further tries of a rollout's last stage go to the earlier version: EXPOSURE on thin services

Cause: in the last stage further tries and offers beside a slow one went to the new version. One request is one outcome, so neither the evidence nor the bound before the stage (10 outcomes and 3.5 s of its share) counts them, but they are requests that the version gets: at 0.64 failures a little over two offers a request. A service of eight requests a second may enter the stage on few outcomes, as what is at stake seems small.

Change: `takes_further_tries` (guard FurtherTriesToEarlier); in the last stage too they go to the earlier version, whose units run until the rollout is complete, and to the new one where no earlier unit can take them.

--- a/crates/beechcroft-railing/src/lib.rs
+++ b/crates/beechcroft-railing/src/lib.rs
@@ -125,6 +125,8 @@
     EarlierVersionWell,
     /// Of a request only its first offer is evidence on a version.
     FirstOffersOnly,
+    /// What a request is offered further is no trial in any stage, while the earlier version can take it.
+    FurtherTriesToEarlier,
     /// That a unit is slow from its start is not held against its version.
     ColdIsNoBuild,
     /// What a few units bring beyond the median one keeps no version from its end.
--- /dev/null
+++ b/crates/beechcroft-range/tests/rollouts.rs
@@ -0,0 +1,22 @@
+//! What a bad version of a service that is hardly asked gets, over all its stages.
+
+use beechcroft_railing::Guard;
+use beechcroft_range::whole::{play, Scenario};
+
+fn thin() -> Scenario {
+    let day = include_str!("../../../examples/days/rollout-bad-of-a-thin-service.toml");
+    Scenario::read(day).unwrap()
+}
+
+#[test]
+fn with_further_tries_at_the_earlier_version_a_bad_one_gets_what_it_may() {
+    let report = play(&thin());
+    assert_eq!(report.verdict.breaches, []);
+}
+
+#[test]
+fn with_further_tries_in_the_last_stage_a_bad_version_gets_more_than_it_may() {
+    let day = Scenario { without: Some(Guard::FurtherTriesToEarlier), ..thin() };
+    let breaches = play(&day).verdict.breaches;
+    assert!(breaches.iter().any(|breach| breach.rule == "EXPOSURE"), "{breaches:?}");
+}
--- a/crates/beechcroft-ropes/src/conduct.rs
+++ b/crates/beechcroft-ropes/src/conduct.rs
@@ -22,6 +22,13 @@
     }
 }
 
+/// Whether further tries of a request whose first offer went to the new version go there too, by the stage. They are no
+/// evidence, as a request is one outcome, but they are requests that the version gets: with two of them a bad one
+/// gets three times what its share says. The earlier version's units run until the rollout is complete and take them.
+pub fn takes_further_tries(stage: Option<u8>) -> bool {
+    !stands(Guard::FurtherTriesToEarlier) && stage == Some(LAST)
+}
+
 /// By when, of the ramp, the trial is over; the steps after it share what is left.
 const TRIAL_PART: f64 = 0.33;
 const STEP_PART: f64 = 0.1;
--- a/crates/beechcroft-ropes/tests/conduct.rs
+++ b/crates/beechcroft-ropes/tests/conduct.rs
@@ -1,7 +1,9 @@
 //! How the core takes a rollout on, and what makes it wait.
 
 use beechcroft_railing::{without, Guard};
-use beechcroft_ropes::conduct::{conduct, excess_of_few, share, Before, Next, View, LAST};
+use beechcroft_ropes::conduct::{
+    conduct, excess_of_few, share, takes_further_tries, Before, Next, View, LAST,
+};
 use beechcroft_ropes::Count;
 use std::collections::BTreeMap;
 
@@ -197,3 +199,43 @@
     let _out = without(Some(Guard::DoubtAtTheEnd));
     assert_eq!(conduct(late), Next::Stay, "without the guard it stays for ever");
 }
+
+/// A service of 8.4 requests a second whose new version fails 0.64, and whose few outcomes happen to look bearable: what
+/// the version is offered until it is back, where each request may be offered three times.
+fn offered_thinly() -> (f64, f64) {
+    let (rate, fails, ramp_ms) = (8.4, 0.64_f64, 10_000);
+    let told = [(4_200_u64, 3, 1), (1_400, 2, 0), (1_000, 1, 0)];
+    let (mut before, mut got, mut asked) = (Before::default(), 0.0, 0.0);
+    let mut last = 0.0;
+    for stage in 0..=LAST {
+        // In the last stage come ten outcomes, and the time until news of the way back is everywhere.
+        let took = told.get(usize::from(stage)).map_or(10.0 / rate + 3.5, |told| told.0 as f64 / 1000.0);
+        let further = if takes_further_tries(Some(stage)) { fails + fails * fails } else { 0.0 };
+        last = rate * took * share(stage, 0.1) * (1.0 + further);
+        (got, asked) = (got + last, asked + rate * took);
+        let Some(&(stage_ms, trials, failures)) = told.get(usize::from(stage)) else { break };
+        let view = View {
+            stage_ms,
+            ramp_ms,
+            trials,
+            failures,
+            asked: (rate * (took - 0.8)) as u32,
+            rate,
+            before: Some(before),
+            ..view(stage, stage_ms)
+        };
+        assert_eq!(conduct(view), Next::On(stage + 1), "so little is at stake: {view:?}");
+        before = view.over();
+    }
+    assert!(last > got / 2.0, "the last stage brings most: {last:.0} of {got:.0}");
+    (got, 0.1 * asked + 50.0)
+}
+
+#[test]
+fn further_tries_of_requests_bring_a_bad_version_no_more_than_its_share() {
+    let (got, may) = offered_thinly();
+    assert!(got <= may, "{got:.0} requests where {may:.0} are allowed");
+    let _out = without(Some(Guard::FurtherTriesToEarlier));
+    let (got, may) = offered_thinly();
+    assert!(got > may, "the last stage's further tries go to it: {got:.0}, {may:.0} allowed");
+}
--- a/crates/beechcroft-trail/src/carry.rs
+++ b/crates/beechcroft-trail/src/carry.rs
@@ -13,7 +13,7 @@
 use beechcroft_pace::{Choice, Keyed, Share, Side, Want, Why};
 use beechcroft_pass::guard::Ask;
 use beechcroft_pass::line::{Body, Line};
-use beechcroft_ropes::conduct::{share, LAST};
+use beechcroft_ropes::conduct::{share, takes_further_tries, LAST};
 use beechcroft_ropes::Outcome;
 use beechcroft_saddle::Pins;
 use futures_util::stream::{FuturesUnordered, StreamExt};
@@ -253,9 +253,12 @@
         if let Some(kind) = self.barred() {
             return Err(self.crossing.no_unit(kind));
         }
-        if !self.tried.is_empty() && self.side == Side::Trial && !all_to_trial(self.shared, service) {
+        let stage = stage_of(self.shared, service);
+        if !self.tried.is_empty() && self.side == Side::Trial && !takes_further_tries(stage) {
             self.side = Side::Base; // further tries are no trial
         }
+        // In the last stage there may be no unit of the earlier version left to take one.
+        let mut other = stage == Some(LAST) && !self.tried.is_empty() && self.side == Side::Base;
         loop {
             let chosen = self.shared.yard.borrow_mut().choose(self.shared.now(), service, &self.want());
             match chosen {
@@ -264,10 +267,11 @@
                     self.tried.push(choice.id.clone());
                     return Ok(choice);
                 }
-                Err(_) if self.side == Side::Trial && !all_to_trial(self.shared, service) => {
+                Err(_) if self.side == Side::Trial && stage != Some(LAST) => {
                     self.side = Side::Base;
                     self.shared.share(service, Share::give_back);
                 }
+                Err(_) if other => (self.side, other) = (Side::Trial, false),
                 Err(Why::Full) => return Err(self.crossing.no_unit(Kind::Full)),
                 Err(Why::None) => return Err(self.crossing.no_unit(Kind::NoUnit)),
             }
@@ -294,7 +298,8 @@
     /// A second unit beside the one that takes so long, if one has a slot free and the budget a further try.
     fn beside(&mut self) -> Option<Choice> {
         let service = self.task.service();
-        let side = if all_to_trial(self.shared, service) { self.side } else { Side::Base };
+        let stage = stage_of(self.shared, service);
+        let side = if takes_further_tries(stage) { self.side } else { Side::Base };
         let free =
             self.shared.yard.borrow().has_free(self.shared.now(), service, &Want { side, ..self.want() });
         if !free || !self.crossing.has_more() || !self.task.time() || !self.shared.further_try(service) {
@@ -480,24 +485,21 @@
 
 /// Which version a request goes to.
 fn side_of(shared: &Shared, service: &str) -> Side {
-    let orders = shared.orders.borrow();
-    match orders.rollouts.get(service).map(|rollout| rollout.stage) {
-        Some(Stage::Active(stage)) => {
-            let part = share(stage, shared.settings.bounds.canary_share);
-            if shared.share(service, |held| held.take(part)) {
-                Side::Trial
-            } else {
-                Side::Base
-            }
-        }
-        _ => Side::Base,
+    let Some(stage) = stage_of(shared, service) else { return Side::Base };
+    let part = share(stage, shared.settings.bounds.canary_share);
+    if shared.share(service, |held| held.take(part)) {
+        Side::Trial
+    } else {
+        Side::Base
     }
 }
 
-fn all_to_trial(shared: &Shared, service: &str) -> bool {
-    let orders = shared.orders.borrow();
-    let stage = orders.rollouts.get(service).map(|rollout| rollout.stage);
-    matches!(stage, Some(Stage::Active(LAST)))
+/// The stage that a service's rollout is in, if there is one.
+fn stage_of(shared: &Shared, service: &str) -> Option<u8> {
+    match shared.orders.borrow().rollouts.get(service)?.stage {
+        Stage::Active(stage) => Some(stage),
+        _ => None,
+    }
 }
 
 /// Returns once the client has closed its side; bytes of a next request are kept.
