No stage begins on few outcomes that speak against a version: EXPOSURE as a burst comes

Cause: without 30 outcomes a stage began if little seemed at stake and the evidence by the lowest rate was below 2 nats. One failure is 1.8 nats, so the only outcome told may be one. What is at stake is reckoned by the requests that came so far.

Change: `risks_little` asks that nothing speaks against the version, in all its stages.

--- a/crates/beechcroft-ropes/src/conduct.rs
+++ b/crates/beechcroft-ropes/src/conduct.rs
@@ -156,10 +156,12 @@
     /// Whether a bad version could do little harm in the next stage: what it has got, what the next stage would give
     /// it until it is back, and the outcomes that takes stay within what the rule allows for as many requests.
     /// Outcomes that are few are judged by the lowest rate: a rate learned while units are ill excuses what it must not.
+    /// And nothing may speak against the version: how little is at stake is reckoned by the requests that came so far, and
+    /// three times as many may come a second later. One failure of a few outcomes is 1.8 nats.
     fn risks_little(&self, passed: f64) -> bool {
         let Some(before) = self.before else { return false };
         let told = self.asked > 0 || passed >= UNTOLD_STEPS * STEP_PART;
-        if !told || stands(Guard::FewOutcomesByLowestRate) && self.evidence()[1] > CLEAR_NATS {
+        if !told || stands(Guard::FewOutcomesByLowestRate) && self.evidence()[1] > 0.0 {
             return false;
         }
         let before = if stands(Guard::ExposureOfAllStages) { before } else { Before::default() };
