A configuration known to be taken is confirmed without a round

Ruled out: a lost round or a cut (the configuration was in force everywhere); longer pauses, which would only move who is beaten. Change: what this machine knows to be chosen, by version and digest, it confirms at once; all else goes through a round as before.

--- a/crates/beechcroft-hut/src/keeper.rs
+++ b/crates/beechcroft-hut/src/keeper.rs
@@ -329,6 +329,9 @@
                 self.unkept = false;
                 self.votes_again();
             }
+            Command::Order { op, answer, .. } if self.is_known_taken(&op) => {
+                let _ = answer.send(Ok(self.held[CONFIG].clone()));
+            }
             Command::Order { answer, .. } if self.is_over(now) => {
                 let _ = answer.send(Err(Fault::new(Kind::Leaving, "this machine leaves")));
             }
@@ -433,6 +436,14 @@
         self.order_until(register, op, until);
     }
 
+    /// A configuration that is sent again and that this machine knows to be chosen needs no round to say so: what a majority
+    /// has accepted stays taken. So a machine whose rounds always meet those of others confirms it all the same.
+    fn is_known_taken(&self, op: &Op) -> bool {
+        stands(Guard::TakenIsTaken)
+            && matches!(op, Op::Replace { .. })
+            && ConfigStore::decode(&self.held[CONFIG]).is_ok_and(|store| store.has_taken(op))
+    }
+
     /// An order of this machine's own.
     fn order(&mut self, register: usize, op: Op) {
         let until = self.now() + ORDER_MS;
--- a/crates/beechcroft-hutbook/src/state.rs
+++ b/crates/beechcroft-hutbook/src/state.rs
@@ -172,6 +172,11 @@
         bytes::encode(self)
     }
 
+    /// Whether that very configuration has been taken before, as far as the history goes back.
+    pub fn has_taken(&self, op: &Op) -> bool {
+        matches!(op, Op::Replace { version, digest, .. } if self.history.contains(&(*version, *digest)))
+    }
+
     /// Applies an order; whether the store has changed, or why it is refused.
     pub fn apply(&mut self, op: &Op) -> Result<bool, Fault> {
         let Op::Replace { version, base, digest, body } = op else { return Ok(false) };
--- a/crates/beechcroft-railing/src/lib.rs
+++ b/crates/beechcroft-railing/src/lib.rs
@@ -51,6 +51,8 @@
     VotesMeetAnyStage,
     /// A value that cannot be read is not taken for an empty one.
     UnreadableValues,
+    /// What a machine knows to be chosen it confirms without a round.
+    TakenIsTaken,
     // Membership of the quorum.
     /// A voter accepts nothing of a round that stands on a promise of a fenced epoch.
     FencedPromises,
--- a/crates/beechcroft-range/tests/orders.rs
+++ b/crates/beechcroft-range/tests/orders.rs
@@ -363,3 +363,24 @@
     assert_eq!(play(Some(Guard::RepeatWindow)).0, Stage::Active(0));
     assert_eq!(play(Some(Guard::BegunAnew)).1, Stage::Reverted, "confirmed, and never begun");
 }
+
+/// Sends a configuration that was taken, and another body under its number, to a machine that no round of its own can end on.
+async fn again_to_one_alone(hand: Hand) -> (Option<u16>, Option<u16>) {
+    let (taken, other) = (hand.config(2, 1, 0), hand.config(2, 1, 9));
+    assert_eq!(hand.order(0, REPLACE, &taken).await, Some(200));
+    hand.wait(1000).await;
+    hand.happens(cut("core-2", "core", 20.0));
+    hand.wait(4000).await;
+    let status = |heard: Option<(u16, Vec<u8>)>| heard.map(|heard| heard.0);
+    let again = status(hand.call(2, "POST", REPLACE, &taken, 3000).await);
+    (again, status(hand.call(2, "POST", REPLACE, &other, 3000).await))
+}
+
+#[test]
+fn a_machine_whose_rounds_come_to_nothing_confirms_what_it_knows_to_be_taken_and_nothing_else() {
+    let (again, other) = world(3, None, again_to_one_alone);
+    assert_eq!(again, Some(200));
+    assert!(other.is_none_or(|status| status >= 500), "{other:?}");
+    let (again, _) = world(3, Some(Guard::TakenIsTaken), again_to_one_alone);
+    assert_ne!(again, Some(200), "only a round says so");
+}
