--- a/crates/beechcroft-range/src/whole/day.rs
+++ b/crates/beechcroft-range/src/whole/day.rs
@@ -120,6 +120,14 @@
 
 /// Plays a scenario to its end.
 pub fn play(scenario: &Scenario) -> Report {
+    in_world(scenario, run)
+}
+
+/// Plays on a clock of its own, which stands still while anything can go on, with the scenario's guard taken out.
+fn in_world<T, F>(scenario: &Scenario, play: impl FnOnce(Scenario) -> F) -> T
+where
+    F: std::future::Future<Output = T>,
+{
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
         .start_paused(true)
@@ -127,7 +135,7 @@
         .expect("a runtime without sockets");
     let scenario = scenario.clone();
     let _out = beechcroft_railing::without(scenario.without);
-    runtime.block_on(LocalSet::new().run_until(async move { run(scenario).await }))
+    runtime.block_on(LocalSet::new().run_until(async move { play(scenario).await }))
 }
 
 fn zone_name(region: usize, zone: usize) -> String {
--- a/crates/beechcroft-range/src/whole/day/hand.rs
+++ b/crates/beechcroft-range/src/whole/day/hand.rs
@@ -16,14 +16,7 @@
 where
     F: std::future::Future<Output = T>,
 {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()
-        .expect("a runtime without sockets");
-    let scenario = scenario.clone();
-    let _out = beechcroft_railing::without(scenario.without);
-    runtime.block_on(LocalSet::new().run_until(async move { play(Hand(stand(scenario))).await }))
+    in_world(scenario, |scenario| async move { play(Hand(stand(scenario))).await })
 }
 
 impl Hand {
