--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Exit status: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0 leaves out the disruption;
+# TROUBLE=losses leaves out the kill of the successor only.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review/standin-1 ] || { echo "run review/build.sh first" >&2; exit 2; }
+exec target/review/standin-1 review/1/record.txt
