--- a/crates/beechcroft-consensus/src/acceptor.rs
+++ b/crates/beechcroft-consensus/src/acceptor.rs
@@ -4,10 +4,10 @@
 //! only then sends the response.
 
 use crate::encoding::{self, DecodeError};
-use crate::recovery::{RecoveredState, Recovery};
+use crate::recovery::{Installation, RecoveredState, Recovery};
 use crate::{
-    AcceptedValue, Ballot, Epoch, Epochs, NodeId, PerRegister, PromisedValue, Register, RegisterId,
-    ReplicaEpoch, ReplicaId, Request, Response, Value,
+    AcceptedValue, Ballot, Epoch, Epochs, InstalledEpochs, NodeId, PerRegister, PromisedValue,
+    Register, RegisterId, ReplicaEpoch, ReplicaId, Request, Response, Value,
 };
 use beechcroft_safeguards::Safeguard;
 use serde::{Deserialize, Serialize};
@@ -18,6 +18,9 @@
 pub const IDENTITY_KEY: &str = "identity";
 /// The key of the record that holds the identity of this node before it was deposed.
 pub const FORMER_IDENTITY_KEY: &str = "former";
+/// The key of the record that holds the installed epoch of each replica whose latest known epoch is not known to be
+/// installed. A disk without it knows of no such replica.
+pub const UNINSTALLED_KEY: &str = "uninstalled";
 /// The key of the record of each [`Register`].
 pub const REGISTER_KEYS: PerRegister<&str> = PerRegister(["register-0", "register-1"]);
 /// Upper bound of the random distance between the next epochs of two nodes that drew the same epoch.
@@ -71,38 +74,37 @@
     }
 }
 
-/// The state of a node when it was deposed. It is kept until the node holds a replica again, so that the node that
-/// takes over the replica can still fetch it.
+/// The state of a replica that this node does not vote for: it was deposed, or it has yet to install its epoch. The state
+/// is kept until the node holds a replica again, so that another node that takes over the replica can still fetch it.
 #[derive(Clone, Debug)]
 struct FormerReplica {
     identity: ReplicaIdentity,
     registers: PerRegister<Register>,
 }
 
-/// The last change of a replica's known epoch.
-#[derive(Clone, Copy, Debug)]
-struct EpochChange {
-    current: Epoch,
-    previous: Epoch,
-}
-
 /// The acceptor role of a node: holds at most one replica and votes for it.
 ///
 /// # Recovery from a lost disk
 ///
 /// A node whose disk is empty although the system has run before is a learner: it does not vote. It draws an epoch
-/// above all known epochs of its replica and asks the other nodes to fence the former epoch
-/// ([`Acceptor::fence_request`]). It votes again once n - f replicas with intact disks have done so, and it has
-/// adopted the highest promise and the highest accepted value among them ([`Acceptor::on_fence_response`]). Any
-/// majority shares a replica with those n - f. Therefore a round that relies on a promise of the former epoch is
-/// rejected by a member of its own majority, and a value that the former epoch helped to choose is among the
+/// above all known epochs of its replica and asks the other nodes to fence the former epoch. Once n - f replicas with
+/// intact disks have done so, it adopts the highest promise and the highest accepted value among them and writes them
+/// to its disk. Any majority shares a replica with those n - f. Therefore a round that relies on a promise of the former
+/// epoch is rejected by a member of its own majority, and a value that the former epoch helped to choose is among the
 /// collected states.
 ///
+/// Before it votes, it has n - f replicas record that the new epoch is installed ([`Request::Install`]). An epoch that is
+/// only fenced has never voted: the attempt may be given up, repeated by the same node or another, or lost with its
+/// node's disk, and the state of the former holder stays as good as it was.
+///
 /// # Takeover
 ///
 /// A holder that receives a fence request for its own replica stops voting and hands over its state. That state
-/// counts as one of the n - f if none of the other responders knows of an epoch in between. The new holder then
-/// continues from the state of the former one, and f other responses suffice to show that no other node did.
+/// counts as one of the n - f if none of the other responders knows of a later installed epoch: one of any f others
+/// would know. The new holder then continues from the state of the former one, which also records the installation in
+/// place of one of the n - f. A former holder may take its replica back in the same way, from its own state.
+///
+/// [`Acceptor::recovery_request`], [`Acceptor::on_recovery_response`] and [`Acceptor::recovery_stored`] drive both.
 #[derive(Clone, Debug)]
 pub struct Acceptor {
     node: NodeId,
@@ -113,8 +115,11 @@
     /// Invariant: empty while there is no identity, except for the state that a recovery has merged so far.
     registers: PerRegister<Register>,
     former: Option<FormerReplica>,
-    /// The last change of each replica's epoch that this process observed.
-    epoch_changes: BTreeMap<ReplicaId, EpochChange>,
+    /// The installed epoch of each replica whose latest known epoch is not known to be installed. Invariant: lower than
+    /// the latest known epoch.
+    uninstalled: BTreeMap<ReplicaId, Epoch>,
+    /// Whether the record of `uninstalled` is or may be on disk.
+    has_uninstalled_record: bool,
     /// Random per process: see [`Acceptor::new`].
     salt: u64,
     recovery: Option<Recovery>,
@@ -124,6 +129,7 @@
 struct StoredState {
     identity: Option<ReplicaIdentity>,
     former: Option<ReplicaIdentity>,
+    uninstalled: Option<BTreeMap<ReplicaId, Epoch>>,
     registers: PerRegister<Register>,
     unreadable: Vec<UnreadableRecord>,
 }
@@ -133,6 +139,9 @@
         let mut unreadable = Vec::new();
         let identity = read_identity(table, IDENTITY_KEY, &mut unreadable);
         let former = read_identity(table, FORMER_IDENTITY_KEY, &mut unreadable);
+        let uninstalled = table.get(UNINSTALLED_KEY);
+        let uninstalled =
+            uninstalled.and_then(|bytes| read_record(UNINSTALLED_KEY, bytes, &mut unreadable));
         let registers = REGISTER_KEYS.0.map(|key| {
             let stored = table.get(key);
             stored
@@ -142,6 +151,7 @@
         StoredState {
             identity,
             former,
+            uninstalled,
             registers: PerRegister(registers),
             unreadable,
         }
@@ -193,6 +203,7 @@
         let StoredState {
             identity,
             former,
+            uninstalled,
             registers,
             unreadable,
         } = StoredState::read(table);
@@ -217,7 +228,8 @@
             unreadable,
             registers,
             former,
-            epoch_changes: BTreeMap::new(),
+            has_uninstalled_record: uninstalled.is_some(),
+            uninstalled: uninstalled.unwrap_or_default(),
             salt,
             recovery: None,
         }
@@ -276,9 +288,16 @@
             .collect();
         records.push((IDENTITY_KEY.to_owned(), identity));
         records.push((FORMER_IDENTITY_KEY.to_owned(), former));
+        records.extend(self.uninstalled_record());
         records
     }
 
+    /// The record of the epochs that are not known to be installed, unless there are none and there were none before.
+    fn uninstalled_record(&self) -> Option<Record> {
+        let is_needed = self.has_uninstalled_record || !self.uninstalled.is_empty();
+        is_needed.then(|| record(UNINSTALLED_KEY, &self.uninstalled))
+    }
+
     /// Initializes the acceptor at the first start of the whole system: the node holds the replica named after it.
     /// Returns the records to sync.
     pub fn bootstrap(&mut self, replicas: Vec<ReplicaId>) -> Records {
@@ -295,87 +314,299 @@
         records
     }
 
-    /// The request that a learner sends to all other nodes, to recover its own replica after a lost disk or to take
-    /// over the replica of a node that is permanently lost. `None` if this node holds a replica.
-    pub fn fence_request(&mut self, replica: &str) -> Option<Request> {
-        if self.identity.is_some() {
+    /// The replica whose state this node keeps for other nodes, because it knows of no later epoch to be installed. It
+    /// must take over no other replica meanwhile.
+    pub fn retained_replica(&self) -> Option<&ReplicaId> {
+        let former = &self.former.as_ref()?.identity;
+        let is_superseded = self.installed_epoch(&former.replica) > former.epoch;
+        (!is_superseded).then_some(&former.replica)
+    }
+
+    /// The epochs that this node knows of, as the holder or the former holder of a replica.
+    fn known_epochs_of_replicas(&self) -> Option<&Epochs> {
+        let identity = self.identity.as_ref().or(self.former_identity())?;
+        Some(&identity.epochs)
+    }
+
+    /// The latest epoch of a replica that this node knows to be installed.
+    fn installed_epoch(&self, replica: &str) -> Epoch {
+        let latest = || {
+            let epochs = self.known_epochs_of_replicas();
+            epochs.map_or(Epoch::default(), |epochs| epochs.latest(replica))
+        };
+        let uninstalled = self.uninstalled.get(replica).copied();
+        uninstalled.unwrap_or_else(latest)
+    }
+
+    /// The latest installed epoch of each replica that this node knows of.
+    fn installed_epochs(&self) -> InstalledEpochs {
+        let epochs = self.known_epochs_of_replicas();
+        let replicas = epochs.into_iter().flat_map(Epochs::iter);
+        replicas
+            .map(|(replica, _)| (replica.clone(), self.installed_epoch(replica)))
+            .collect()
+    }
+
+    /// Records that an epoch of a replica is installed. Returns whether that was new.
+    fn record_installed(&mut self, replica: &str, epoch: Epoch) -> bool {
+        let latest = self
+            .known_epochs_of_replicas()
+            .map_or(Epoch::default(), |epochs| epochs.latest(replica));
+        let Some(installed) = self.uninstalled.get_mut(replica) else {
+            return false;
+        };
+        if epoch <= *installed {
+            return false;
+        }
+        *installed = epoch;
+        if epoch >= latest {
+            self.uninstalled.remove(replica);
+        }
+        true
+    }
+
+    /// Records the installed epochs among `epochs` where the latest known epoch is a later one.
+    fn record_uninstalled(&mut self, before: &Epochs) {
+        let epochs = self.known_epochs_of_replicas();
+        let replicas: Vec<(ReplicaId, Epoch)> = epochs
+            .into_iter()
+            .flat_map(Epochs::iter)
+            .map(|(replica, holder)| (replica.clone(), holder.epoch))
+            .collect();
+        for (replica, latest) in replicas {
+            let installed = before.latest(&replica);
+            if installed < latest {
+                self.uninstalled.entry(replica).or_insert(installed);
+            }
+        }
+        self.has_uninstalled_record |= !self.uninstalled.is_empty();
+    }
+
+    /// The request that a learner sends to all other nodes now, to recover its own replica after a lost disk or to take
+    /// over the replica of a node that is gone. Repeated until this node holds the replica.
+    ///
+    /// `None` if this node holds a replica, keeps the state of another one ([`Acceptor::retained_replica`]), or has yet
+    /// to store what it recovered.
+    pub fn recovery_request(&mut self, replica: &str) -> Option<Request> {
+        let is_retaining = self.retained_replica().is_some_and(|kept| kept != replica);
+        if self.identity.is_some() || is_retaining {
             return None;
         }
-        if self
-            .recovery
-            .as_ref()
-            .is_none_or(|recovery| recovery.replica != replica)
-        {
-            let epoch = Epoch(2 + (self.salt >> 2));
-            self.recovery = Some(Recovery::new(replica, epoch));
+        let recovery = self.recovery.take();
+        let mut recovery = match recovery.filter(|recovery| recovery.replica == replica) {
+            Some(recovery) => recovery,
+            None => {
+                let epochs = self.known_epochs_of_replicas();
+                let latest = epochs.map_or(Epoch::default(), |epochs| epochs.latest(replica));
+                let drawn = Epoch(2 + (self.salt >> 2));
+                let is_above = drawn > latest;
+                let epoch = if is_above {
+                    drawn
+                } else {
+                    self.epoch_above(latest)
+                };
+                Recovery::new(replica, epoch)
+            }
+        };
+        if let Some(installation) = &mut recovery.installation {
+            if installation.is_stored && !installation.try_again() {
+                recovery = Recovery::new(replica, self.epoch_above(recovery.epoch));
+            }
+        }
+        let recovery = self.recovery.insert(recovery);
+        let (replica, epoch, holder) =
+            (recovery.replica.clone(), recovery.epoch, self.node.clone());
+        match &recovery.installation {
+            None => Some(Request::Fence {
+                replica,
+                epoch,
+                holder,
+            }),
+            Some(installation) if installation.is_stored => Some(Request::Install {
+                replica,
+                epoch,
+                holder,
+            }),
+            Some(_) => None,
         }
-        let recovery = self.recovery.as_ref()?;
-        Some(Request::Fence {
-            replica: recovery.replica.clone(),
-            epoch: recovery.epoch,
-            holder: self.node.clone(),
-        })
     }
 
-    /// Handles the response to a fence request for `requested_epoch`. Once enough replicas have responded, this node
-    /// holds the replica; returns the records that must be synced before it votes.
-    pub fn on_fence_response(
+    /// An epoch above another one, at a distance that depends on the salt, so that two nodes that drew the same epoch do
+    /// not collide again.
+    fn epoch_above(&self, epoch: Epoch) -> Epoch {
+        Epoch(epoch.0 + 1 + self.salt % EPOCH_JITTER)
+    }
+
+    /// Handles the response to a recovery request for `requested_epoch`. Returns records to sync; once they are on disk,
+    /// [`Acceptor::recovery_stored`] must be called. With the last of them, this node holds the replica and may vote.
+    pub fn on_recovery_response(
         &mut self,
         requested_epoch: Epoch,
         response: Response,
     ) -> Option<Records> {
-        let Response::ReplicaState {
-            sender,
-            previous,
-            replicas,
-            epochs,
-            registers,
-        } = response
+        let recovery = self.recovery.as_ref()?;
+        let (replica, epoch) = (recovery.replica.clone(), recovery.epoch);
+        let (Response::ReplicaState { epochs, .. }
+        | Response::Installed { epochs, .. }
+        | Response::KnownEpochs { epochs, .. }) = &response
         else {
             return None;
         };
-        let recovery = self.recovery.as_mut()?;
-        let known = epochs.get(&recovery.replica)?;
+        let known = epochs.get(&replica)?;
         let is_anothers = known.node != self.node && Safeguard::SingleSuccessor.is_enabled();
-        if known.epoch > recovery.epoch || known.epoch == recovery.epoch && is_anothers {
-            // Others know of a later epoch, or another node has drawn the same one: start again above it, at a distance
-            // that depends on the salt, so that the two nodes do not collide again.
-            let epoch = Epoch(known.epoch.0 + 1 + self.salt % EPOCH_JITTER);
-            *recovery = Recovery::new(&recovery.replica, epoch);
+        let local_epochs = self.known_epochs_of_replicas();
+        let local = local_epochs.map_or(Epoch::default(), |epochs| epochs.latest(&replica));
+        let latest = known.epoch.max(local);
+        if latest > epoch || known.epoch == epoch && is_anothers {
+            // A later epoch is fenced, or another node has drawn the same one: start again above it.
+            self.recovery = Some(Recovery::new(&replica, self.epoch_above(latest)));
             return None;
         }
-        if requested_epoch != recovery.epoch || !replicas.contains(&recovery.replica) {
+        if requested_epoch != epoch {
             return None;
         }
-        if !Safeguard::MergedEpochs.is_enabled() {
-            recovery.epochs.clear();
+        match response {
+            Response::ReplicaState {
+                sender,
+                installed,
+                replicas,
+                epochs,
+                registers,
+            } => {
+                let state = RecoveredState {
+                    epoch: sender.epoch,
+                    installed,
+                    registers,
+                };
+                self.on_replica_state(sender.replica, state, replicas, &epochs)
+            }
+            Response::Installed {
+                sender,
+                epochs,
+                installed,
+            } => self.on_installed(sender, &epochs, &installed),
+            _ => None,
         }
-        recovery.epochs.merge(&epochs);
-        let state = RecoveredState {
-            epoch: sender.epoch,
-            previous,
-            registers,
+    }
+
+    /// Records the state of a responder to a fence request. Once there are enough, this node keeps the merged state as
+    /// that of a replica that it does not vote for yet.
+    fn on_replica_state(
+        &mut self,
+        sender: ReplicaId,
+        state: RecoveredState,
+        replicas: Vec<ReplicaId>,
+        epochs: &Epochs,
+    ) -> Option<Records> {
+        let required = replicas.len() - self.tolerated_losses;
+        let local = self.local_state();
+        let recovery = self.recovery.as_mut()?;
+        if recovery.installation.is_some() || !replicas.contains(&recovery.replica) {
+            return None;
+        }
+        recovery.merge_epochs(epochs);
+        recovery.record_state(sender, state);
+        let sufficient = recovery.sufficient_states(required, local.as_ref())?;
+        let (holder, installed) = (sufficient.holder, sufficient.installed);
+        let mut registers = PerRegister::default();
+        for state in sufficient.states {
+            merge_registers(&mut registers, &state.registers);
+        }
+        let is_local_holder = holder.is_some() && holder == local.map(|state| state.epoch);
+        recovery.installation = Some(Installation::new(holder, is_local_holder));
+        let mut identity = ReplicaIdentity {
+            replica: recovery.replica.clone(),
+            epoch: recovery.epoch,
+            replicas,
+            epochs: recovery.epochs.clone(),
         };
-        recovery.record(sender.replica, state);
-        for state in recovery.sufficient_states(replicas.len() - self.tolerated_losses)? {
-            merge_registers(&mut self.registers, &state.registers);
+        if let Some(former) = &self.former {
+            identity.epochs.merge(&former.identity.epochs);
         }
+        let replica = identity.replica.clone();
+        self.former = Some(FormerReplica {
+            identity,
+            registers,
+        });
+        self.uninstalled.remove(&replica);
+        if !is_local_holder {
+            self.uninstalled.insert(replica, installed);
+            self.has_uninstalled_record = true;
+        }
+        Some(self.records())
+    }
+
+    /// The state of this node, if it is a former holder of the replica that it recovers.
+    fn local_state(&self) -> Option<RecoveredState> {
+        let replica = &self.recovery.as_ref()?.replica;
+        let former = self.former.as_ref()?;
+        (former.identity.replica == *replica).then(|| RecoveredState {
+            epoch: former.identity.epoch,
+            installed: Some(self.installed_epoch(replica)),
+            registers: former.registers.clone(),
+        })
+    }
+
+    /// The epoch in which this node is to hold a replica, while it recovers it or takes it over.
+    pub fn recovery_epoch(&self) -> Option<Epoch> {
+        self.recovery.as_ref().map(|recovery| recovery.epoch)
+    }
+
+    /// The records of the last response are on disk. Requests that rely on them may be sent from now on.
+    pub fn recovery_stored(&mut self) {
+        let installation = self.recovery.as_mut().and_then(|r| r.installation.as_mut());
+        if let Some(installation) = installation {
+            installation.is_stored = true;
+        }
+    }
+
+    /// Records that a responder has recorded the installation of this node's epoch. Once enough have, this node holds
+    /// the replica.
+    fn on_installed(
+        &mut self,
+        sender: ReplicaEpoch,
+        epochs: &Epochs,
+        installed: &InstalledEpochs,
+    ) -> Option<Records> {
+        let recovery = self.recovery.as_mut()?;
+        recovery.merge_epochs(epochs);
+        let replicas = &self.former.as_ref()?.identity.replicas;
+        let required = replicas.len() - self.tolerated_losses;
+        if !recovery.record_installed(sender, installed, required) {
+            return None;
+        }
+        let FormerReplica {
+            mut identity,
+            registers,
+        } = self.former.take()?;
         let Recovery {
             replica,
             epoch,
             epochs,
+            installation,
             ..
         } = self.recovery.take()?;
-        self.identity = Some(ReplicaIdentity {
-            replica,
-            epoch,
-            replicas,
-            epochs,
-        });
-        self.former = None;
+        identity.epochs.merge(&epochs);
+        self.identity = Some(identity);
+        self.registers = registers;
+        let mut installed = installation?.installed;
+        installed.record(&replica, epoch);
+        self.uninstalled = self.uninstalled_among(&installed);
+        self.has_uninstalled_record |= !self.uninstalled.is_empty();
         Some(self.records())
     }
 
+    /// The replicas whose latest known epoch is later than the installed one.
+    fn uninstalled_among(&self, installed: &InstalledEpochs) -> BTreeMap<ReplicaId, Epoch> {
+        let epochs = self.known_epochs_of_replicas();
+        let replicas = epochs.into_iter().flat_map(Epochs::iter);
+        let installed = |replica: &ReplicaId| installed.get(replica).unwrap_or_default();
+        replicas
+            .filter(|(replica, holder)| installed(replica) < holder.epoch)
+            .map(|(replica, _)| (replica.clone(), installed(replica)))
+            .collect()
+    }
+
     /// Merges the epochs known to another node. If this node's replica has a later epoch, the node is deposed and
     /// stops voting. Returns the records to sync if any epoch was new.
     pub fn merge_epochs(&mut self, epochs: &Epochs) -> Option<Records> {
@@ -388,13 +619,7 @@
         if !identity.epochs.merge(epochs) {
             return None;
         }
-        for (replica, holder) in identity.epochs.iter() {
-            let (current, previous) = (holder.epoch, before.latest(replica));
-            if previous < current {
-                self.epoch_changes
-                    .insert(replica.clone(), EpochChange { current, previous });
-            }
-        }
+        self.record_uninstalled(&before);
         (!is_deposed).then(|| self.identity_records())
     }
 
@@ -408,7 +633,13 @@
             });
         }
         match &self.identity {
-            Some(identity) => vec![record(IDENTITY_KEY, identity)],
+            Some(identity) => {
+                let identity = record(IDENTITY_KEY, identity);
+                [identity]
+                    .into_iter()
+                    .chain(self.uninstalled_record())
+                    .collect()
+            }
             None => self.records(),
         }
     }
@@ -444,10 +675,20 @@
                 epoch,
                 holder,
             } => self.on_fence(replica, epoch, holder),
-            Request::AnnounceEpochs { epochs, .. } => {
-                let records = self.merge_epochs(&epochs).unwrap_or_default();
+            Request::AnnounceEpochs { sender, epochs } => {
+                let mut records = self.merge_epochs(&epochs).unwrap_or_default();
+                // Only a node that votes names its replica.
+                if sender.is_some_and(|sender| self.record_installed(&sender.replica, sender.epoch))
+                {
+                    records = self.identity_records();
+                }
                 (self.known_epochs(), records)
             }
+            Request::Install {
+                replica,
+                epoch,
+                holder,
+            } => self.on_install(replica, epoch, holder),
         }
     }
 
@@ -522,18 +763,10 @@
         epoch: Epoch,
         holder: NodeId,
     ) -> (Response, Records) {
-        let is_former = self
-            .former_identity()
-            .is_some_and(|held| held.replica == replica);
-        if !self.replicas().contains(&replica) && !is_former {
+        if !self.knows_replica(&replica) {
             return (self.known_epochs(), Vec::new());
         }
-        let fence = crate::Holder {
-            epoch,
-            node: holder,
-        };
-        self.merge_epochs(&Epochs::from_iter([(replica.clone(), fence)]));
-        let records = self.identity_records();
+        let records = self.fence(&replica, epoch, holder);
         let (identity, registers) = match (&self.identity, &self.former) {
             (Some(identity), _) => (identity, &self.registers),
             (None, Some(former)) if former.identity.replica == replica => {
@@ -541,14 +774,9 @@
             }
             _ => return (Response::Learner, Vec::new()),
         };
-        let current = identity.epochs.latest(&replica);
-        let change = self
-            .epoch_changes
-            .get(&replica)
-            .filter(|change| change.current == current);
         let response = Response::ReplicaState {
             sender: identity.replica_epoch(),
-            previous: change.map(|change| change.previous),
+            installed: Some(self.installed_epoch(&replica)),
             replicas: identity.replicas.clone(),
             epochs: identity.epochs.clone(),
             registers: registers.clone(),
@@ -556,6 +784,67 @@
         (response, records)
     }
 
+    /// Records that an epoch is installed, unless a later one is fenced or another node has drawn the same one.
+    ///
+    /// A node that was deposed responds for its former replica until it knows of the successor's epoch to be installed:
+    /// the successor learns from it what it has recorded.
+    fn on_install(
+        &mut self,
+        replica: ReplicaId,
+        epoch: Epoch,
+        holder: NodeId,
+    ) -> (Response, Records) {
+        if !self.knows_replica(&replica) && !self.responds_for_former_replica() {
+            return (self.known_epochs(), Vec::new());
+        }
+        self.fence(&replica, epoch, holder.clone());
+        let Some(identity) = self.identity.as_ref().or(self.former_identity()) else {
+            return (Response::Learner, Vec::new());
+        };
+        let sender = identity.replica_epoch();
+        let epochs = identity.epochs.clone();
+        let is_later = epochs.latest(&replica) > epoch;
+        let is_anothers =
+            epochs.holder(&replica) != holder && Safeguard::SingleSuccessor.is_enabled();
+        if is_later || is_anothers {
+            let response = Response::KnownEpochs {
+                replicas: identity.replicas.clone(),
+                epochs,
+            };
+            return (response, self.identity_records());
+        }
+        self.record_installed(&replica, epoch);
+        let response = Response::Installed {
+            sender,
+            epochs,
+            installed: self.installed_epochs(),
+        };
+        (response, self.identity_records())
+    }
+
+    /// Whether this node voted for its former replica, and knows of no later epoch of it to be installed.
+    fn responds_for_former_replica(&self) -> bool {
+        self.former_identity()
+            .is_some_and(|former| self.installed_epoch(&former.replica) == former.epoch)
+    }
+
+    /// Whether this node can fence a replica: it holds another one, or is a holder of this one.
+    fn knows_replica(&self, replica: &ReplicaId) -> bool {
+        let former = self.former_identity();
+        let is_former = former.is_some_and(|former| former.replica == *replica);
+        self.replicas().contains(replica) || is_former
+    }
+
+    /// Fences the earlier epochs of a replica. Returns the records to sync.
+    fn fence(&mut self, replica: &ReplicaId, epoch: Epoch, holder: NodeId) -> Records {
+        let fence = crate::Holder {
+            epoch,
+            node: holder,
+        };
+        self.merge_epochs(&Epochs::from_iter([(replica.clone(), fence)]));
+        self.identity_records()
+    }
+
     fn known_epochs(&self) -> Response {
         match &self.identity {
             Some(identity) => Response::KnownEpochs {
--- a/crates/beechcroft-consensus/src/epoch.rs
+++ b/crates/beechcroft-consensus/src/epoch.rs
@@ -114,3 +114,38 @@
         Epochs(holders.into_iter().collect())
     }
 }
+
+/// The latest epoch of each replica that is known to be installed: recorded by a quorum before its holder votes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstalledEpochs(BTreeMap<ReplicaId, Epoch>);
+
+impl InstalledEpochs {
+    /// Creates an empty map, without any replica.
+    pub fn new() -> InstalledEpochs {
+        InstalledEpochs::default()
+    }
+
+    /// The latest installed epoch of a replica, if one is known.
+    pub fn get(&self, replica: &str) -> Option<Epoch> {
+        self.0.get(replica).copied()
+    }
+
+    /// Records that an epoch is installed, unless a later one is known.
+    pub fn record(&mut self, replica: &str, epoch: Epoch) {
+        let known = self.0.entry(replica.to_owned()).or_default();
+        *known = epoch.max(*known);
+    }
+
+    /// Merges the installed epochs known to another node.
+    pub fn merge(&mut self, other: &InstalledEpochs) {
+        for (replica, epoch) in &other.0 {
+            self.record(replica, *epoch);
+        }
+    }
+}
+
+impl FromIterator<(ReplicaId, Epoch)> for InstalledEpochs {
+    fn from_iter<I: IntoIterator<Item = (ReplicaId, Epoch)>>(epochs: I) -> InstalledEpochs {
+        InstalledEpochs(epochs.into_iter().collect())
+    }
+}
--- a/crates/beechcroft-consensus/src/lib.rs
+++ b/crates/beechcroft-consensus/src/lib.rs
@@ -41,10 +41,10 @@
 
 pub use acceptor::{
     Acceptor, Record, Records, ReplicaIdentity, UnreadableRecord, FORMER_IDENTITY_KEY,
-    IDENTITY_KEY, REGISTER_KEYS,
+    IDENTITY_KEY, REGISTER_KEYS, UNINSTALLED_KEY,
 };
 pub use config_store::ConfigStore;
-pub use epoch::{Epoch, Epochs, Holder, ReplicaEpoch};
+pub use epoch::{Epoch, Epochs, Holder, InstalledEpochs, ReplicaEpoch};
 pub use message::{PromisedValue, Request, Response};
 pub use operation::{Digest, Operation};
 pub use operations_state::{Admission, OperationsState, Placement, Rollout, Stage};
--- a/crates/beechcroft-consensus/src/message.rs
+++ b/crates/beechcroft-consensus/src/message.rs
@@ -4,7 +4,7 @@
 //! format. `beechcroft-control/tests/compatibility` pins it.
 
 use crate::register::{Ballot, PerRegister, Register, RegisterId, Value};
-use crate::{Epoch, Epochs, NodeId, ReplicaEpoch, ReplicaId};
+use crate::{Epoch, Epochs, InstalledEpochs, NodeId, ReplicaEpoch, ReplicaId};
 use serde::{Deserialize, Serialize};
 
 /// A request to an acceptor.
@@ -57,6 +57,16 @@
         /// The epochs that the sender knows of.
         epochs: Epochs,
     },
+    /// Record that an epoch of a replica is installed. Its holder has the state of the replica on disk, and votes once
+    /// enough nodes have recorded this.
+    Install {
+        /// The replica whose epoch is installed.
+        replica: ReplicaId,
+        /// The epoch that was fenced for before.
+        epoch: Epoch,
+        /// The node that holds the replica in this epoch.
+        holder: NodeId,
+    },
 }
 
 impl Request {
@@ -72,7 +82,9 @@
             | Request::Confirm {
                 register, ballot, ..
             } => Some((*register, *ballot)),
-            Request::Fence { .. } | Request::AnnounceEpochs { .. } => None,
+            Request::Fence { .. } | Request::AnnounceEpochs { .. } | Request::Install { .. } => {
+                None
+            }
         }
     }
 }
@@ -118,9 +130,9 @@
     ReplicaState {
         /// The replica that the responder holds, and its epoch.
         sender: ReplicaEpoch,
-        /// The latest epoch of the fenced replica that the responder knew of before this fence; `None` if that is no
-        /// longer known, as after a restart.
-        previous: Option<Epoch>,
+        /// The latest epoch of the fenced replica that the responder knows to be installed. Earlier releases sent `None`
+        /// if they did not know, as after a restart.
+        installed: Option<Epoch>,
         /// All replicas of the system.
         replicas: Vec<ReplicaId>,
         /// The epochs that the responder knows of.
@@ -130,11 +142,20 @@
     },
     /// The responder holds no replica, so it does not vote.
     Learner,
-    /// The response to [`Request::AnnounceEpochs`].
+    /// The response to [`Request::AnnounceEpochs`], and to [`Request::Install`] of an epoch that is already fenced.
     KnownEpochs {
         /// All replicas of the system.
         replicas: Vec<ReplicaId>,
         /// The epochs that the responder knows of.
         epochs: Epochs,
     },
+    /// The responder has recorded that the epoch is installed: the response to [`Request::Install`].
+    Installed {
+        /// The replica that the responder holds, or held until it was fenced, and its epoch.
+        sender: ReplicaEpoch,
+        /// The epochs that the responder knows of.
+        epochs: Epochs,
+        /// The installed epochs that the responder knows of.
+        installed: InstalledEpochs,
+    },
 }
--- a/crates/beechcroft-control/src/disk.rs
+++ b/crates/beechcroft-control/src/disk.rs
@@ -1,7 +1,9 @@
 //! The disk writer: a thread that owns the data folder, writes all waiting records with one sync, and reports when they
 //! are stored.
 
-use beechcroft_consensus::{Records, FORMER_IDENTITY_KEY, IDENTITY_KEY, REGISTER_KEYS};
+use beechcroft_consensus::{
+    Records, FORMER_IDENTITY_KEY, IDENTITY_KEY, REGISTER_KEYS, UNINSTALLED_KEY,
+};
 use beechcroft_safeguards::Safeguard;
 use beechcroft_storage::{RecordStore, Table};
 use std::future::Future;
@@ -13,7 +15,12 @@
 use tokio::sync::oneshot;
 
 /// Keys of the records without which a replica must not vote.
-const REPLICA_RECORDS: [&str; 3] = [IDENTITY_KEY, REGISTER_KEYS.0[0], REGISTER_KEYS.0[1]];
+const REPLICA_RECORDS: [&str; 4] = [
+    IDENTITY_KEY,
+    REGISTER_KEYS.0[0],
+    REGISTER_KEYS.0[1],
+    UNINSTALLED_KEY,
+];
 
 /// Removes corrupt records, so that the rest of the table is safe to use. Returns whether the disk counts as lost.
 ///
--- a/crates/beechcroft-control/src/state_owner.rs
+++ b/crates/beechcroft-control/src/state_owner.rs
@@ -223,7 +223,9 @@
             } => {
                 self.on_consensus_response(from, register, ballot, response);
             }
-            Command::FenceResponse { epoch, response } => self.on_fence_response(epoch, response),
+            Command::RecoveryResponse { epoch, response } => {
+                self.on_recovery_response(epoch, response)
+            }
             Command::EpochsAnnounced {
                 to,
                 epochs,
@@ -232,7 +234,7 @@
                 self.on_epochs_announced(to, epochs, response);
             }
             Command::IdentityStored => self.on_identity_stored(),
-            Command::IdentityNotStored => self.store_identity(),
+            Command::IdentityNotStored => self.on_identity_not_stored(),
             Command::Propose {
                 register,
                 operation,
--- a/crates/beechcroft-control/src/state_owner/command.rs
+++ b/crates/beechcroft-control/src/state_owner/command.rs
@@ -67,9 +67,9 @@
         /// Response of the replica's holder.
         response: Response,
     },
-    /// A control node has responded to a fence of this node.
-    FenceResponse {
-        /// Epoch that the fence requested.
+    /// A control node has responded to a request for this node's recovery or takeover of a replica.
+    RecoveryResponse {
+        /// Epoch that the request named.
         epoch: Epoch,
         /// Response of the control node.
         response: Response,
@@ -83,9 +83,9 @@
         /// Response of the control node.
         response: Response,
     },
-    /// The identity of this node's replica is on disk.
+    /// The identity of this node's replica, or of the one that it is to hold, is on disk.
     IdentityStored,
-    /// The identity of this node's replica could not be written.
+    /// The identity could not be written.
     IdentityNotStored,
     /// Proposes an operation.
     Propose {
--- a/crates/beechcroft-control/src/state_owner/membership.rs
+++ b/crates/beechcroft-control/src/state_owner/membership.rs
@@ -53,17 +53,19 @@
 /// State of this node as the holder of a replica, or as a node that waits for one.
 #[derive(Default)]
 pub(super) struct Membership {
-    /// Whether the identity of the replica is on disk and in force.
+    /// Whether this node holds a replica whose epoch is installed, and takes part in rounds.
     is_voting: bool,
-    /// Whether the write of the identity is still pending. Until it is on disk, each response is sent only after a
-    /// write that includes the identity.
-    is_identity_pending: bool,
+    /// Number of writes of the identity that are still pending. Until the last is on disk, each response is sent only
+    /// after a write that includes the identity.
+    pending_identity_writes: usize,
     known_replicas: Option<KnownReplicas>,
     /// Time of the last request for the holders of all replicas.
     holders_requested_at: u64,
     /// Replicas whose nodes are down or shutting down, with the time at which this node noticed.
     vacant: BTreeMap<ReplicaId, u64>,
     next_fence_at: u64,
+    /// Epoch of the latest attempt to recover or take over a replica.
+    recovery_epoch: Option<Epoch>,
     /// Epochs that each control node has confirmed to know.
     announced_to: BTreeMap<String, Epochs>,
     next_announcement_at: u64,
@@ -79,7 +81,7 @@
 impl Membership {
     /// Whether no write of the identity is pending.
     pub(super) fn is_identity_stored(&self) -> bool {
-        !self.is_identity_pending
+        self.pending_identity_writes == 0
     }
 
     /// The replicas and their holders, as learned while this node holds no replica.
@@ -146,8 +148,8 @@
 
     /// Writes the identity with all records of the replica. A retry after a failed write stores the records that the
     /// replica holds by then.
-    pub(super) fn store_identity(&mut self) {
-        self.membership.is_identity_pending = true;
+    fn store_identity(&mut self) {
+        self.membership.pending_identity_writes += 1;
         let (disk, queue, records) = (
             self.disk.clone(),
             self.queue.clone(),
@@ -164,8 +166,22 @@
     }
 
     pub(super) fn on_identity_stored(&mut self) {
-        self.membership.is_identity_pending = false;
+        self.membership.pending_identity_writes -= 1;
+        if !self.membership.is_identity_stored() {
+            return;
+        }
+        self.acceptor.recovery_stored();
         self.start_voting();
+        if self.acceptor.identity().is_none() {
+            // The next phase of a recovery waits for the disk.
+            self.membership.next_fence_at = 0;
+            self.acquire_replica(self.now());
+        }
+    }
+
+    pub(super) fn on_identity_not_stored(&mut self) {
+        self.membership.pending_identity_writes -= 1;
+        self.store_identity();
     }
 
     /// Merges the epochs that another node knows of. They may show that this node's replica was taken over.
@@ -236,12 +252,11 @@
     }
 
     /// Announces the known epochs to each control node until that node has confirmed them. A node that was isolated
-    /// while its replica was taken over must learn of that before its votes are relied on.
+    /// while its replica was taken over must learn of that before its votes are relied on. A former holder may exit once
+    /// it hears of its successor, so the successor's identity must be on disk.
     pub(super) fn announce_epochs(&mut self, now: u64) {
-        let identity = self
-            .acceptor
-            .identity()
-            .filter(|_| self.membership.is_voting);
+        let is_announcing = self.membership.is_voting && self.membership.is_identity_stored();
+        let identity = self.acceptor.identity().filter(|_| is_announcing);
         let Some(identity) = identity else { return };
         if now < self.membership.next_announcement_at || !Safeguard::EpochsAnnounced.is_enabled() {
             return;
@@ -322,7 +337,7 @@
         }
     }
 
-    /// Fences the replica that this node is to hold, if there is one.
+    /// Fences the replica that this node is to hold, if there is one, and has its epoch installed.
     fn take_over_replica(&mut self, now: u64, others: Vec<String>) {
         // Holders may change while this node waits, so it asks again.
         let is_due = now >= self.membership.holders_requested_at + HOLDERS_INTERVAL_MS;
@@ -333,17 +348,21 @@
         let Some(replica) = self.replica_to_take_over(now) else {
             return;
         };
-        let Some(request) = self.acceptor.fence_request(&replica) else {
+        let Some(request) = self.acceptor.recovery_request(&replica) else {
             return;
         };
-        let Request::Fence { epoch, .. } = request else {
+        let (Request::Fence { epoch, .. } | Request::Install { epoch, .. }) = request else {
             return;
         };
+        if self.membership.recovery_epoch != Some(epoch) {
+            log::info!("state: This node fences replica {replica} in epoch {epoch}.");
+            self.membership.recovery_epoch = Some(epoch);
+        }
         let bytes = postcard::to_stdvec(&request).expect("plain data has an encoding");
         for node in others {
             let queue = self.queue.clone();
             self.send_consensus(&node, bytes.clone(), move |response| {
-                let _ = queue.send(Command::FenceResponse { epoch, response });
+                let _ = queue.send(Command::RecoveryResponse { epoch, response });
             });
         }
     }
@@ -356,11 +375,11 @@
         let local = &self.gossip.local().name;
         let known = self.membership.known_replicas.as_ref()?;
         let holder = |replica: &str| known.epochs.holder(replica);
-        if let Some(own) = known
-            .replicas
-            .iter()
-            .find(|replica| holder(replica) == *local)
-        {
+        // A node that keeps the state of a replica takes over no other one, which would overwrite it.
+        let retained = self.acceptor.retained_replica();
+        let may_hold = |replica: &&ReplicaId| retained.is_none_or(|retained| retained == *replica);
+        let mut candidates = known.replicas.iter().filter(may_hold);
+        if let Some(own) = candidates.find(|replica| holder(replica) == *local) {
             return Some(own.clone());
         }
         // Without quorum contact, this node cannot tell which other nodes are down.
@@ -387,7 +406,10 @@
         for replica in known.replicas.iter().filter(is_vacant) {
             vacant.entry(replica.clone()).or_insert(now);
         }
-        let (replica, since) = vacant.iter().nth(rank)?;
+        let (replica, since) = match retained {
+            Some(retained) => vacant.get_key_value(retained)?,
+            None => vacant.iter().nth(rank)?,
+        };
         // A node that is shutting down on request will not be back soon; one that is down may be.
         let member = self.gossip.member(&holder(replica));
         let is_leaving = member.is_some_and(|member| member.state == MemberState::Leaving);
@@ -400,16 +422,29 @@
         (now >= *since + delay_ms).then(|| replica.clone())
     }
 
-    /// Handles the response of a control node to a fence of this node.
-    pub(super) fn on_fence_response(&mut self, epoch: Epoch, response: Response) {
-        if let (Response::ReplicaState { epochs, .. }, Some(known)) =
-            (&response, &mut self.membership.known_replicas)
+    /// Handles the response of a control node to a request for the recovery or takeover of a replica by this node.
+    pub(super) fn on_recovery_response(&mut self, epoch: Epoch, response: Response) {
+        if let (
+            Response::ReplicaState { epochs, .. }
+            | Response::Installed { epochs, .. }
+            | Response::KnownEpochs { epochs, .. },
+            Some(known),
+        ) = (&response, &mut self.membership.known_replicas)
         {
             known.epochs.merge(epochs);
         }
-        if self.acceptor.on_fence_response(epoch, response).is_some() {
+        let records = self.acceptor.on_recovery_response(epoch, response);
+        if records.is_none() {
+            return;
+        }
+        self.store_identity();
+        if self.acceptor.identity().is_some() {
             log::info!("state: The replica is recovered; this node votes again.");
-            self.store_identity();
+            self.start_voting();
+        } else {
+            log::info!(
+                "state: The state of the replica is complete; epoch {epoch} is to be installed."
+            );
         }
     }
 
--- a/crates/beechcroft-control/tests/compatibility/records.rs
+++ b/crates/beechcroft-control/tests/compatibility/records.rs
@@ -37,6 +37,8 @@
         encode,
         decode,
     );
+    let uninstalled = BTreeMap::from([("core-2".to_owned(), Epoch(5))]);
+    assert_compatible("records/uninstalled", &uninstalled, encode, decode);
     let chosen = Value {
         revision: Revision(2),
         bytes: config_store().encode(),
--- a/crates/beechcroft-safeguards/src/lib.rs
+++ b/crates/beechcroft-safeguards/src/lib.rs
@@ -106,9 +106,11 @@
     /// fenced.
     #[cfg_attr(feature = "removable", serde(alias = "fenced_copies"))]
     FencedReplicaStates,
-    /// A learner counts the former holder's state only if no other node knows an epoch in between.
+    /// A learner counts the former holder's state only if no other node knows an installed epoch in between.
     #[cfg_attr(feature = "removable", serde(alias = "handed_over_once"))]
     SingleHandover,
+    /// A recovered or taken over replica votes only once a quorum has recorded that its epoch is installed.
+    InstalledBeforeVote,
     /// A holder that learns of a later epoch of its replica stops voting.
     DeposedIsSilent,
     /// An epoch that is recorded for another node is not taken over.
--- a/crates/beechcroft-simulator/tests/membership.rs
+++ b/crates/beechcroft-simulator/tests/membership.rs
@@ -280,6 +280,41 @@
     }
 }
 
+/// Guards against a core without a quorum for good: while one voter has no power and another has lost its disk, the node
+/// that is to take over the first one's replica is restarted, partitioned or removed, or a voter is restarted.
+#[test]
+fn a_takeover_that_is_broken_off_beside_a_lost_disk_ends_once_all_nodes_are_back() {
+    let broken_off_by = [
+        "what.kill = { on = \"core-3\", down_s = 0.5 }",
+        "what.kill = { on = \"core-2\", down_s = 0.5 }",
+        "what.kill = { on = \"core-0,core-2,core-3\", down_s = 0.5 }",
+        "what.power = { on = \"core-3\", down_s = 20.0 }",
+        "what.freeze = { on = \"core-3\", for_s = 8.0 }",
+        "what.cut = { from = \"core-3\", to = \"*\", for_s = 8.0 }",
+    ];
+    for event in broken_off_by {
+        for at in [2.6, 3.6, 4.6, 6.4, 6.6] {
+            let events = [
+                (0.5, "what.config = { routes = 1 }".to_owned()),
+                (
+                    1.0,
+                    "what.power = { on = \"core-1\", down_s = 5.5 }".to_owned(),
+                ),
+                (
+                    1.0,
+                    "what.wipe = { on = \"core-0\", down_s = 0.1 }".to_owned(),
+                ),
+                (at, event.to_owned()),
+                // All nodes but the removed one are back by now, and `recoveryS` is over.
+                (22.0, "what.config = { routes = 1 }".to_owned()),
+                (23.0, "what.closing = { power = true }".to_owned()),
+            ];
+            println!("{event} at {at} s");
+            run_checked(&scenario("broken off", WITH_SPARE, 28.0, &events));
+        }
+    }
+}
+
 /// Milliseconds from SIGTERM to the exit of the process, and to the time when its successor on a slow disk holds the membership.
 fn handover_to_a_slow_disk(disabled_safeguard: Option<Safeguard>) -> (f64, f64) {
     let mut events = vec![
