--- a/crates/beechcroft-proxy/src/lib.rs
+++ b/crates/beechcroft-proxy/src/lib.rs
@@ -8,12 +8,13 @@
 //! - [`pool`] holds persistent connections to units;
 //! - [`state_owner`] owns the state that other nodes send, behind one queue of commands, and publishes what requests need
 //!   in [`shared`];
-//! - [`startup`] decides when a starting proxy may serve.
+//! - [`startup`] decides when a starting proxy may serve, [`drain`] what one that shuts down still takes.
 
 #![warn(missing_docs)]
 
 pub mod attempt;
 pub mod client;
+pub mod drain;
 pub mod forward;
 pub mod pool;
 pub mod run;
--- a/crates/beechcroft-proxy/src/run.rs
+++ b/crates/beechcroft-proxy/src/run.rs
@@ -1,6 +1,7 @@
 //! Assembly of a proxy from servers, state owner and client connections, and its shutdown.
 
 use crate::client;
+use crate::drain::shut_down;
 use crate::shared::{Phase, Shared};
 use crate::state_owner::{Command, CommandQueue, StateOwner};
 use beechcroft_config::{ServiceDefaults, Settings};
@@ -13,7 +14,6 @@
 use beechcroft_transport::rpc::{paths, RpcClient};
 use beechcroft_transport::runtime::Listener;
 use beechcroft_transport::server::{self, Request, Response, ServerLimits};
-use std::future::Future;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,15 +23,6 @@
 
 /// Interval between ticks of the state owner.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
-/// Minimum time for which a proxy continues to serve after SIGTERM. Clients may use a cached response of the directory,
-/// which still names this proxy, for a little more than two seconds.
-const MIN_DRAIN_TIME: Duration = Duration::from_millis(3500);
-/// New requests are rejected this long before the end of the grace period.
-const CLOSING_MARGIN: Duration = Duration::from_millis(1500);
-/// The process exits this long before the end of the grace period, even with requests in flight.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
-/// Interval at which a shutdown checks whether the requests in flight have ended.
-const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// A starting proxy accepts client connections once it is ready, or after this time if it is not.
 const MAX_ACCEPT_DELAY: Duration = Duration::from_millis(600);
 /// Interval at which a starting proxy checks whether it is ready.
@@ -155,30 +146,6 @@
     }
 }
 
-/// Drains the proxy after SIGTERM. It reports not ready and leaves the directory at once, but serves requests until clients
-/// use other proxies. Returns once no request is in flight, or shortly before the end of the grace period.
-async fn shut_down(shared: Rc<Shared>, queue: CommandQueue, shutdown: impl Future<Output = ()>) {
-    shutdown.await;
-    let started_at = Instant::now();
-    shared.phase.set(Phase::Draining);
-    let _ = queue.send(Command::ShutDown);
-    let grace = Duration::from_secs_f64(shared.settings.bounds.grace_s);
-    let min_drain_time = MIN_DRAIN_TIME.min(grace / 2);
-    let closing_after = grace.saturating_sub(CLOSING_MARGIN);
-    let exit_after = grace.saturating_sub(EXIT_MARGIN);
-    loop {
-        sleep(SHUTDOWN_POLL_INTERVAL).await;
-        let elapsed = started_at.elapsed();
-        if elapsed >= closing_after {
-            shared.phase.set(Phase::Closing);
-        }
-        let is_drained = elapsed >= min_drain_time && shared.in_flight.get() == 0;
-        if elapsed >= exit_after || is_drained {
-            return;
-        }
-    }
-}
-
 async fn handle_readiness(shared: Rc<Shared>, request: Request) -> Response {
     if ApiCall::parse(&request.method, &request.path) != Some(ApiCall::Ready) {
         return ErrorKind::UnknownCall.into();
--- a/crates/beechcroft-proxy/src/shared.rs
+++ b/crates/beechcroft-proxy/src/shared.rs
@@ -3,6 +3,7 @@
 //!
 //! It is used by a single thread. No `RefCell` in it may stay borrowed across an await.
 
+use crate::drain::Drain;
 use crate::pool::ConnectionPool;
 use beechcroft_balancer::{CanaryQuota, LinkPacer, LoadBalancer, RetryBudget};
 use beechcroft_config::{ServiceDefaults, Settings};
@@ -17,6 +18,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::{sleep, Instant};
 
 /// Links below this rate count as slow, in megabits per second: at full speed, a large response would delay small ones by a
@@ -46,7 +48,7 @@
     Ready,
     /// SIGTERM was received; requests are still served.
     Draining,
-    /// The grace period is about to end; new requests are rejected.
+    /// The grace period is about to end; new requests are rejected, and those in flight are answered.
     Closing,
 }
 
@@ -89,6 +91,10 @@
     pacers: Option<LinkPacers>,
     /// Lifecycle phase of the proxy.
     pub phase: Cell<Phase>,
+    /// The drain that has begun, from [`Phase::Draining`] on.
+    pub drain: Cell<Option<Drain>>,
+    /// Notified when [`Phase::Closing`] begins.
+    pub closing: Notify,
     /// Routing table of the current configuration; `None` before the first one.
     pub routes: RefCell<Option<Rc<RoutingTable>>>,
     /// Latest known rollouts, evacuations, base versions and placements.
@@ -133,6 +139,8 @@
             defaults,
             pacers,
             phase: Cell::new(Phase::Starting),
+            drain: Cell::new(None),
+            closing: Notify::new(),
             routes: RefCell::new(None),
             operations: RefCell::default(),
             balancer: RefCell::new(balancer),
--- a/crates/beechcroft-safeguards/src/lib.rs
+++ b/crates/beechcroft-safeguards/src/lib.rs
@@ -195,6 +195,12 @@
     #[cfg_attr(feature = "removable", serde(alias = "unread_body"))]
     UnreadRequestBody,
 
+    // Shutdown of a proxy.
+    /// A draining proxy takes no request that it cannot answer before it exits.
+    DrainAdmission,
+    /// Requests that are in flight near the end of the grace period are answered, not cut off.
+    AnswerBeforeExit,
+
     // Rollouts.
     /// Evidence against a version from earlier stages is kept when a stage begins.
     EvidenceOfAllStages,
