--- a/crates/beechcroft-proxy/src/lib.rs
+++ b/crates/beechcroft-proxy/src/lib.rs
@@ -4,7 +4,8 @@
 //! these parts:
 //!
 //! - [`client`] serves a client connection;
-//! - [`forward`] retries and hedges one request, and [`attempt`] makes a single attempt;
+//! - [`forward`] retries and hedges one request, [`attempt`] makes a single attempt, and the module `tracked_attempt`
+//!   records its outcome;
 //! - [`pool`] holds persistent connections to units;
 //! - [`state_owner`] owns the state that other nodes send, behind one queue of commands, and publishes what requests need
 //!   in [`shared`];
@@ -21,3 +22,4 @@
 pub mod shared;
 pub mod startup;
 pub mod state_owner;
+mod tracked_attempt;
