--- a/crates/beechcroft-control/src/internal_api.rs
+++ b/crates/beechcroft-control/src/internal_api.rs
@@ -42,8 +42,12 @@
         paths::REVISIONS => encode(&ask_owner(queue, Command::ReadRevisions).await??),
         paths::ENDPOINT => {
             let record = decode(body)?;
-            ask_owner(queue, |done| Command::StoreEndpoint { record, done }).await?;
-            Ok(Vec::new())
+            let command = |stored| Command::StoreEndpoint { record, stored };
+            if ask_owner(queue, command).await? {
+                Ok(Vec::new())
+            } else {
+                Err(Error::new(ErrorKind::NotStored, "the disk failed"))
+            }
         }
         paths::ROLLBACK => {
             let (service, rollout) = decode(body)?;
--- a/crates/beechcroft-control/src/state_owner.rs
+++ b/crates/beechcroft-control/src/state_owner.rs
@@ -6,6 +6,7 @@
 mod checkpoint;
 mod command;
 mod consensus;
+mod departures;
 mod membership;
 mod placement;
 mod quorum_contact;
@@ -13,8 +14,10 @@
 mod rollouts;
 mod show;
 
+pub use checkpoint::{CheckpointContent, ENDPOINTS_KEY};
 pub use command::{ask_owner, Acknowledgement, Command, CommandQueue};
 pub use consensus::{CONSENSUS_TIMEOUT, PROPOSAL_TIMEOUT_MS};
+pub use departures::DEPARTURES_KEY;
 pub use membership::SHUTDOWN_ANSWER_MS;
 
 use crate::disk::Disk;
@@ -24,11 +27,11 @@
 use beechcroft_error::{Error, ErrorKind};
 use beechcroft_gossip::{Action, Gossip, Member, MemberState, Quorum};
 use beechcroft_outlier::OutlierDetector;
-use beechcroft_registry::{EndpointState, MergeOutcome};
 use beechcroft_storage::Table;
 use beechcroft_transport::datagram::MessageSocket;
 use beechcroft_transport::rpc::{RegisterFetcher, RpcClient};
 use consensus::Proposals;
+use departures::Departures;
 use membership::Membership;
 use quorum_contact::RevisionReads;
 use rollouts::ObservedStage;
@@ -101,8 +104,7 @@
     /// The nodes that form a majority with this one, or without it if it holds no replica.
     quorum: Quorum,
     next_quorum_update_at: u64,
-    /// States of endpoints that a majority of the control nodes is known to have stored.
-    stored_by_majority: BTreeMap<String, EndpointState>,
+    departures: Departures,
     revision_reads: RevisionReads,
     fetcher: RegisterFetcher,
     next_decision_at: u64,
@@ -155,7 +157,7 @@
             next_placement_at: 0,
             quorum: Quorum::default(),
             next_quorum_update_at: 0,
-            stored_by_majority: BTreeMap::new(),
+            departures: Departures::default(),
             revision_reads: RevisionReads::default(),
             fetcher: RegisterFetcher::default(),
             next_decision_at: 0,
@@ -204,15 +206,15 @@
                 self.on_heartbeat(now, record, done, &mut actions);
             }
             Command::Deregister { id, done } => self.on_deregister(now, &id, done, &mut actions),
-            Command::StoreEndpoint { record, done } => {
-                if self.gossip.record_heartbeat(now, record) == MergeOutcome::Changed {
-                    self.checkpoint.endpoints_changed = true;
-                    self.gossip.flush_now(now, &mut actions);
-                }
-                let _ = done.send(());
+            Command::StoreEndpoint { record, stored } => {
+                self.on_store_endpoint(now, record, stored, &mut actions);
+            }
+            Command::DeparturesWritten => self.on_departures_written(),
+            Command::CheckpointWritten { content, is_stored } => {
+                self.on_checkpoint_written(&content, is_stored);
             }
             Command::StoredByMajority { id, state } => {
-                self.stored_by_majority.insert(id, state);
+                self.departures.record_majority(id, state);
             }
             Command::Consensus { request, response } => self.on_consensus(request, response),
             Command::ConsensusResponse {
@@ -302,8 +304,8 @@
                         .or_default();
                     detector.merge(&observation);
                 }
-                Action::EndpointChanged(_) => self.checkpoint.endpoints_changed = true,
-                Action::MembersChanged => self.checkpoint.members_changed = true,
+                Action::EndpointChanged(_) => self.checkpoint.changed.endpoints = true,
+                Action::MembersChanged => self.checkpoint.changed.members = true,
                 Action::EndpointHeartbeat(_) | Action::Alarm(_) | Action::HotKeys(_) => {}
             }
         }
--- a/crates/beechcroft-control/src/state_owner/checkpoint.rs
+++ b/crates/beechcroft-control/src/state_owner/checkpoint.rs
@@ -1,7 +1,10 @@
-//! Checkpoints: records from which the next process of this node starts sooner. Nothing is acknowledged on the strength
-//! of a checkpoint, and a process that cannot read one starts without it.
+//! Checkpoints: records from which the next process of this node continues. A process that cannot read one starts
+//! without it.
+//!
+//! Of all that checkpoints contain, only departures have been acknowledged to anybody. Each is on disk as a record of
+//! its own first (see the module `departures`), and stays there until a checkpoint that contains it is stored.
 
-use super::StateOwner;
+use super::{Command, StateOwner, DEPARTURES_KEY};
 use beechcroft_consensus::{encoding, PerRegister, Records, RegisterId};
 use beechcroft_gossip::Member;
 use beechcroft_registry::EndpointRecord;
@@ -12,18 +15,35 @@
 /// Keys of the latest values that are known to be chosen.
 pub(super) const CHOSEN_KEYS: PerRegister<&str> = PerRegister(["chosen-0", "chosen-1"]);
 /// Key of the registry of endpoints.
-const ENDPOINTS_KEY: &str = "units";
+pub const ENDPOINTS_KEY: &str = "units";
 /// Key of the table of members.
 const MEMBERS_KEY: &str = "members";
 /// Minimum interval between checkpoints of endpoints and members, in milliseconds.
 const CHECKPOINT_INTERVAL_MS: u64 = 500;
 
-/// Content of the next checkpoint, and the earliest time at which it may be written.
+/// The tables that a checkpoint contains.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CheckpointContent {
+    /// Whether it contains the registry of endpoints.
+    pub endpoints: bool,
+    /// Whether it contains the table of members.
+    pub members: bool,
+}
+
+impl CheckpointContent {
+    fn is_empty(self) -> bool {
+        self == CheckpointContent::default()
+    }
+}
+
+/// What the next checkpoint must contain, and when it may be written.
 #[derive(Default)]
 pub(super) struct Schedule {
     next_at: u64,
-    pub(super) endpoints_changed: bool,
-    pub(super) members_changed: bool,
+    /// Tables that have changed since the last checkpoint that contained them.
+    pub(super) changed: CheckpointContent,
+    /// Checkpoints are written one at a time, so that an earlier one never replaces a later one.
+    is_writing: bool,
 }
 
 /// Reads a checkpoint. Returns the default if it is missing or unreadable.
@@ -46,8 +66,10 @@
             );
         }
         let now = self.now();
+        let mut endpoints: Vec<EndpointRecord> = read(table, ENDPOINTS_KEY);
+        endpoints.extend(read::<Vec<EndpointRecord>>(table, DEPARTURES_KEY));
         self.gossip
-            .restore(now, read(table, MEMBERS_KEY), read(table, ENDPOINTS_KEY));
+            .restore(now, read(table, MEMBERS_KEY), endpoints);
         for register in RegisterId::ALL {
             self.on_chosen(register, read(table, CHOSEN_KEYS[register]));
         }
@@ -55,31 +77,48 @@
 
     /// Writes a checkpoint of the tables that have changed, if the last one is old enough.
     pub(super) fn write_checkpoint(&mut self, now: u64) {
-        let Schedule {
-            next_at,
-            endpoints_changed,
-            members_changed,
-        } = self.checkpoint;
-        if now < next_at || !(endpoints_changed || members_changed) {
+        let content = self.checkpoint.changed;
+        if now < self.checkpoint.next_at || self.checkpoint.is_writing || content.is_empty() {
             return;
         }
         self.checkpoint = Schedule {
             next_at: now + CHECKPOINT_INTERVAL_MS,
-            ..Schedule::default()
+            changed: CheckpointContent::default(),
+            is_writing: true,
         };
+        if content.endpoints {
+            self.departures.begin_checkpoint();
+        }
+        let records = self.checkpoint_records(now, content);
+        let (disk, queue) = (self.disk.clone(), self.queue.clone());
+        spawn_local(async move {
+            let is_stored = disk.store(records).await;
+            let _ = queue.send(Command::CheckpointWritten { content, is_stored });
+        });
+    }
+
+    fn checkpoint_records(&self, now: u64, content: CheckpointContent) -> Records {
         let mut records = Records::new();
-        if endpoints_changed {
+        if content.endpoints {
             let endpoints = self.gossip.endpoints();
             let ids = endpoints.iter().map(|endpoint| endpoint.record.id.as_str());
             let latest: Vec<EndpointRecord> =
                 ids.filter_map(|id| endpoints.record(now, id)).collect();
             records.push((ENDPOINTS_KEY.to_owned(), encoding::encode(&latest)));
         }
-        if members_changed {
+        if content.members {
             let members: Vec<&Member> = self.gossip.members().collect();
             records.push((MEMBERS_KEY.to_owned(), encoding::encode(&members)));
         }
-        self.write_unacknowledged(records);
+        records
+    }
+
+    /// Handles the end of a checkpoint's write.
+    pub(super) fn on_checkpoint_written(&mut self, content: &CheckpointContent, is_stored: bool) {
+        self.checkpoint.is_writing = false;
+        if is_stored && content.endpoints {
+            self.departures.end_checkpoint();
+        }
     }
 
     /// Writes records without waiting for the result. Nothing may be acknowledged on the strength of them.
--- a/crates/beechcroft-control/src/state_owner/command.rs
+++ b/crates/beechcroft-control/src/state_owner/command.rs
@@ -1,6 +1,6 @@
 //! Commands to the state owner, and the call that sends a command and awaits its answer.
 
-use super::PROPOSAL_TIMEOUT_MS;
+use super::{CheckpointContent, PROPOSAL_TIMEOUT_MS};
 use beechcroft_consensus::{
     Ballot, Epoch, Epochs, Operation, Outcome, PerRegister, RegisterId, ReplicaId, Request,
     Response, Revision, Value,
@@ -21,14 +21,14 @@
     /// A gossip message was received from this address.
     Message(SocketAddrV4, Box<Message>),
     /// Records a unit's heartbeat. If the unit is draining, the heartbeat is acknowledged once a majority of the
-    /// control nodes has stored that.
+    /// control nodes has that on disk.
     Heartbeat {
         /// Record of the endpoint as of this heartbeat.
         record: EndpointRecord,
         /// Receives the acknowledgement.
         done: oneshot::Sender<Acknowledgement>,
     },
-    /// Marks a unit as gone on its own request, acknowledged once a majority of the control nodes has stored that.
+    /// Marks a unit as gone on its own request, acknowledged once a majority of the control nodes has that on disk.
     Deregister {
         /// Id of the endpoint.
         id: String,
@@ -39,10 +39,19 @@
     StoreEndpoint {
         /// Record of the endpoint.
         record: EndpointRecord,
-        /// Notified once the record is stored.
-        done: oneshot::Sender<()>,
+        /// Receives whether the record is on this node's disk.
+        stored: oneshot::Sender<bool>,
     },
-    /// A majority of the control nodes has stored the state of an endpoint.
+    /// The write of departures that was in progress has ended.
+    DeparturesWritten,
+    /// The write of a checkpoint has ended.
+    CheckpointWritten {
+        /// What the checkpoint contained.
+        content: CheckpointContent,
+        /// Whether it is on disk.
+        is_stored: bool,
+    },
+    /// A majority of the control nodes has the state of an endpoint on disk.
     StoredByMajority {
         /// Id of the endpoint.
         id: String,
--- a/crates/beechcroft-control/src/state_owner/quorum_contact.rs
+++ b/crates/beechcroft-control/src/state_owner/quorum_contact.rs
@@ -9,20 +9,15 @@
 use super::command::Acknowledgement;
 use super::{Command, StateOwner, CLOCK_START_MS};
 use beechcroft_consensus::{Operation, PerRegister, RegisterId, Revision};
-use beechcroft_error::{Error, ErrorKind};
-use beechcroft_gossip::{Action, Quorum};
-use beechcroft_registry::{EndpointRecord, EndpointState, MergeOutcome};
+use beechcroft_error::Error;
+use beechcroft_gossip::Quorum;
 use beechcroft_safeguards::Safeguard;
-use beechcroft_transport::rpc::paths;
 use std::collections::BTreeSet;
-use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 
 /// Interval between updates of the nodes that form the quorum, in milliseconds.
 const QUORUM_INTERVAL_MS: u64 = 100;
-/// How long a majority may take to store a drain. It is below the second after which the unit retries on another node.
-const STORE_TIMEOUT: Duration = Duration::from_millis(700);
 /// How long after the first start of the whole system operations wait for the replicas to be bootstrapped, in
 /// milliseconds.
 const BOOTSTRAP_MS: u64 = 3000;
@@ -48,10 +43,12 @@
         let local = &self.gossip.local().name;
         let others = nodes.into_iter().filter(|name| name != local).collect();
         let required = (total / 2 + 1).saturating_sub(usize::from(is_included));
-        self.quorum = Quorum { others, required };
-        let endpoints = self.gossip.endpoints();
-        self.stored_by_majority
-            .retain(|id, _| endpoints.get(id).is_some());
+        self.quorum = Quorum {
+            others,
+            required,
+            includes_local: is_included,
+        };
+        self.departures.forget_expired(self.gossip.endpoints());
     }
 
     /// The nodes that hold replicas, the number of replicas, and whether this node holds one. Before the replicas are
@@ -96,7 +93,7 @@
     }
 
     /// Rejects a call that needs quorum contact if there is none.
-    fn check_may_serve(&self, now: u64) -> Acknowledgement {
+    pub(super) fn check_may_serve(&self, now: u64) -> Acknowledgement {
         match self.has_quorum_contact(now) || !Safeguard::QuorumContactToServe.is_enabled() {
             true => Ok(()),
             false => Err(Self::no_quorum_contact()),
@@ -115,124 +112,6 @@
         }
     }
 
-    /// Handles the heartbeat of a unit.
-    pub(super) fn on_heartbeat(
-        &mut self,
-        now: u64,
-        record: EndpointRecord,
-        done: oneshot::Sender<Acknowledgement>,
-        actions: &mut Vec<Action>,
-    ) {
-        if let Err(error) = self.check_may_serve(now) {
-            let _ = done.send(Err(error));
-            return;
-        }
-        let (id, state) = (record.id.clone(), record.state);
-        let is_changed = self.gossip.record_heartbeat(now, record) == MergeOutcome::Changed;
-        self.checkpoint.endpoints_changed |= is_changed;
-        // A drain that is already known here may have arrived through a node that could not acknowledge it.
-        let is_drain = state != EndpointState::Ready
-            && (is_changed || Safeguard::RepeatedDrainOnMajority.is_enabled());
-        if is_drain {
-            self.store_on_majority(now, &id, state, done, actions);
-        } else {
-            let _ = done.send(Ok(()));
-        }
-    }
-
-    /// Handles the deregistration of a unit.
-    pub(super) fn on_deregister(
-        &mut self,
-        now: u64,
-        id: &str,
-        done: oneshot::Sender<Acknowledgement>,
-        actions: &mut Vec<Action>,
-    ) {
-        if let Err(error) = self.check_may_serve(now) {
-            let _ = done.send(Err(error));
-            return;
-        }
-        self.checkpoint.endpoints_changed |= self.gossip.deregister_endpoint(now, id);
-        self.store_on_majority(now, id, EndpointState::Gone, done, actions);
-    }
-
-    /// Acknowledges a drain or deregistration once a majority of the control nodes has stored it, including this one if
-    /// it holds a replica. After that, every proxy that is in contact with the control plane learns of it, whichever
-    /// nodes are lost or isolated.
-    fn store_on_majority(
-        &mut self,
-        now: u64,
-        id: &str,
-        state: EndpointState,
-        done: oneshot::Sender<Acknowledgement>,
-        actions: &mut Vec<Action>,
-    ) {
-        let needs_majority = Safeguard::DrainOnMajority.is_enabled();
-        let required = if needs_majority {
-            self.quorum.required
-        } else {
-            0
-        };
-        let is_stored = self
-            .stored_by_majority
-            .get(id)
-            .is_some_and(|known| *known >= state);
-        let record = self.gossip.endpoints().record(now, id);
-        let Some(record) = record.filter(|_| !is_stored && required > 0) else {
-            let _ = done.send(Ok(()));
-            return;
-        };
-        self.gossip.flush_now(now, actions);
-        let state = record.state;
-        let Ok(bytes) = postcard::to_stdvec(&record) else {
-            return;
-        };
-        let mut stored = self.send_endpoint_to_quorum(bytes);
-        let (queue, id) = (self.queue.clone(), id.to_owned());
-        spawn_local(async move {
-            let mut count = 0;
-            while count < required && stored.recv().await.is_some() {
-                count += 1;
-            }
-            let acknowledgement = if count >= required {
-                let _ = queue.send(Command::StoredByMajority { id, state });
-                Ok(())
-            } else {
-                // Some nodes may have stored it and may still disseminate it, so the error must not promise that the
-                // call had no effect.
-                Err(Error::new(
-                    ErrorKind::NoQuorum,
-                    "no majority of the core holds it yet",
-                ))
-            };
-            let _ = done.send(acknowledgement);
-        });
-    }
-
-    /// Sends an endpoint's record to the other nodes of the quorum. The receiver gets one item for each node that has
-    /// stored it.
-    fn send_endpoint_to_quorum(&self, record: Vec<u8>) -> mpsc::UnboundedReceiver<()> {
-        let (sender, stored) = mpsc::unbounded_channel();
-        let others = self
-            .quorum
-            .others
-            .iter()
-            .filter_map(|name| self.gossip.member(name));
-        for to in others.map(|member| self.gossip.address(member)) {
-            let (rpc, record, sender) = (self.rpc.clone(), record.clone(), sender.clone());
-            spawn_local(async move {
-                if rpc
-                    .call(to, paths::ENDPOINT, record, STORE_TIMEOUT)
-                    .await
-                    .is_ok()
-                {
-                    let _ = sender.send(());
-                }
-            });
-        }
-        stored
-    }
-
     /// Handles a linearizable read of both registers' revisions, which includes every operation acknowledged before the
     /// read was requested. A proxy that starts becomes ready only with these revisions.
     pub(super) fn on_read_revisions(&mut self, now: u64, revisions: RevisionsSender) {
--- a/crates/beechcroft-control/tests/compatibility/records.rs
+++ b/crates/beechcroft-control/tests/compatibility/records.rs
@@ -10,7 +10,7 @@
     Revision, Value,
 };
 use beechcroft_gossip::{Member, MemberState};
-use beechcroft_registry::EndpointRecord;
+use beechcroft_registry::{EndpointRecord, EndpointState};
 use beechcroft_storage::RecordStore;
 use std::collections::BTreeMap;
 
@@ -78,6 +78,16 @@
         encode,
         decode::<Vec<EndpointRecord>>,
     );
+    let departure = EndpointRecord {
+        state: EndpointState::Gone,
+        ..record()
+    };
+    assert_compatible(
+        "records/departures",
+        &vec![departure],
+        encode,
+        decode::<Vec<EndpointRecord>>,
+    );
     assert_compatible(
         "records/members",
         &vec![member(MemberState::Ready)],
--- a/crates/beechcroft-error/src/lib.rs
+++ b/crates/beechcroft-error/src/lib.rs
@@ -70,6 +70,8 @@
     CallerGone,
     /// the stored control state cannot be read; the operation was not applied
     CorruptState,
+    /// the record could not be written to disk
+    NotStored,
 }
 
 impl ErrorKind {
@@ -92,7 +94,8 @@
             | ErrorKind::PlacementChanging
             | ErrorKind::Stalled
             | ErrorKind::CallerGone
-            | ErrorKind::CorruptState => 503,
+            | ErrorKind::CorruptState
+            | ErrorKind::NotStored => 503,
             ErrorKind::DeadlineExceeded | ErrorKind::NoQuorum | ErrorKind::VersionForgotten => 504,
         }
     }
--- a/crates/beechcroft-gossip/src/contact.rs
+++ b/crates/beechcroft-gossip/src/contact.rs
@@ -25,6 +25,15 @@
     pub others: Vec<String>,
     /// Number of `others` that must answer: a majority of all replicas, minus one if this node holds a replica.
     pub required: usize,
+    /// Whether this node holds a replica.
+    pub includes_local: bool,
+}
+
+impl Quorum {
+    /// Number of replicas that make a majority.
+    pub fn majority(&self) -> usize {
+        self.required + usize::from(self.includes_local)
+    }
 }
 
 /// Tracks pings and pongs to decide whether this node is in contact with a quorum.
--- a/crates/beechcroft-gossip/tests/contact.rs
+++ b/crates/beechcroft-gossip/tests/contact.rs
@@ -77,6 +77,7 @@
         Quorum {
             others,
             required: self.nodes.len() / 2,
+            includes_local: true,
         }
     }
 
--- a/crates/beechcroft-safeguards/src/lib.rs
+++ b/crates/beechcroft-safeguards/src/lib.rs
@@ -55,6 +55,8 @@
     /// As [`Safeguard::DrainOnMajority`], for a drain that the receiving control node already knows.
     #[cfg_attr(feature = "removable", serde(alias = "repeated_drain_held"))]
     RepeatedDrainOnMajority,
+    /// A control node counts as one that stores a drain or deregistration only once that is on its disk.
+    DepartureOnDisk,
     /// A starting proxy becomes ready only once it has the revisions that a majority confirms.
     ConfirmedStart,
     /// A control node that hears from no peer names no proxy to clients.
--- /dev/null
+++ b/crates/beechcroft-simulator/tests/departures.rs
@@ -0,0 +1,229 @@
+//! Drains and deregistrations that were acknowledged are still known after every control node was killed at once, also
+//! if as many disks are lost as the cluster tolerates.
+
+mod control_cluster;
+
+use self::control_cluster::{simulate, ControlCluster, ControlNode};
+use beechcroft_consensus::Records;
+use beechcroft_control::state_owner::{DEPARTURES_KEY, ENDPOINTS_KEY};
+use beechcroft_safeguards::{disable, Safeguard};
+use std::fs;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Time for gossip and a checkpoint to spread and store what the nodes know.
+const SETTLE: Duration = Duration::from_millis(1200);
+/// Pause between two departures. The first one causes a checkpoint, so the second one falls between two checkpoints.
+const BETWEEN_CHECKPOINTS: Duration = Duration::from_millis(150);
+/// How long the nodes are down.
+const DOWNTIME: Duration = Duration::from_millis(500);
+/// Units of each test; the last one's departure is the one that is checked.
+const UNITS: [&str; 2] = ["i-0001", "i-0002"];
+
+/// How a unit announces that it leaves.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Departure {
+    /// A heartbeat with the state `draining`.
+    Drain,
+    /// A deregistration without a drain before it.
+    Deregistration,
+}
+
+impl Departure {
+    /// State of the unit in the text of `show`.
+    fn shown_state(self) -> &'static str {
+        match self {
+            Departure::Drain => "Draining",
+            Departure::Deregistration => "Gone",
+        }
+    }
+}
+
+fn all_nodes(cluster: &ControlCluster) -> Vec<Rc<ControlNode>> {
+    cluster.nodes.borrow().clone()
+}
+
+async fn send_heartbeat(
+    cluster: &ControlCluster,
+    node: &ControlNode,
+    unit: &str,
+    state: &str,
+    sequence: u64,
+) -> Option<u16> {
+    let body = serde_json::json!({
+        "address": "10.3.0.7:9000",
+        "info": {"service": "boards", "version": "v1", "zone": "zone-0a", "capacity": 4},
+        "status": {"state": state, "sequence": sequence, "warmupLeftMs": 0},
+    })
+    .to_string();
+    let path = format!("/units/{unit}/heartbeat");
+    let response = cluster.request(node, "POST", &path, body.as_bytes());
+    response.await.map(|(status, _)| status)
+}
+
+async fn announce(
+    cluster: &ControlCluster,
+    node: &ControlNode,
+    unit: &str,
+    departure: Departure,
+) -> Option<u16> {
+    match departure {
+        Departure::Drain => send_heartbeat(cluster, node, unit, "draining", 2).await,
+        Departure::Deregistration => {
+            let path = format!("/units/{unit}/deregister");
+            let response = cluster.request(node, "POST", &path, b"").await;
+            response.map(|(status, _)| status)
+        }
+    }
+}
+
+/// Registers the units and lets every node learn and store that they are ready.
+async fn register_units(cluster: &ControlCluster) {
+    let node = all_nodes(cluster)[0].clone();
+    for unit in UNITS {
+        let status = send_heartbeat(cluster, &node, unit, "ready", 1).await;
+        assert_eq!(status, Some(200), "{unit}");
+    }
+    sleep(SETTLE).await;
+}
+
+/// Lets the units leave one after the other; returns once the last departure is acknowledged.
+async fn acknowledge_departures(cluster: &ControlCluster, departure: Departure) {
+    let node = all_nodes(cluster)[0].clone();
+    for unit in UNITS {
+        sleep(BETWEEN_CHECKPOINTS).await;
+        let status = announce(cluster, &node, unit, departure).await;
+        assert_eq!(status, Some(200), "{departure:?} of {unit}");
+    }
+}
+
+/// Kills every node, empties the folders of some, and starts all again.
+async fn kill_all(cluster: &ControlCluster, lost_disks: &[usize]) {
+    let nodes = all_nodes(cluster);
+    nodes.iter().for_each(|node| cluster.kill(node));
+    for index in lost_disks {
+        let folder = nodes[*index].folder.path();
+        fs::remove_dir_all(folder).unwrap();
+        fs::create_dir(folder).unwrap();
+    }
+    sleep(DOWNTIME).await;
+    nodes.iter().for_each(|node| cluster.start(node, false));
+    sleep(SETTLE).await;
+}
+
+/// Names of the nodes that do not show the last unit in the state of its departure.
+async fn nodes_that_forgot(cluster: &ControlCluster, departure: Departure) -> Vec<String> {
+    let unit = format!("unit {} ", UNITS[UNITS.len() - 1]);
+    let mut forgetful = Vec::new();
+    for node in all_nodes(cluster) {
+        let text = cluster.show_state(&node).await;
+        let line = text.lines().find(|line| line.starts_with(&unit));
+        if !line.is_some_and(|line| line.contains(departure.shown_state())) {
+            forgetful.push(node.name.clone());
+        }
+    }
+    forgetful
+}
+
+/// Nodes that have forgotten an acknowledged departure after all were killed and some disks were lost.
+fn forgetful_nodes(
+    count: usize,
+    departure: Departure,
+    lost_disks: &'static [usize],
+) -> Vec<String> {
+    simulate(count, 1, |cluster| async move {
+        register_units(&cluster).await;
+        acknowledge_departures(&cluster, departure).await;
+        kill_all(&cluster, lost_disks).await;
+        nodes_that_forgot(&cluster, departure).await
+    })
+}
+
+// Guards against review/4: an acknowledged deregistration was in memory only, and a kill of all processes lost it.
+#[test]
+fn an_acknowledged_departure_is_known_after_all_nodes_were_killed() {
+    let forgotten = || {
+        let mut forgotten = Vec::new();
+        for departure in [Departure::Drain, Departure::Deregistration] {
+            for count in [1, 3, 5] {
+                let forgetful = forgetful_nodes(count, departure, &[]);
+                if !forgetful.is_empty() {
+                    forgotten.push((departure, count, forgetful));
+                }
+            }
+        }
+        forgotten
+    };
+    assert_eq!(forgotten(), []);
+    let _disabled = disable(Some(Safeguard::DepartureOnDisk));
+    assert_eq!(
+        forgotten().len(),
+        6,
+        "the absence of the safeguard is not detected"
+    );
+}
+
+// Guards against a departure on fewer disks than survive the losses that the cluster tolerates.
+#[test]
+fn an_acknowledged_departure_outlives_the_loss_of_as_many_disks_as_are_tolerated() {
+    let one_of_three: [&[usize]; 3] = [&[0], &[1], &[2]];
+    let two_of_five: [&[usize]; 4] = [&[0, 1], &[0, 4], &[1, 2], &[3, 4]];
+    let losses = one_of_three.map(|lost| (3, lost)).into_iter();
+    for (count, lost) in losses.chain(two_of_five.map(|lost| (5, lost))) {
+        let forgetful = forgetful_nodes(count, Departure::Deregistration, lost);
+        assert_eq!(forgetful, [] as [&str; 0], "{count} nodes, lost {lost:?}");
+    }
+}
+
+fn contains_endpoints(records: &Records) -> bool {
+    let is_endpoints = |key: &str| [ENDPOINTS_KEY, DEPARTURES_KEY].contains(&key);
+    records.iter().any(|(key, _)| is_endpoints(key))
+}
+
+/// Status of a deregistration at the first node while the disks of the given nodes reject writes of endpoints.
+fn status_with_failing_disks(failing: &'static [usize]) -> Option<u16> {
+    simulate(3, 1, |cluster| async move {
+        register_units(&cluster).await;
+        let nodes = all_nodes(&cluster);
+        for index in failing {
+            nodes[*index].disk.rejects_write.set(contains_endpoints);
+        }
+        announce(&cluster, &nodes[0], UNITS[1], Departure::Deregistration).await
+    })
+}
+
+// Guards against an acknowledgement that counts a node whose disk has failed.
+#[test]
+fn a_departure_is_acknowledged_only_if_a_majority_of_disks_stores_it() {
+    for failing in [&[][..], &[0], &[1], &[2]] {
+        assert_eq!(status_with_failing_disks(failing), Some(200), "{failing:?}");
+    }
+    for failing in [&[0, 1][..], &[0, 2], &[1, 2], &[0, 1, 2]] {
+        assert_eq!(status_with_failing_disks(failing), Some(504), "{failing:?}");
+    }
+    let _disabled = disable(Some(Safeguard::DepartureOnDisk));
+    assert_eq!(status_with_failing_disks(&[0, 1, 2]), Some(200));
+}
+
+// Guards against a departure that a checkpoint drops from the departures on disk before it contains it itself.
+#[test]
+fn departures_beside_checkpoints_are_known_after_all_nodes_were_killed() {
+    for pause_ms in [0, 3, 20, 40, 60, 250, 480, 500, 520, 560] {
+        let missing = simulate(3, 1, |cluster| async move {
+            register_units(&cluster).await;
+            for node in all_nodes(&cluster) {
+                node.disk.sync_ms.set(30);
+            }
+            let node = all_nodes(&cluster)[0].clone();
+            for unit in UNITS {
+                let status = announce(&cluster, &node, unit, Departure::Deregistration).await;
+                assert_eq!(status, Some(200));
+                sleep(Duration::from_millis(pause_ms)).await;
+            }
+            kill_all(&cluster, &[]).await;
+            nodes_that_forgot(&cluster, Departure::Deregistration).await
+        });
+        assert_eq!(missing, [] as [&str; 0], "{pause_ms} ms between");
+    }
+}
