--- a/crates/beechcroft-control/src/state_owner/checkpoint.rs
+++ b/crates/beechcroft-control/src/state_owner/checkpoint.rs
@@ -34,6 +34,11 @@
     fn is_empty(self) -> bool {
         self == CheckpointContent::default()
     }
+
+    fn add(&mut self, other: CheckpointContent) {
+        self.endpoints |= other.endpoints;
+        self.members |= other.members;
+    }
 }
 
 /// What the next checkpoint must contain, and when it may be written.
@@ -113,10 +118,12 @@
         records
     }
 
-    /// Handles the end of a checkpoint's write.
+    /// Handles the end of a checkpoint's write. A table that could not be stored is written again.
     pub(super) fn on_checkpoint_written(&mut self, content: &CheckpointContent, is_stored: bool) {
         self.checkpoint.is_writing = false;
-        if is_stored && content.endpoints {
+        if !is_stored {
+            self.checkpoint.changed.add(*content);
+        } else if content.endpoints {
             self.departures.end_checkpoint();
         }
     }
--- a/crates/beechcroft-simulator/tests/departures.rs
+++ b/crates/beechcroft-simulator/tests/departures.rs
@@ -4,9 +4,12 @@
 mod control_cluster;
 
 use self::control_cluster::{simulate, ControlCluster, ControlNode};
+use beechcroft_consensus::encoding;
 use beechcroft_consensus::Records;
 use beechcroft_control::state_owner::{DEPARTURES_KEY, ENDPOINTS_KEY};
+use beechcroft_registry::{EndpointRecord, EndpointState};
 use beechcroft_safeguards::{disable, Safeguard};
+use beechcroft_storage::RecordStore;
 use std::fs;
 use std::rc::Rc;
 use std::time::Duration;
@@ -206,6 +209,31 @@
     assert_eq!(status_with_failing_disks(&[0, 1, 2]), Some(200));
 }
 
+/// State of the last unit in the registry on a node's disk.
+fn state_on_disk(node: &ControlNode) -> Option<EndpointState> {
+    let (table, _) = RecordStore::peek(node.folder.path());
+    let endpoints: Vec<EndpointRecord> = encoding::decode(table.get(ENDPOINTS_KEY)?).ok()?;
+    let unit = UNITS[UNITS.len() - 1];
+    let endpoint = endpoints.iter().find(|endpoint| endpoint.id == unit)?;
+    Some(endpoint.state)
+}
+
+// Guards against a checkpoint that was lost to a failed write and not written again before the next change.
+#[test]
+fn a_checkpoint_that_could_not_be_written_is_written_again() {
+    simulate(3, 1, |cluster| async move {
+        register_units(&cluster).await;
+        let nodes = all_nodes(&cluster);
+        nodes[2].disk.rejects_write.set(contains_endpoints);
+        acknowledge_departures(&cluster, Departure::Deregistration).await;
+        sleep(SETTLE).await;
+        assert_eq!(state_on_disk(&nodes[2]), Some(EndpointState::Ready));
+        nodes[2].disk.rejects_write.set(|_| false);
+        sleep(SETTLE).await;
+        assert_eq!(state_on_disk(&nodes[2]), Some(EndpointState::Gone));
+    });
+}
+
 // Guards against a departure that a checkpoint drops from the departures on disk before it contains it itself.
 #[test]
 fn departures_beside_checkpoints_are_known_after_all_nodes_were_killed() {
