--- a/crates/beechcroft-control/src/main.rs
+++ b/crates/beechcroft-control/src/main.rs
@@ -1,10 +1,12 @@
 //! Command line of the control plane.
 
 use beechcroft_config::{ServiceDefaults, Settings};
-use beechcroft_consensus::{Acceptor, RegisterId};
+use beechcroft_consensus::{encoding, Acceptor, RegisterId};
 use beechcroft_control::disk::Disk;
 use beechcroft_control::run::run;
-use beechcroft_storage::RecordStore;
+use beechcroft_control::state_owner::{DEPARTURES_KEY, ENDPOINTS_KEY};
+use beechcroft_registry::EndpointRecord;
+use beechcroft_storage::{RecordStore, Table};
 use beechcroft_transport::lifecycle::{self, Environment};
 use beechcroft_transport::rpc::{paths, RpcClient};
 use std::net::SocketAddrV4;
@@ -124,9 +126,30 @@
             println!("  accepted under {ballot:?}, revision {revision}, {length} bytes");
         }
     }
+    for key in [ENDPOINTS_KEY, DEPARTURES_KEY] {
+        show_endpoints(key, &table);
+    }
     Ok(())
 }
 
+/// Prints the endpoints in a record of a data folder.
+fn show_endpoints(key: &str, table: &Table) {
+    let Some(bytes) = table.get(key) else {
+        return;
+    };
+    match encoding::decode::<Vec<EndpointRecord>>(bytes) {
+        Ok(endpoints) => {
+            for endpoint in endpoints {
+                let EndpointRecord {
+                    id, service, state, ..
+                } = endpoint;
+                println!("{key}: {id} {service} {state:?}");
+            }
+        }
+        Err(error) => println!("unreadable: {key}: {error}"),
+    }
+}
+
 fn run_node(log_level: &str, defaults: ServiceDefaults) -> Result<(), String> {
     let _logger = flexi_logger::Logger::try_with_str(log_level)
         .and_then(|logger| logger.log_to_stderr().start())
