--- a/crates/beechcroft-simulator/src/cluster/run/events.rs
+++ b/crates/beechcroft-simulator/src/cluster/run/events.rs
@@ -3,6 +3,9 @@
 use super::faults::TriggeredFault;
 use super::*;
 
+/// How long a unit serves on that deregisters without a drain.
+const SERVES_ON_AFTER_DEREGISTRATION: Duration = Duration::from_secs(13);
+
 impl ClusterRun {
     /// Runs one event at its time. The match is exhaustive, so that a new kind cannot be forgotten.
     pub(super) async fn event(self: Rc<Self>, nth: usize, event: Event, start: Instant) {
@@ -317,6 +320,23 @@
         self.stop_unit(&endpoint);
     }
 
+    /// A unit stops its heartbeats and deregisters. It serves on for some seconds, whether that was acknowledged or not.
+    pub(super) async fn deregister_first(self: &Rc<Self>, endpoint: Rc<RunningEndpoint>) {
+        endpoint.unit.sends_heartbeats.set(false);
+        if unit::deregister(&self.world, &endpoint.unit).await {
+            let now = self.world.now();
+            let mut history = self.world.history.borrow_mut();
+            if let Some(life) = history.units.get_mut(&endpoint.unit.id) {
+                life.drain_acked.get_or_insert(now);
+            }
+        }
+        let run = self.clone();
+        spawn_local(async move {
+            sleep(SERVES_ON_AFTER_DEREGISTRATION).await;
+            run.stop_unit(&endpoint);
+        });
+    }
+
     pub(super) async fn evacuate(self: &Rc<Self>, zone: &str, begin: bool, nth: usize) {
         let at = {
             let mut history = self.world.history.borrow_mut();
--- a/crates/beechcroft-simulator/src/cluster/run/faults.rs
+++ b/crates/beechcroft-simulator/src/cluster/run/faults.rs
@@ -18,6 +18,9 @@
     pub closing: bool,
 }
 
+/// Pause between the deregistrations of two units, shorter than the interval between checkpoints of a control node.
+const DEREGISTRATION_PAUSE: Duration = Duration::from_millis(150);
+
 impl ClusterRun {
     /// Resolves `leader` and `reader` to a machine's name; other selectors are returned as they are.
     pub(super) fn resolve_selector(&self, on: &str) -> String {
@@ -250,6 +253,15 @@
                     sleep(Duration::from_millis(1)).await;
                 }
             }
+            FaultTrigger::DeregistrationAcknowledged => self.deregister_in_turn("boards").await,
+        }
+    }
+
+    /// Two units of a service deregister without a drain, shortly after one another.
+    async fn deregister_in_turn(self: &Rc<Self>, service: &str) {
+        for endpoint in self.running(service).into_iter().take(2) {
+            sleep(DEREGISTRATION_PAUSE).await;
+            self.deregister_first(endpoint).await;
         }
     }
 
--- a/crates/beechcroft-simulator/src/cluster/scenario.rs
+++ b/crates/beechcroft-simulator/src/cluster/scenario.rs
@@ -179,6 +179,9 @@
     /// A unit's drain was acknowledged.
     #[serde(rename = "drained")]
     DrainAcknowledged,
+    /// Two units deregistered in turn without a drain, the second was acknowledged, and both serve on without heartbeats.
+    #[serde(rename = "deregistered")]
+    DeregistrationAcknowledged,
 }
 
 /// A planned operation or an injected fault. `on` selects machines by name prefix, zone or region; `leader` is the core
