--- a/crates/beechcroft-control/src/main.rs
+++ b/crates/beechcroft-control/src/main.rs
@@ -4,7 +4,7 @@
 use beechcroft_consensus::{encoding, Acceptor, RegisterId};
 use beechcroft_control::disk::Disk;
 use beechcroft_control::run::run;
-use beechcroft_control::state_owner::{DEPARTURES_KEY, ENDPOINTS_KEY};
+use beechcroft_control::state_owner::{ENDPOINTS_KEY, ENDPOINT_LOG_KEY};
 use beechcroft_registry::EndpointRecord;
 use beechcroft_storage::{RecordStore, Table};
 use beechcroft_transport::lifecycle::{self, Environment};
@@ -126,7 +126,7 @@
             println!("  accepted under {ballot:?}, revision {revision}, {length} bytes");
         }
     }
-    for key in [ENDPOINTS_KEY, DEPARTURES_KEY] {
+    for key in [ENDPOINTS_KEY, ENDPOINT_LOG_KEY] {
         show_endpoints(key, &table);
     }
     Ok(())
--- a/crates/beechcroft-control/src/state_owner.rs
+++ b/crates/beechcroft-control/src/state_owner.rs
@@ -6,18 +6,19 @@
 mod checkpoint;
 mod command;
 mod consensus;
-mod departures;
+mod endpoint_log;
 mod membership;
 mod placement;
 mod quorum_contact;
 mod resolve;
 mod rollouts;
 mod show;
+mod unit_reports;
 
 pub use checkpoint::{CheckpointContent, ENDPOINTS_KEY};
 pub use command::{ask_owner, Acknowledgement, Command, CommandQueue};
 pub use consensus::{CONSENSUS_TIMEOUT, PROPOSAL_TIMEOUT_MS};
-pub use departures::DEPARTURES_KEY;
+pub use endpoint_log::ENDPOINT_LOG_KEY;
 pub use membership::SHUTDOWN_ANSWER_MS;
 
 use crate::disk::Disk;
@@ -31,12 +32,13 @@
 use beechcroft_transport::datagram::MessageSocket;
 use beechcroft_transport::rpc::{RegisterFetcher, RpcClient};
 use consensus::Proposals;
-use departures::Departures;
+use endpoint_log::EndpointLog;
 use membership::Membership;
 use quorum_contact::RevisionReads;
 use rollouts::ObservedStage;
 use std::collections::{BTreeMap, BTreeSet};
 use tokio::time::Instant;
+use unit_reports::MajorityStates;
 
 /// Initial value of the owner's clock, so that times before the start of the process stay above 0, in milliseconds.
 const CLOCK_START_MS: u64 = 10_000;
@@ -104,7 +106,8 @@
     /// The nodes that form a majority with this one, or without it if it holds no replica.
     quorum: Quorum,
     next_quorum_update_at: u64,
-    departures: Departures,
+    stored_by_majority: MajorityStates,
+    endpoint_log: EndpointLog,
     revision_reads: RevisionReads,
     fetcher: RegisterFetcher,
     next_decision_at: u64,
@@ -157,7 +160,8 @@
             next_placement_at: 0,
             quorum: Quorum::default(),
             next_quorum_update_at: 0,
-            departures: Departures::default(),
+            stored_by_majority: MajorityStates::default(),
+            endpoint_log: EndpointLog::default(),
             revision_reads: RevisionReads::default(),
             fetcher: RegisterFetcher::default(),
             next_decision_at: 0,
@@ -209,12 +213,12 @@
             Command::StoreEndpoint { record, stored } => {
                 self.on_store_endpoint(now, record, stored, &mut actions);
             }
-            Command::DeparturesWritten => self.on_departures_written(),
+            Command::EndpointLogWritten => self.on_endpoint_log_written(),
             Command::CheckpointWritten { content, is_stored } => {
                 self.on_checkpoint_written(&content, is_stored);
             }
             Command::StoredByMajority { id, state } => {
-                self.departures.record_majority(id, state);
+                self.stored_by_majority.record(id, state);
             }
             Command::Consensus { request, response } => self.on_consensus(request, response),
             Command::ConsensusResponse {
@@ -306,7 +310,8 @@
                 }
                 Action::EndpointChanged(_) => self.checkpoint.changed.endpoints = true,
                 Action::MembersChanged => self.checkpoint.changed.members = true,
-                Action::EndpointHeartbeat(_) | Action::Alarm(_) | Action::HotKeys(_) => {}
+                Action::EndpointHeartbeat(id) => self.store_warmup(now, &id),
+                Action::Alarm(_) | Action::HotKeys(_) => {}
             }
         }
     }
--- a/crates/beechcroft-control/src/state_owner/checkpoint.rs
+++ b/crates/beechcroft-control/src/state_owner/checkpoint.rs
@@ -1,10 +1,10 @@
 //! Checkpoints: records from which the next process of this node continues. A process that cannot read one starts
 //! without it.
 //!
-//! Of all that checkpoints contain, only departures have been acknowledged to anybody. Each is on disk as a record of
-//! its own first (see the module `departures`), and stays there until a checkpoint that contains it is stored.
+//! Of all that checkpoints contain, only departures have been acknowledged to anybody. They are in the endpoint log first
+//! (see the module `endpoint_log`), and stay there until a checkpoint that contains them is stored.
 
-use super::{Command, StateOwner, DEPARTURES_KEY};
+use super::{Command, StateOwner, ENDPOINT_LOG_KEY};
 use beechcroft_consensus::{encoding, PerRegister, Records, RegisterId};
 use beechcroft_gossip::Member;
 use beechcroft_registry::EndpointRecord;
@@ -72,7 +72,7 @@
         }
         let now = self.now();
         let mut endpoints: Vec<EndpointRecord> = read(table, ENDPOINTS_KEY);
-        endpoints.extend(read::<Vec<EndpointRecord>>(table, DEPARTURES_KEY));
+        endpoints.extend(read::<Vec<EndpointRecord>>(table, ENDPOINT_LOG_KEY));
         self.gossip
             .restore(now, read(table, MEMBERS_KEY), endpoints);
         for register in RegisterId::ALL {
@@ -92,7 +92,7 @@
             is_writing: true,
         };
         if content.endpoints {
-            self.departures.begin_checkpoint();
+            self.endpoint_log.begin_checkpoint();
         }
         let records = self.checkpoint_records(now, content);
         let (disk, queue) = (self.disk.clone(), self.queue.clone());
@@ -124,7 +124,7 @@
         if !is_stored {
             self.checkpoint.changed.add(*content);
         } else if content.endpoints {
-            self.departures.end_checkpoint();
+            self.endpoint_log.end_checkpoint();
         }
     }
 
--- a/crates/beechcroft-control/src/state_owner/command.rs
+++ b/crates/beechcroft-control/src/state_owner/command.rs
@@ -42,8 +42,8 @@
         /// Receives whether the record is on this node's disk.
         stored: oneshot::Sender<bool>,
     },
-    /// The write of departures that was in progress has ended.
-    DeparturesWritten,
+    /// The write of the endpoint log that was in progress has ended.
+    EndpointLogWritten,
     /// The write of a checkpoint has ended.
     CheckpointWritten {
         /// What the checkpoint contained.
--- a/crates/beechcroft-control/src/state_owner/quorum_contact.rs
+++ b/crates/beechcroft-control/src/state_owner/quorum_contact.rs
@@ -48,7 +48,8 @@
             required,
             includes_local: is_included,
         };
-        self.departures.forget_expired(self.gossip.endpoints());
+        self.stored_by_majority
+            .forget_expired(self.gossip.endpoints());
     }
 
     /// The nodes that hold replicas, the number of replicas, and whether this node holds one. Before the replicas are
--- a/crates/beechcroft-control/src/state_owner/show.rs
+++ b/crates/beechcroft-control/src/state_owner/show.rs
@@ -66,11 +66,16 @@
         for endpoint in self.gossip.endpoints().iter() {
             let record = &endpoint.record;
             let heard = now.saturating_sub(endpoint.last_heartbeat_at);
-            let _ = writeln!(
+            let _ = write!(
                 text,
                 "unit {} {} {} {} {:?} heard {heard} ms ago",
                 record.id, record.service, record.version, record.zone, record.state
             );
+            if endpoint.warmup_ends_at > now {
+                let warmup_left = endpoint.warmup_ends_at - now;
+                let _ = write!(text, ", warms up for {warmup_left} ms");
+            }
+            text.push('\n');
         }
         let _ = writeln!(text, "operations {:?}", self.operations);
         text
--- a/crates/beechcroft-control/src/state_owner/unit_reports.rs
+++ b/crates/beechcroft-control/src/state_owner/unit_reports.rs
@@ -1,16 +1,12 @@
-//! Departures: drains and deregistrations of units, which are acknowledged once a majority of the nodes that hold
-//! replicas has them on disk.
+//! Heartbeats and departures of units. A departure, that is, a drain or deregistration, is acknowledged once a majority of
+//! the nodes that hold replicas has it on disk.
 //!
 //! After the acknowledgement, every proxy in contact with the control plane learns of the departure, whichever nodes are
 //! lost or isolated, and also after every process was killed or lost power: the departed unit may serve on without
 //! sending heartbeats, so nobody else would report it again.
-//!
-//! The registry of endpoints is too large to be written for each departure. A departure is therefore written as a record
-//! of its own, and dropped from that record once a checkpoint of the registry contains it.
 
 use super::command::Acknowledgement;
 use super::{Command, StateOwner};
-use beechcroft_consensus::encoding;
 use beechcroft_error::{Error, ErrorKind};
 use beechcroft_gossip::Action;
 use beechcroft_registry::{EndpointRecord, EndpointRegistry, EndpointState, MergeOutcome};
@@ -22,65 +18,28 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-/// Key of the departures that the registry on disk may lack.
-pub const DEPARTURES_KEY: &str = "departures";
 /// How long a majority may take to store a departure. It is below the second after which the unit retries on another
 /// node.
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// The departures that this node knows to be, or is about to put, on disks.
+/// States of endpoints that a majority of the nodes that hold replicas is known to have on disk.
 #[derive(Default)]
-pub(super) struct Departures {
-    /// Departures that no stored checkpoint of the registry contains, in the order of their arrival.
-    unsaved: Vec<EndpointRecord>,
-    /// Number of departures at the front of `unsaved` that the checkpoint in progress contains.
-    in_checkpoint: usize,
-    /// Receivers of the result of the next write.
-    waiting: Vec<oneshot::Sender<bool>>,
-    /// Writes are made one at a time, so that an earlier one never replaces a later one. A write contains all departures
-    /// that have arrived during the previous one.
-    is_writing: bool,
-    /// States of endpoints that a majority of the nodes that hold replicas is known to have on disk.
-    on_majority: BTreeMap<String, EndpointState>,
-}
-
-impl Departures {
-    /// Adds a departure to the next write.
-    fn add(&mut self, record: EndpointRecord, stored: oneshot::Sender<bool>) {
-        let mut unsaved = self.unsaved.iter();
-        let is_known = unsaved.any(|known| known.id == record.id && known.state >= record.state);
-        if !is_known {
-            self.unsaved.push(record);
-        }
-        self.waiting.push(stored);
-    }
-
-    /// Notes that a checkpoint is written that contains all departures so far.
-    pub(super) fn begin_checkpoint(&mut self) {
-        self.in_checkpoint = self.unsaved.len();
-    }
-
-    /// Drops the departures that a checkpoint contains which has been stored.
-    pub(super) fn end_checkpoint(&mut self) {
-        self.unsaved.drain(..self.in_checkpoint);
-        self.in_checkpoint = 0;
-    }
+pub(super) struct MajorityStates(BTreeMap<String, EndpointState>);
 
+impl MajorityStates {
     /// Notes that a majority has the state of an endpoint on disk.
-    pub(super) fn record_majority(&mut self, id: String, state: EndpointState) {
-        self.on_majority.insert(id, state);
+    pub(super) fn record(&mut self, id: String, state: EndpointState) {
+        self.0.insert(id, state);
     }
 
     /// Drops what is known of endpoints that the registry no longer contains.
     pub(super) fn forget_expired(&mut self, endpoints: &EndpointRegistry) {
-        self.on_majority.retain(|id, _| endpoints.get(id).is_some());
+        self.0.retain(|id, _| endpoints.get(id).is_some());
     }
 
     /// Whether a majority is known to have this state of an endpoint, or a later one, on disk.
-    fn is_on_majority(&self, id: &str, state: EndpointState) -> bool {
-        self.on_majority
-            .get(id)
-            .is_some_and(|known| *known >= state)
+    fn contains(&self, id: &str, state: EndpointState) -> bool {
+        self.0.get(id).is_some_and(|known| *known >= state)
     }
 }
 
@@ -98,8 +57,12 @@
             return;
         }
         let (id, state) = (record.id.clone(), record.state);
-        let is_changed = self.gossip.record_heartbeat(now, record) == MergeOutcome::Changed;
+        let outcome = self.gossip.record_heartbeat(now, record);
+        let is_changed = outcome == MergeOutcome::Changed;
         self.checkpoint.changed.endpoints |= is_changed;
+        if outcome == MergeOutcome::Heartbeat {
+            self.store_warmup(now, &id);
+        }
         // A drain that is already known here may have arrived through a node that could not acknowledge it.
         let is_drain = state != EndpointState::Ready
             && (is_changed || Safeguard::RepeatedDrainOnMajority.is_enabled());
@@ -153,7 +116,7 @@
         done: oneshot::Sender<Acknowledgement>,
         actions: &mut Vec<Action>,
     ) {
-        let is_stored = self.departures.is_on_majority(id, state);
+        let is_stored = self.stored_by_majority.contains(id, state);
         let record = self.gossip.endpoints().record(now, id);
         let needs_majority = !is_stored && Safeguard::DrainOnMajority.is_enabled();
         let Some(record) = record.filter(|_| needs_majority) else {
@@ -220,35 +183,10 @@
 
     /// Puts a departure on this node's disk. `stored` receives whether it is there.
     fn store_departure(&mut self, record: EndpointRecord, stored: oneshot::Sender<bool>) {
-        if !Safeguard::DepartureOnDisk.is_enabled() {
+        if Safeguard::DepartureOnDisk.is_enabled() {
+            self.log_endpoint(record, Some(stored));
+        } else {
             let _ = stored.send(true);
-            return;
-        }
-        self.departures.add(record, stored);
-        self.write_departures();
-    }
-
-    /// Begins a write of the departures if one is awaited and none is in progress.
-    fn write_departures(&mut self) {
-        if self.departures.is_writing || self.departures.waiting.is_empty() {
-            return;
         }
-        self.departures.is_writing = true;
-        let waiting = std::mem::take(&mut self.departures.waiting);
-        let bytes = encoding::encode(&self.departures.unsaved);
-        let (disk, queue) = (self.disk.clone(), self.queue.clone());
-        spawn_local(async move {
-            let is_stored = disk.store(vec![(DEPARTURES_KEY.to_owned(), bytes)]).await;
-            for stored in waiting {
-                let _ = stored.send(is_stored);
-            }
-            let _ = queue.send(Command::DeparturesWritten);
-        });
-    }
-
-    /// Handles the end of a write of departures.
-    pub(super) fn on_departures_written(&mut self) {
-        self.departures.is_writing = false;
-        self.write_departures();
     }
 }
--- a/crates/beechcroft-safeguards/src/lib.rs
+++ b/crates/beechcroft-safeguards/src/lib.rs
@@ -57,6 +57,8 @@
     RepeatedDrainOnMajority,
     /// A control node counts as one that stores a drain or deregistration only once that is on its disk.
     DepartureOnDisk,
+    /// A control node puts the warm-up of a known endpoint on its disk as soon as a heartbeat reports it.
+    WarmupOnDisk,
     /// A starting proxy becomes ready only once it has the revisions that a majority confirms.
     ConfirmedStart,
     /// A control node that hears from no peer names no proxy to clients.
