--- a/crates/beechcroft-control/src/state_owner.rs
+++ b/crates/beechcroft-control/src/state_owner.rs
@@ -310,8 +310,8 @@
                 }
                 Action::EndpointChanged(_) => self.checkpoint.changed.endpoints = true,
                 Action::MembersChanged => self.checkpoint.changed.members = true,
-                Action::EndpointHeartbeat(id) => self.store_warmup(now, &id),
-                Action::Alarm(_) | Action::HotKeys(_) => {}
+                Action::EndpointWarmup(id) => self.store_warmup(now, &id),
+                Action::EndpointHeartbeat(_) | Action::Alarm(_) | Action::HotKeys(_) => {}
             }
         }
     }
--- a/crates/beechcroft-control/src/state_owner/endpoint_log.rs
+++ b/crates/beechcroft-control/src/state_owner/endpoint_log.rs
@@ -69,13 +69,10 @@
         self.write_endpoint_log();
     }
 
-    /// Writes the warm-up of an endpoint to disk after a heartbeat. If it were lost with this process, proxies would send
+    /// Writes a new or longer warm-up of a known endpoint to disk. If it were lost with this process, proxies would send
     /// the unit more than it bears until its next heartbeat has reached them.
     pub(super) fn store_warmup(&mut self, now: u64, id: &str) {
-        let Some(endpoint) = self.gossip.endpoints().get(id) else {
-            return;
-        };
-        if endpoint.warmup_ends_at <= now || !Safeguard::WarmupOnDisk.is_enabled() {
+        if !Safeguard::WarmupOnDisk.is_enabled() {
             return;
         }
         if let Some(record) = self.gossip.endpoints().record(now, id) {
--- a/crates/beechcroft-control/src/state_owner/unit_reports.rs
+++ b/crates/beechcroft-control/src/state_owner/unit_reports.rs
@@ -60,7 +60,7 @@
         let outcome = self.gossip.record_heartbeat(now, record);
         let is_changed = outcome == MergeOutcome::Changed;
         self.checkpoint.changed.endpoints |= is_changed;
-        if outcome == MergeOutcome::Heartbeat {
+        if outcome == MergeOutcome::Warmup {
             self.store_warmup(now, &id);
         }
         // A drain that is already known here may have arrived through a node that could not acknowledge it.
--- a/crates/beechcroft-gossip/src/gossip.rs
+++ b/crates/beechcroft-gossip/src/gossip.rs
@@ -17,9 +17,6 @@
 
 /// Number of heartbeats of an endpoint per disseminated one, if nothing else has changed.
 pub const HEARTBEATS_PER_UPDATE: u64 = 4;
-/// Minimum delay of the reported end of a warm-up that is disseminated at once, in milliseconds. Smaller differences
-/// come from the varying transit time of heartbeats.
-const WARMUP_TOLERANCE_MS: u64 = 200;
 /// How long a received alarm is kept, in milliseconds.
 pub(crate) const ALARM_TTL_MS: u64 = 3000;
 /// How long a watched node may leave pings unanswered before it is first reported as down, in milliseconds.
@@ -48,6 +45,8 @@
     EndpointChanged(String),
     /// A later heartbeat of the endpoint with this id was received.
     EndpointHeartbeat(String),
+    /// A later heartbeat was received of the endpoint with this id, by which it warms up again, or for longer than known.
+    EndpointWarmup(String),
     /// The table of members has changed.
     MembersChanged,
     /// The alarm of another proxy was received.
@@ -301,20 +300,13 @@
     /// Merges the record of a heartbeat that an endpoint has sent to this node.
     pub fn record_heartbeat(&mut self, now: u64, record: EndpointRecord) -> MergeOutcome {
         let id = record.id.clone();
-        // Other nodes must learn at once that an endpoint warms up again, or for longer than reported before.
-        let warm_at = self
-            .endpoints
-            .get(&id)
-            .map_or(0, |endpoint| endpoint.warmup_ends_at);
-        let reported_warm_at = now + u64::from(record.warmup_left_ms);
-        let extends_warmup =
-            record.warmup_left_ms > 0 && reported_warm_at > warm_at + WARMUP_TOLERANCE_MS;
-        let is_disseminated =
-            record.sequence.is_multiple_of(HEARTBEATS_PER_UPDATE) || extends_warmup;
+        let is_due = record.sequence.is_multiple_of(HEARTBEATS_PER_UPDATE);
         let outcome = self.endpoints.merge(now, record);
         match outcome {
             MergeOutcome::Changed => self.enqueue(Update::Endpoint(id)),
-            MergeOutcome::Heartbeat if is_disseminated => self.enqueue(Update::Heartbeat(id)),
+            // Other nodes must learn of a warm-up at once.
+            MergeOutcome::Warmup => self.enqueue(Update::Heartbeat(id)),
+            MergeOutcome::Heartbeat if is_due => self.enqueue(Update::Heartbeat(id)),
             MergeOutcome::Heartbeat | MergeOutcome::Unchanged => {}
         }
         outcome
--- a/crates/beechcroft-gossip/src/receive.rs
+++ b/crates/beechcroft-gossip/src/receive.rs
@@ -162,6 +162,7 @@
         match self.endpoints.merge(now, record) {
             MergeOutcome::Unchanged => {}
             MergeOutcome::Heartbeat => actions.push(Action::EndpointHeartbeat(id)),
+            MergeOutcome::Warmup => actions.push(Action::EndpointWarmup(id)),
             MergeOutcome::Changed => {
                 self.endpoints_changed_at = now;
                 self.enqueue(Update::Endpoint(id.clone()));
@@ -186,10 +187,13 @@
             age_ms,
             ..endpoint.record.clone()
         };
-        if self.endpoints.merge(now, record) == MergeOutcome::Heartbeat {
-            self.enqueue(Update::Heartbeat(id.clone()));
-            actions.push(Action::EndpointHeartbeat(id));
-        }
+        let action = match self.endpoints.merge(now, record) {
+            MergeOutcome::Heartbeat => Action::EndpointHeartbeat(id.clone()),
+            MergeOutcome::Warmup => Action::EndpointWarmup(id.clone()),
+            MergeOutcome::Changed | MergeOutcome::Unchanged => return,
+        };
+        self.enqueue(Update::Heartbeat(id));
+        actions.push(action);
     }
 
     fn merge_alarm(&mut self, now: u64, update: AlarmUpdate, actions: &mut Vec<Action>) {
--- a/crates/beechcroft-proxy/src/state_owner.rs
+++ b/crates/beechcroft-proxy/src/state_owner.rs
@@ -188,7 +188,9 @@
                     self.mark_predecessors_gone(&id);
                     self.sync_endpoint(now, &id);
                 }
-                Action::EndpointHeartbeat(id) => self.sync_endpoint(now, &id),
+                Action::EndpointHeartbeat(id) | Action::EndpointWarmup(id) => {
+                    self.sync_endpoint(now, &id);
+                }
                 Action::MembersChanged => self.update_position(),
                 Action::Observation(observation) => {
                     let service = observation.service.clone();
--- a/crates/beechcroft-registry/src/lib.rs
+++ b/crates/beechcroft-registry/src/lib.rs
@@ -33,6 +33,9 @@
 
 /// Time for which an endpoint that is gone is kept, in milliseconds, so that a late record does not add it again.
 const RETENTION_MS: u64 = 600_000;
+/// By how much a heartbeat must delay the end of a warm-up to report a new or longer one, in milliseconds. Smaller
+/// differences come from the varying transit time of heartbeats.
+const WARMUP_TOLERANCE_MS: u64 = 200;
 
 /// The state of an endpoint. A later variant supersedes an earlier one; the order of variants is the encoding.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -106,6 +109,9 @@
     Unchanged,
     /// The record contained a later heartbeat in the same state.
     Heartbeat,
+    /// The record contained a later heartbeat in the same state, by which the endpoint warms up again, or for longer than
+    /// was known.
+    Warmup,
     /// The endpoint or its state was new.
     Changed,
 }
@@ -147,6 +153,8 @@
         };
         let current = &mut endpoint.record;
         let is_newer = record.sequence > current.sequence;
+        let extends_warmup = record.warmup_left_ms > 0
+            && warmup_ends_at > endpoint.warmup_ends_at + WARMUP_TOLERANCE_MS;
         if is_newer {
             // A later heartbeat shows that the endpoint was alive then, whatever its state.
             current.sequence = record.sequence;
@@ -160,10 +168,10 @@
             current.state = after;
             return MergeOutcome::Changed;
         }
-        if is_newer {
-            MergeOutcome::Heartbeat
-        } else {
-            MergeOutcome::Unchanged
+        match (is_newer, extends_warmup) {
+            (false, _) => MergeOutcome::Unchanged,
+            (true, false) => MergeOutcome::Heartbeat,
+            (true, true) => MergeOutcome::Warmup,
         }
     }
 
--- a/crates/beechcroft-registry/tests/merge.rs
+++ b/crates/beechcroft-registry/tests/merge.rs
@@ -35,6 +35,34 @@
     assert_eq!(registry.get("i").unwrap().record.state, EndpointState::Gone);
 }
 
+// Guards against a warm-up that is reported again and again, so that every heartbeat of it is disseminated and stored.
+#[test]
+fn only_a_new_or_longer_warmup_is_reported_as_one() {
+    let mut registry = EndpointRegistry::default();
+    let warming_up = |sequence, warmup_left_ms| EndpointRecord {
+        warmup_left_ms,
+        ..record("i", EndpointState::Ready, sequence)
+    };
+    assert_eq!(registry.merge(0, warming_up(1, 0)), MergeOutcome::Changed);
+    let steps = [
+        (1000, 2, 10_000, MergeOutcome::Warmup),
+        // The same warm-up, by a heartbeat that took 150 ms longer on its way.
+        (2150, 3, 9000, MergeOutcome::Heartbeat),
+        (3000, 4, 8000, MergeOutcome::Heartbeat),
+        // It began anew.
+        (4000, 5, 10_000, MergeOutcome::Warmup),
+        // A late heartbeat.
+        (4100, 2, 30_000, MergeOutcome::Unchanged),
+        (14_000, 6, 0, MergeOutcome::Heartbeat),
+        (15_000, 7, 3000, MergeOutcome::Warmup),
+    ];
+    for (now, sequence, warmup_left_ms, expected) in steps {
+        let outcome = registry.merge(now, warming_up(sequence, warmup_left_ms));
+        assert_eq!(outcome, expected, "heartbeat {sequence} at {now} ms");
+    }
+    assert_eq!(registry.get("i").unwrap().warmup_ends_at, 18_000);
+}
+
 #[test]
 fn registries_that_merged_the_same_records_in_any_order_have_equal_digests() {
     let records: Vec<EndpointRecord> = (0..40)
--- a/crates/beechcroft-simulator/tests/unit_reports.rs
+++ b/crates/beechcroft-simulator/tests/unit_reports.rs
@@ -316,6 +316,37 @@
     assert_eq!(nodes_that_forgot_a_warmup().len(), 3);
 }
 
+/// Bytes that each node has written to its disk.
+fn written_bytes(cluster: &ControlCluster) -> Vec<u64> {
+    let nodes = all_nodes(cluster);
+    nodes.iter().map(|node| node.disk.written.get()).collect()
+}
+
+// Guards against a write of the registry on every node for each heartbeat of a unit that warms up.
+#[test]
+fn later_heartbeats_of_a_stored_warmup_are_not_written() {
+    simulate(3, 1, |cluster| async move {
+        register_units(&cluster).await;
+        let node = all_nodes(&cluster)[0].clone();
+        let before = written_bytes(&cluster);
+        let status = send_heartbeat(&cluster, &node, UNITS[1], "ready", 2, 10_000).await;
+        assert_eq!(status, Some(200));
+        sleep(SETTLE).await;
+        let stored = written_bytes(&cluster);
+        let is_written = |(before, after): (&u64, &u64)| before < after;
+        assert!(before.iter().zip(&stored).all(is_written), "{stored:?}");
+        // The fourth heartbeat is disseminated to the other nodes whatever it reports.
+        for sequence in 3..=8 {
+            sleep(Duration::from_millis(500)).await;
+            let left = 10_000 - 1200 - 500 * (sequence - 2);
+            let status = send_heartbeat(&cluster, &node, UNITS[1], "ready", sequence, left).await;
+            assert_eq!(status, Some(200));
+        }
+        sleep(SETTLE).await;
+        assert_eq!(written_bytes(&cluster), stored);
+    });
+}
+
 /// A day on which three units turn cold again and all processes are killed a second later. Returns whether all three had
 /// reported it before the kill, and the rules that were violated.
 fn cold_units_before_a_kill(
