--- a/crates/beechcroft-simulator/tests/unit_reports.rs
+++ b/crates/beechcroft-simulator/tests/unit_reports.rs
@@ -10,13 +10,14 @@
 use beechcroft_registry::{EndpointRecord, EndpointState};
 use beechcroft_safeguards::{disable, Safeguard};
 use beechcroft_simulator::cluster::history::ControlExchange;
+use beechcroft_simulator::cluster::network::{Cut, PartitionKind};
 use beechcroft_simulator::cluster::{self, Scenario};
 use beechcroft_storage::RecordStore;
 use std::collections::BTreeSet;
 use std::fs;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{sleep, Instant};
 
 /// Simulated time at which traffic starts, in milliseconds; second 0 of a scenario.
 const TRAFFIC_START_MS: u64 = 8000;
@@ -26,6 +27,8 @@
 const BETWEEN_CHECKPOINTS: Duration = Duration::from_millis(150);
 /// How long the nodes are down.
 const DOWNTIME: Duration = Duration::from_millis(500);
+/// How long a node is cut off for others not to hear of a unit from it. Quorum contact outlasts it.
+const BRIEF_ISOLATION: Duration = Duration::from_millis(1500);
 /// Units of each test; the last one's departure is the one that is checked.
 const UNITS: [&str; 2] = ["i-0001", "i-0002"];
 
@@ -190,6 +193,57 @@
     }
 }
 
+/// Cuts one node off from the others, for less time than quorum contact lasts.
+fn isolate_briefly(cluster: &ControlCluster, isolated: &ControlNode) {
+    let nodes = all_nodes(cluster);
+    for other in nodes.iter().filter(|node| node.name != isolated.name) {
+        cluster.network.state().begin(Cut {
+            from: isolated.name.clone(),
+            to: other.name.clone(),
+            until: Instant::now() + BRIEF_ISOLATION,
+            one_way: false,
+            how: PartitionKind::Silent,
+        });
+    }
+}
+
+/// Lets a unit that only the first node knows deregister at the second one, and kills every node. Returns the status of
+/// the deregistration, and the nodes that do not show the unit as gone.
+fn deregister_where_unknown(lost_disks: &'static [usize]) -> (Option<u16>, Vec<String>) {
+    simulate(3, 1, |cluster| async move {
+        let nodes = all_nodes(&cluster);
+        let [known, unknown] = UNITS;
+        let status = send_heartbeat(&cluster, &nodes[0], known, "ready", 1, 0).await;
+        assert_eq!(status, Some(200));
+        sleep(SETTLE).await;
+        isolate_briefly(&cluster, &nodes[0]);
+        let status = send_heartbeat(&cluster, &nodes[0], unknown, "ready", 1, 0).await;
+        assert_eq!(status, Some(200));
+        let status = announce(&cluster, &nodes[1], known, Departure::Deregistration).await;
+        assert_eq!(status, Some(200));
+        sleep(BETWEEN_CHECKPOINTS).await;
+        let shown = cluster.show_state(&nodes[1]).await;
+        assert!(!shown.contains(unknown), "{shown}");
+        let status = announce(&cluster, &nodes[1], unknown, Departure::Deregistration).await;
+        kill_all(&cluster, lost_disks).await;
+        let forgetful = nodes_that_forgot(&cluster, Departure::Deregistration).await;
+        (status, forgetful)
+    })
+}
+
+// Guards against a deregistration that is acknowledged but not stored because the node does not know the unit.
+#[test]
+fn a_deregistration_where_the_unit_is_unknown_outlives_a_kill_of_all_nodes() {
+    for lost in [&[][..], &[0], &[1], &[2]] {
+        let (status, forgetful) = deregister_where_unknown(lost);
+        assert_eq!(status, Some(200), "lost {lost:?}");
+        assert_eq!(forgetful, [] as [&str; 0], "lost {lost:?}");
+    }
+    let _disabled = disable(Some(Safeguard::DepartureOnDisk));
+    let (_, forgetful) = deregister_where_unknown(&[]);
+    assert_eq!(forgetful.len(), 3);
+}
+
 fn contains_endpoints(records: &Records) -> bool {
     let is_endpoints = |key: &str| [ENDPOINTS_KEY, ENDPOINT_LOG_KEY].contains(&key);
     records.iter().any(|(key, _)| is_endpoints(key))
