--- a/crates/beechcroft-control/src/state_owner.rs
+++ b/crates/beechcroft-control/src/state_owner.rs
@@ -213,7 +213,9 @@
             Command::StoreEndpoint { record, stored } => {
                 self.on_store_endpoint(now, record, stored, &mut actions);
             }
-            Command::EndpointLogWritten => self.on_endpoint_log_written(),
+            Command::EndpointLogWritten { is_stored } => {
+                self.on_endpoint_log_written(is_stored);
+            }
             Command::CheckpointWritten { content, is_stored } => {
                 self.on_checkpoint_written(&content, is_stored);
             }
--- a/crates/beechcroft-control/src/state_owner/checkpoint.rs
+++ b/crates/beechcroft-control/src/state_owner/checkpoint.rs
@@ -4,6 +4,7 @@
 //! Of all that checkpoints contain, only departures have been acknowledged to anybody. They are in the endpoint log first
 //! (see the module `endpoint_log`), and stay there until a checkpoint that contains them is stored.
 
+use super::endpoint_log::EndpointLog;
 use super::{Command, StateOwner, ENDPOINT_LOG_KEY};
 use beechcroft_consensus::{encoding, PerRegister, Records, RegisterId};
 use beechcroft_gossip::Member;
@@ -72,7 +73,10 @@
         }
         let now = self.now();
         let mut endpoints: Vec<EndpointRecord> = read(table, ENDPOINTS_KEY);
-        endpoints.extend(read::<Vec<EndpointRecord>>(table, ENDPOINT_LOG_KEY));
+        let logged: Vec<EndpointRecord> = read(table, ENDPOINT_LOG_KEY);
+        endpoints.extend(logged.iter().cloned());
+        self.checkpoint.changed.endpoints |= !logged.is_empty();
+        self.endpoint_log = EndpointLog::restored(logged);
         self.gossip
             .restore(now, read(table, MEMBERS_KEY), endpoints);
         for register in RegisterId::ALL {
@@ -125,6 +129,7 @@
             self.checkpoint.changed.add(*content);
         } else if content.endpoints {
             self.endpoint_log.end_checkpoint();
+            self.write_endpoint_log();
         }
     }
 
--- a/crates/beechcroft-control/src/state_owner/command.rs
+++ b/crates/beechcroft-control/src/state_owner/command.rs
@@ -43,7 +43,10 @@
         stored: oneshot::Sender<bool>,
     },
     /// The write of the endpoint log that was in progress has ended.
-    EndpointLogWritten,
+    EndpointLogWritten {
+        /// Whether it is on disk.
+        is_stored: bool,
+    },
     /// The write of a checkpoint has ended.
     CheckpointWritten {
         /// What the checkpoint contained.
--- a/crates/beechcroft-control/src/state_owner/endpoint_log.rs
+++ b/crates/beechcroft-control/src/state_owner/endpoint_log.rs
@@ -1,8 +1,9 @@
 //! The endpoint log: records of endpoints that must outlive this process and that the registry on disk may lack.
 //!
 //! The registry of endpoints is too large to be written for each change. Departures, and warm-ups of units that are
-//! already known, are therefore written as a record of their own at once, and dropped from it once a checkpoint of the
-//! registry contains them.
+//! already known, are therefore written as a record of their own at once, and dropped from it, in memory and then on
+//! disk, once a checkpoint of the registry contains them. A record that stayed on disk could bring an endpoint back after
+//! the registry has expired it.
 
 use super::{Command, StateOwner};
 use beechcroft_consensus::encoding;
@@ -21,7 +22,7 @@
     records: Vec<EndpointRecord>,
     /// Number of records at the front that the checkpoint in progress contains.
     in_checkpoint: usize,
-    /// Whether a record has been added since the last write began.
+    /// Whether the records have changed since the last write began, or that write failed.
     is_changed: bool,
     /// Receivers of the result of the next write.
     waiting: Vec<oneshot::Sender<bool>>,
@@ -31,6 +32,14 @@
 }
 
 impl EndpointLog {
+    /// The log of an earlier process. The registry on disk may lack its records, so the next write must contain them.
+    pub(super) fn restored(records: Vec<EndpointRecord>) -> EndpointLog {
+        EndpointLog {
+            records,
+            ..EndpointLog::default()
+        }
+    }
+
     /// Adds a record to the next write. `stored` receives the result of that write.
     fn add(&mut self, record: EndpointRecord, stored: Option<oneshot::Sender<bool>>) {
         let is_superseded = |known: &EndpointRecord| {
@@ -52,6 +61,7 @@
 
     /// Drops the records that a checkpoint contains which has been stored.
     pub(super) fn end_checkpoint(&mut self) {
+        self.is_changed |= self.in_checkpoint > 0;
         self.records.drain(..self.in_checkpoint);
         self.in_checkpoint = 0;
     }
@@ -81,7 +91,7 @@
     }
 
     /// Begins a write of the log if it has changed and no write is in progress.
-    fn write_endpoint_log(&mut self) {
+    pub(super) fn write_endpoint_log(&mut self) {
         if self.endpoint_log.is_writing || !self.endpoint_log.is_changed {
             return;
         }
@@ -94,13 +104,18 @@
             for stored in waiting {
                 let _ = stored.send(is_stored);
             }
-            let _ = queue.send(Command::EndpointLogWritten);
+            let _ = queue.send(Command::EndpointLogWritten { is_stored });
         });
     }
 
-    /// Handles the end of a write of the log.
-    pub(super) fn on_endpoint_log_written(&mut self) {
+    /// Handles the end of a write of the log. A failed one is repeated after the next checkpoint, or for the next record.
+    pub(super) fn on_endpoint_log_written(&mut self, is_stored: bool) {
         self.endpoint_log.is_writing = false;
-        self.write_endpoint_log();
+        if is_stored || !self.endpoint_log.waiting.is_empty() {
+            self.write_endpoint_log();
+        } else {
+            self.endpoint_log.is_changed = true;
+            self.checkpoint.changed.endpoints = true;
+        }
     }
 }
--- a/crates/beechcroft-simulator/tests/unit_reports.rs
+++ b/crates/beechcroft-simulator/tests/unit_reports.rs
@@ -321,6 +321,59 @@
     }
 }
 
+/// Duration of a disk sync during which a checkpoint is still being written when a departure is acknowledged, in
+/// milliseconds.
+const SLOW_SYNC_MS: u64 = 100;
+
+// Guards against a departure that is on disk only in the endpoint log of an earlier process, and is lost when the next
+// process writes its own.
+#[test]
+fn a_departure_of_an_earlier_process_outlives_the_next_departure_and_a_second_kill() {
+    let forgetful = simulate(3, 1, |cluster| async move {
+        register_units(&cluster).await;
+        acknowledge_departures(&cluster, Departure::Deregistration).await;
+        let nodes = all_nodes(&cluster);
+        kill_all(&cluster, &[]).await;
+        for node in &nodes {
+            node.disk.sync_ms.set(SLOW_SYNC_MS);
+        }
+        let status = announce(&cluster, &nodes[0], "i-0003", Departure::Deregistration).await;
+        assert_eq!(status, Some(200));
+        kill_all(&cluster, &[]).await;
+        nodes_that_forgot(&cluster, Departure::Deregistration).await
+    });
+    assert_eq!(forgetful, [] as [&str; 0]);
+}
+
+/// Endpoints in the endpoint log on a node's disk.
+fn logged_endpoints(node: &ControlNode) -> Vec<EndpointRecord> {
+    let (table, _) = RecordStore::peek(node.folder.path());
+    let record = table.get(ENDPOINT_LOG_KEY);
+    record.map_or(Vec::new(), |bytes| encoding::decode(bytes).unwrap())
+}
+
+// Guards against a record that stays in the endpoint log on disk after the registry has expired the endpoint: a restart
+// would bring the endpoint back in the state of that record, as if it had just sent a heartbeat.
+#[test]
+fn the_endpoint_log_on_disk_holds_only_what_no_checkpoint_contains() {
+    simulate(3, 1, |cluster| async move {
+        register_units(&cluster).await;
+        let nodes = all_nodes(&cluster);
+        let status = send_heartbeat(&cluster, &nodes[0], UNITS[1], "ready", 2, 10_000).await;
+        assert_eq!(status, Some(200));
+        sleep(SETTLE).await;
+        for node in &nodes {
+            assert_eq!(logged_endpoints(node), [], "{}", node.name);
+        }
+        acknowledge_departures(&cluster, Departure::Deregistration).await;
+        kill_all(&cluster, &[]).await;
+        for node in &nodes {
+            assert_eq!(logged_endpoints(node), [], "{}", node.name);
+            assert_eq!(state_on_disk(node), Some(EndpointState::Gone));
+        }
+    });
+}
+
 /// Rules that are violated on a day on which all processes are killed right after a unit has deregistered.
 fn violated_rules(seed: u64, disabled_safeguard: Option<Safeguard>) -> Vec<&'static str> {
     let day = include_str!("../../../examples/days/end-after-a-deregistration.toml");
