--- a/crates/beechcroft-safeguards/src/lib.rs
+++ b/crates/beechcroft-safeguards/src/lib.rs
@@ -57,7 +57,7 @@
     RepeatedDrainOnMajority,
     /// A control node counts as one that stores a drain or deregistration only once that is on its disk.
     DepartureOnDisk,
-    /// A control node puts the warm-up of a known endpoint on its disk as soon as a heartbeat reports it.
+    /// A control node puts a new or longer warm-up of a known endpoint on its disk as soon as it learns of it.
     WarmupOnDisk,
     /// A starting proxy becomes ready only once it has the revisions that a majority confirms.
     ConfirmedStart,
--- a/crates/beechcroft-simulator/tests/unit_reports.rs
+++ b/crates/beechcroft-simulator/tests/unit_reports.rs
@@ -374,6 +374,31 @@
     });
 }
 
+/// Whether these records empty the endpoint log.
+fn empties_endpoint_log(records: &Records) -> bool {
+    let is_empty = |bytes: &[u8]| {
+        encoding::decode::<Vec<EndpointRecord>>(bytes).is_ok_and(|logged| logged.is_empty())
+    };
+    let mut records = records.iter();
+    records.any(|(key, bytes)| key == ENDPOINT_LOG_KEY && is_empty(bytes))
+}
+
+// Guards against a record that stays in the endpoint log on disk because the write that drops it failed once.
+#[test]
+fn the_endpoint_log_is_emptied_once_a_disk_that_rejected_it_recovers() {
+    simulate(3, 1, |cluster| async move {
+        register_units(&cluster).await;
+        let nodes = all_nodes(&cluster);
+        nodes[2].disk.rejects_write.set(empties_endpoint_log);
+        acknowledge_departures(&cluster, Departure::Deregistration).await;
+        sleep(SETTLE).await;
+        assert_ne!(logged_endpoints(&nodes[2]), []);
+        nodes[2].disk.rejects_write.set(|_| false);
+        sleep(SETTLE).await;
+        assert_eq!(logged_endpoints(&nodes[2]), []);
+    });
+}
+
 /// Rules that are violated on a day on which all processes are killed right after a unit has deregistered.
 fn violated_rules(seed: u64, disabled_safeguard: Option<Safeguard>) -> Vec<&'static str> {
     let day = include_str!("../../../examples/days/end-after-a-deregistration.toml");
